--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,608 @@
+// Package brain decides, for one dispatcher, where each question goes.
+//
+// The host program makes a Dispatcher with New and calls it with what happens: Listed and ListFailed for the list of
+// hosts, Arrive for a question, Began and Ended for its trips, Left when its client has gone. The module acts through
+// the Door of door.go and through nothing else; types.go has what it is handed. Each trip carries in Next what is to be
+// done with its result. The ordinary path is that of docs/design.md: inPlace, mixed, reader, then write.
+package brain
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	refresh   = 5 * time.Second         // how often the average of tokens left to read is taken anew (design)
+	cutShare  = 0.25                    // prompts under this share of the average are read in place (design)
+	keptFor   = 40 * time.Second        // a prefix key unused for longer is taken for forgotten
+	evidence  = 1500 * time.Millisecond // a tenth of the time for which trips speak for or against a host
+	believe   = 0.75                    // a doubtful host gets work if the draw of its chance of success is above this
+	sweep     = 20 * time.Millisecond   // how often held questions are looked at
+	tries     = 8                       // held questions in a row that find no room before the rest are left alone
+	impatient = 0.25                    // of the promised time: an oldest wait beyond it means overload
+)
+
+// Dispatcher is one instance of the module.
+type Dispatcher struct {
+	facts    Facts
+	door     Door
+	rng      *PCG
+	grades   []*Grade
+	channels []*Channel
+	hosts    []*Host // by id
+	unread   Ring    // tokens left to read, and of how many questions
+	asked    Ring
+	average  float64 // of tokens left to read, as last refreshed; 0 in a fresh router
+	typical  [3]Mean // seconds for each stage's unit of work
+	held     []*Question
+	served   Ring // questions let out of held
+	sweeping bool
+}
+
+// New starts an instance from its settings and the seed for its chance.
+func New(facts Facts, seed uint64, door Door) (*Dispatcher, error) {
+	if err := facts.Lacks("rules.tipMultiple", "rules.tipAfterUs", "rules.coldFrom", "rules.rampTimeUs",
+		"familyInfo.pinLimitUs", "familyInfo.kindRole", "requestClasses", "policyLimits.maxAttempts"); err != nil {
+		return nil, err
+	}
+	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed)}
+	d.unread.Width, d.asked.Width, d.served.Width = refresh, refresh, 200*time.Millisecond
+	for i := range int(facts.Num("requestClasses", 0)) {
+		at := fmt.Sprintf("requestClasses.%d.", i)
+		if err := facts.Lacks(at + "aimUs"); err != nil {
+			return nil, err
+		}
+		effect, known := map[string]Effect{"repeatable": Idempotent, "by_key": Deduplicated, "once": Unrepeatable}[facts.Text(at+"effect")]
+		if !known {
+			return nil, fmt.Errorf("setting %seffect is missing or unknown", at)
+		}
+		d.grades = append(d.grades, &Grade{
+			Effect:    effect,
+			Reach:     map[string]Reach{"zone": SameZone, "cell": SameRack}[facts.Text(at+"group")],
+			Window:    facts.Span(at + "windowUs"),
+			Promise:   facts.Span(at + "aimUs"),
+			PromisePK: facts.Span(fmt.Sprintf("familyInfo.aimUsPer1000PromptTokens.%d", i)),
+			Benefit:   facts.Num(at+"worth", 1),
+		})
+	}
+	for i := range int(facts.Num("tenants", 0)) {
+		quota := facts.Num(fmt.Sprintf("tenants.%d.quotaPerS", i), math.Inf(1))
+		d.channels = append(d.channels, &Channel{Quota: quota, Taken: Ring{Width: 500 * time.Millisecond}})
+	}
+	if facts.Text("discovery") == "subscribe" {
+		door.Watch(true)
+	}
+	door.Wake(refresh, d.refresh)
+	return d, nil
+}
+
+// refresh takes the average of tokens left to read anew.
+func (d *Dispatcher) refresh() {
+	now := d.door.Now()
+	if n := d.asked.Sum(now); n > 0 {
+		d.average = d.unread.Sum(now) / n
+	}
+	d.door.Wake(refresh, d.refresh)
+}
+
+// Listed takes what the list says of hosts; a whole list leaves out those that are gone.
+func (d *Dispatcher) Listed(lines []Listing, whole bool) {
+	if whole {
+		for _, h := range d.hosts {
+			if !slices.ContainsFunc(lines, func(l Listing) bool { return l.Host == h }) {
+				h.Standing = Gone
+			}
+		}
+	}
+	for _, l := range lines {
+		h := l.Host
+		if h.Kept == nil {
+			h.Role = map[string]Role{"read": Reads, "write": Writes, "both": Both}[d.facts.Text(fmt.Sprintf("familyInfo.kindRole.%d", h.Kind))]
+			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
+			h.Good.Width, h.Bad.Width = evidence, evidence
+			h.Room = map[Role]float64{Reads: 12, Writes: 40, Both: 40}[h.Role]
+			d.hosts = append(d.hosts, h)
+		}
+		if h.Kept == nil || l.Restart && l.Booted != h.Booted {
+			h.Kept = map[uint64]Kept{}
+			h.Good, h.Bad = Ring{Width: evidence}, Ring{Width: evidence}
+		}
+		h.Standing, h.Units, h.Booted, h.Restart = l.Standing, max(l.Units, 0.01), l.Booted, l.Restart
+	}
+	slices.SortFunc(d.hosts, func(a, b *Host) int { return int(a.ID) - int(b.ID) })
+	d.serve()
+}
+
+// ListFailed asks again, a little later, where the list has to be asked for.
+func (d *Dispatcher) ListFailed() {
+	if d.facts.Text("discovery") == "subscribe" {
+		d.door.Wake(time.Second, func() { d.door.Watch(true) })
+	}
+}
+
+// Arrive takes a question.
+func (d *Dispatcher) Arrive(q *Question, grade, channel int) {
+	now := d.door.Now()
+	q.Grade = d.grades[min(grade, len(d.grades)-1)]
+	q.Taken, q.Expiry = now, now+q.Left
+	q.Promised = now + q.Grade.Promise + time.Duration(q.Prompt/1000*float64(q.Grade.PromisePK))
+	if channel < len(d.channels) {
+		c := d.channels[channel]
+		c.Taken.Add(now, 1)
+		share := c.Quota / max(d.facts.Num("siblings", 1), 1)
+		q.Surplus = c.Taken.Sum(now) > share*buckets*c.Taken.Width.Seconds()
+	}
+	d.hold(q)
+	d.serve()
+}
+
+// density is the benefit of a question for its work.
+func (d *Dispatcher) density(q *Question) float64 {
+	v := q.Grade.Benefit
+	if q.Surplus {
+		v *= d.facts.Num("overShareWorth", 1)
+	}
+	if d.facts.Text("valueBy") != "work" {
+		v /= q.Prompt + q.Most + 1
+	}
+	return v
+}
+
+// hold puts a question among the held, densest first, then oldest.
+func (d *Dispatcher) hold(q *Question) {
+	q.Waiting, q.Density = true, d.density(q)
+	i, _ := slices.BinarySearchFunc(d.held, q, func(a, b *Question) int {
+		return cmp.Or(cmp.Compare(b.Density, a.Density), cmp.Compare(a.Taken, b.Taken), cmp.Compare(a.ID, b.ID))
+	})
+	d.held = slices.Insert(d.held, i, q)
+}
+
+// serve lets out each held question for which there is room, and sheds what has to be.
+func (d *Dispatcher) serve() {
+	now := d.door.Now()
+	stuck := 0
+	for i := 0; i < len(d.held) && stuck < tries; {
+		if q := d.held[i]; d.route(q) {
+			d.drop(q)
+			d.served.Add(now, 1)
+		} else {
+			i++
+			stuck++
+		}
+	}
+	if len(d.held) > 0 && !d.sweeping {
+		d.sweeping = true
+		d.door.Wake(sweep, func() { d.sweeping = false; d.shed(); d.serve() })
+	}
+}
+
+func (d *Dispatcher) drop(q *Question) {
+	q.Waiting = false
+	d.held = slices.DeleteFunc(d.held, func(o *Question) bool { return o == q })
+}
+
+// shed gives up, at once, on held questions that can't make their promised time. Overload is told by the oldest
+// wait; then what stands too far back, and so has least benefit for its work, goes first.
+func (d *Dispatcher) shed() {
+	now := d.door.Now()
+	overload := false
+	for _, q := range d.held {
+		overload = overload || float64(now-q.Taken) > impatient*float64(q.Promised-q.Taken)
+	}
+	if !overload {
+		return
+	}
+	rate := max(d.served.Sum(now)/(buckets*d.served.Width.Seconds()), 0.5)
+	place := 0.0
+	for _, q := range slices.Clone(d.held) {
+		wait := time.Duration(place / rate * float64(time.Second))
+		if now+wait > q.Taken+(q.Promised-q.Taken)*2/3 {
+			d.drop(q)
+			d.giveUp(q)
+			continue
+		}
+		place++
+	}
+}
+
+// giveUp answers a question finally: declined where that promise can be kept, else forfeited.
+func (d *Dispatcher) giveUp(q *Question) {
+	if q.Over {
+		return
+	}
+	q.Over = true
+	d.letGo(q)
+	if !d.mayDecline(q) {
+		d.door.Forfeit(q)
+		return
+	}
+	after := time.Duration(0)
+	if d.facts.Yes("policyLimits.retryAfter") {
+		after = min(d.facts.Span("policyLimits.maxRetryAfterUs"), time.Second)
+	}
+	d.door.Decline(q, after)
+}
+
+// mayDecline tells whether trying again is harmless.
+func (d *Dispatcher) mayDecline(q *Question) bool {
+	if q.Grade.Effect == Idempotent || q.Grade.Effect == Deduplicated && q.Grade.Reach == Everywhere {
+		return true
+	}
+	return firstThatMayHaveRun(q) == nil
+}
+
+func firstThatMayHaveRun(q *Question) *Trip {
+	for _, t := range q.Trips {
+		if t.Host.Role != Reads && !(t.Ended && t.Outcome.NeverRan()) {
+			return t
+		}
+	}
+	return nil
+}
+
+// letGo releases a state that waits for the question. Every end of a step comes through here (rule 5).
+func (d *Dispatcher) letGo(q *Question) {
+	if q.State != nil && q.Out() == nil {
+		q.State = nil
+		d.door.Release(q)
+	}
+}
+
+// barred is the gate of rules 1 to 4: every send passes it, and every choice of a host asks it first.
+func (d *Dispatcher) barred(q *Question, h *Host) bool {
+	now := d.door.Now()
+	if q.Over || q.Out() != nil || now >= q.Expiry || len(q.Trips) >= int(d.facts.Num("policyLimits.maxAttempts", 1)) {
+		return true
+	}
+	if h.Standing != Ready {
+		return true
+	}
+	if t := firstThatMayHaveRun(q); t != nil && h.Role != Reads {
+		g := q.Grade
+		if g.Effect == Unrepeatable {
+			return true
+		}
+		if g.Effect == Deduplicated && (now >= t.Sent+g.Window-10*time.Millisecond ||
+			g.Reach == SameZone && h.Zone != t.Host.Zone || g.Reach == SameRack && (h.Rack != t.Host.Rack || h.Zone != t.Host.Zone)) {
+			return true
+		}
+	}
+	return d.cold(h) && h.Sent.Sum(now)+d.weight(q) > d.coldBudget(h)
+}
+
+func (d *Dispatcher) cold(h *Host) bool {
+	return h.Restart && d.door.Now() < h.Booted+d.facts.Span("rules.rampTimeUs")
+}
+
+// weight is the mean work of the question's grade, the measure of the rule on cold hosts.
+func (d *Dispatcher) weight(q *Question) float64 {
+	return q.Grade.Reading.Or(1000) + 100*q.Grade.Writing.Or(2)
+}
+
+// coldBudget is this dispatcher's part of what a cold host may be sent: what warm hosts of its role carry is under
+// their capacity, so that share of it which a cold host has, times the multiple, is safe for all dispatchers together.
+func (d *Dispatcher) coldBudget(h *Host) float64 {
+	sum, n := 0.0, 0.0
+	for _, o := range d.hosts {
+		if o.Role == h.Role && o.Standing == Ready && !d.cold(o) {
+			sum += o.Sent.Sum(d.door.Now()) / o.Units
+			n++
+		}
+	}
+	return 0.8 * d.facts.Num("rules.tipMultiple", 1) * d.facts.Num("rules.coldFrom", 0) * sum / max(n, 1) * h.Units
+}
+
+// send makes a trip unless the gate bars it.
+func (d *Dispatcher) send(q *Question, h *Host, stage Stage, next func(Result)) bool {
+	if h == nil || d.barred(q, h) {
+		return false
+	}
+	now := d.door.Now()
+	t := &Trip{Question: q, Host: h, Number: len(q.Trips), Sent: now, Stage: stage, Next: next}
+	if stage != ToWrite {
+		t.Left = q.Prompt - d.keeps(h, q)
+		h.Unread += t.Left
+	}
+	if stage == ToRead {
+		h.Reads++
+	} else {
+		h.Streams++
+		h.Tokens += q.Prompt
+	}
+	h.Sent.Add(now, d.weight(q))
+	q.Trips = append(q.Trips, t)
+	wait := max(q.Promised-now, (q.Expiry-now)/2)
+	if len(q.Trips) == int(d.facts.Num("policyLimits.maxAttempts", 1)) || q.Grade.Effect == Unrepeatable && stage != ToRead || wait > q.Expiry-now {
+		wait = q.Expiry - now
+	}
+	d.remember(h, q)
+	d.door.Send(t, wait)
+	return true
+}
+
+// keeps is how much of the question's prompt the host should have kept, by the ageing table.
+func (d *Dispatcher) keeps(h *Host, q *Question) float64 {
+	kept := 0.0
+	for _, key := range []uint64{q.Session, q.Shared} {
+		if k, ok := h.Kept[key]; ok && key != 0 && d.door.Now()-k.At < keptFor {
+			kept = max(kept, k.Tokens)
+		}
+	}
+	return min(kept, q.Prompt)
+}
+
+func (d *Dispatcher) remember(h *Host, q *Question) {
+	now := d.door.Now()
+	if q.Session != 0 {
+		h.Kept[q.Session] = Kept{q.Prompt, now}
+	}
+	if q.Shared != 0 {
+		h.Kept[q.Shared] = Kept{q.Prefix, now}
+	}
+	if len(h.Kept) > 4000 {
+		for key, k := range h.Kept {
+			if now-k.At >= keptFor {
+				delete(h.Kept, key)
+			}
+		}
+	}
+}
+
+// trusted draws from the posterior of a host's chance of success whether it is given work.
+func (d *Dispatcher) trusted(h *Host) bool {
+	now := d.door.Now()
+	bad := h.Bad.Sum(now)
+	return bad == 0 || d.rng.Beta(4+h.Good.Sum(now), 1+bad) > believe
+}
+
+// able lists the hosts of the given roles that the gate lets through: the trusted ones, or all if none is.
+func (d *Dispatcher) able(q *Question, want func(*Host) bool) []*Host {
+	var all, trusted []*Host
+	for _, h := range d.hosts {
+		if want(h) && !d.barred(q, h) {
+			all = append(all, h)
+			if d.trusted(h) && !failedAt(q, h) {
+				trusted = append(trusted, h)
+			}
+		}
+	}
+	if len(trusted) > 0 {
+		return trusted
+	}
+	return all
+}
+
+func failedAt(q *Question, h *Host) bool {
+	return slices.ContainsFunc(q.Trips, func(t *Trip) bool { return t.Host == h && t.Ended && t.Outcome != Read })
+}
+
+func reads(h *Host) bool   { return h.Role == Reads }
+func answers(h *Host) bool { return h.Role != Reads }
+func writes(h *Host) bool  { return h.Role == Writes }
+
+// far is what it costs to use a host in another zone.
+func (d *Dispatcher) far(h *Host) float64 {
+	if h.Zone != int(d.facts.Num("zone", 0)) {
+		return 1 + 10*d.facts.Num("prices.crossZone", 0)
+	}
+	return 1
+}
+
+// press is how full an answering host looks: own streams for its size, then what it last reported.
+func (d *Dispatcher) press(h *Host) float64 {
+	return (float64(h.Streams) + 1) / h.Units * (1 + h.Util + h.Queue/10) * d.far(h)
+}
+
+// best returns the host with the least cost.
+func best(hosts []*Host, cost func(*Host) float64) *Host {
+	var found *Host
+	least := math.Inf(1)
+	for _, h := range hosts {
+		if c := cost(h); c < least {
+			found, least = h, c
+		}
+	}
+	return found
+}
+
+// route takes the first step of a question: read in place, whole at a mixed host, or at a reader. False: no room.
+func (d *Dispatcher) route(q *Question) bool {
+	answering := d.able(q, answers)
+	roomy := slices.DeleteFunc(slices.Clone(answering), func(h *Host) bool { return float64(h.Streams) >= h.Room })
+	if len(roomy) == 0 && len(answering) > 0 {
+		return false
+	}
+	if h := d.inPlace(q, roomy); h != nil {
+		return d.send(q, h, Whole, d.answered(q))
+	}
+	if h := best(roomy, d.press); h != nil && h.Role == Both && d.average > 0 {
+		return d.send(q, h, Whole, d.answered(q))
+	}
+	return d.send(q, d.reader(q), ToRead, d.read(q))
+}
+
+// inPlace finds the writer that should read a short question itself, by kept prefix against load.
+func (d *Dispatcher) inPlace(q *Question, roomy []*Host) *Host {
+	if !d.facts.Yes("familyInfo.localRead") {
+		return nil
+	}
+	short := slices.DeleteFunc(slices.Clone(roomy), func(h *Host) bool {
+		return h.Role != Writes || q.Prompt-d.keeps(h, q) >= cutShare*d.average
+	})
+	return best(short, func(h *Host) float64 { return d.press(h) / (1 + d.keeps(h, q)) })
+}
+
+// reader hashes the question's beginning to two readers and takes the one with fewer own reads.
+func (d *Dispatcher) reader(q *Question) *Host {
+	readers := d.able(q, reads)
+	key := q.Shared
+	if key == 0 {
+		key = q.Session
+	}
+	slices.SortStableFunc(readers, func(a, b *Host) int {
+		if Mix(key, uint64(a.ID)) < Mix(key, uint64(b.ID)) {
+			return -1
+		}
+		return 1
+	})
+	two := readers[:min(2, len(readers))]
+	fewest := func(h *Host) float64 { return float64(h.Reads) / h.Units }
+	h := best(two, fewest)
+	if h != nil && float64(h.Reads) >= h.Room {
+		h = best(readers, fewest)
+	}
+	if h != nil && float64(h.Reads) >= h.Room {
+		return nil
+	}
+	return h
+}
+
+// read takes the result of a trip to a reader.
+func (d *Dispatcher) read(q *Question) func(Result) {
+	return func(r Result) {
+		if r.Outcome == Read && d.write(q) {
+			return
+		}
+		d.again(q)
+	}
+}
+
+// write picks the writer once the read has ended: fewest own streams, least reported load, near the state.
+func (d *Dispatcher) write(q *Question) bool {
+	h := best(d.able(q, answers), func(h *Host) float64 {
+		if q.State != nil && h.Rack != q.State.Rack {
+			return d.press(h) * (1 + 10*d.facts.Num("familyInfo.transferPrice", 0))
+		}
+		return d.press(h)
+	})
+	return d.send(q, h, ToWrite, d.answered(q))
+}
+
+// answered takes the result of a trip that should have answered.
+func (d *Dispatcher) answered(q *Question) func(Result) {
+	return func(r Result) {
+		if q.State != nil && d.write(q) {
+			return
+		}
+		d.again(q)
+	}
+}
+
+// again starts a question over, if a host may still take it, else gives it up at once.
+func (d *Dispatcher) again(q *Question) {
+	d.letGo(q)
+	if !slices.ContainsFunc(d.hosts, func(h *Host) bool { return answers(h) && !d.barred(q, h) }) {
+		d.giveUp(q)
+		return
+	}
+	d.hold(q)
+}
+
+// Began takes word that an answer has started.
+func (d *Dispatcher) Began(t *Trip, took time.Duration) {
+	if t.Ended || t.Began > 0 {
+		return
+	}
+	t.Began = d.door.Now()
+	t.Question.State = nil
+	d.learn(t, took, true)
+}
+
+// learn lets a trip speak for or against its host, and widens or narrows what it is trusted with.
+func (d *Dispatcher) learn(t *Trip, took time.Duration, fine bool) {
+	h, now := t.Host, d.door.Now()
+	unit := took.Seconds() / (t.Left + 300)
+	slow := fine && unit > 4*d.typical[t.Stage].Or(unit)
+	if fine {
+		d.typical[t.Stage].Add(unit, 0.02)
+	}
+	if fine && !slow {
+		h.Good.Add(now, 1)
+	} else {
+		h.Bad.Add(now, 1)
+	}
+	own := h.Streams
+	if t.Stage == ToRead {
+		own = h.Reads
+	}
+	late := took > (t.Question.Promised-t.Question.Taken)/3
+	if (late || !fine) && now-h.Cut > took {
+		h.Room, h.Cut = max(1, h.Room*0.8), now
+	} else if !late && fine && float64(own) >= h.Room-1 {
+		h.Room++
+	}
+}
+
+// Ended takes the end of a trip, and hands its result to what the trip left behind.
+func (d *Dispatcher) Ended(t *Trip, r Result) {
+	q, h, now := t.Question, t.Host, d.door.Now()
+	t.Ended, t.Outcome = true, r.Outcome
+	if t.Stage != ToWrite {
+		h.Unread -= t.Left
+	}
+	if t.Stage == ToRead {
+		h.Reads--
+	} else {
+		h.Streams--
+		h.Tokens -= q.Prompt
+	}
+	for i, v := range r.Load {
+		switch d.facts.Text(fmt.Sprintf("report.fields.%d", i)) {
+		case "util":
+			h.Util = v
+		case "queue":
+			h.Queue = v
+		case "x0":
+			h.Held = v
+		}
+	}
+	q.Over = q.Over || r.Over
+	switch r.Outcome {
+	case Read:
+		q.State = h
+		d.learn(t, r.Took, true)
+	case Answered:
+		if t.Began == 0 {
+			d.learn(t, r.Took, true)
+		}
+		q.Grade.Writing.Add(now.Seconds()-t.Began.Seconds(), 0.02)
+	case Full:
+		if r.Note == 1 {
+			q.State = nil
+		} else if now-h.Cut > 100*time.Millisecond {
+			h.Room, h.Cut = max(1, h.Room*0.8), now
+		}
+	case Failed, TimedOut, Unreached, Broken:
+		d.learn(t, r.Took, false)
+	}
+	if t.Stage != ToWrite && (r.Outcome == Read || r.Outcome == Answered) {
+		left := max(q.Prompt-float64(r.Note), 0)
+		d.unread.Add(now, left)
+		d.asked.Add(now, 1)
+		q.Grade.Reading.Add(left, 0.02)
+	}
+	if q.Over {
+		d.letGo(q)
+	} else {
+		t.Next(r)
+	}
+	d.serve()
+}
+
+// Left takes word that the client has gone.
+func (d *Dispatcher) Left(q *Question) {
+	if q.Over {
+		return
+	}
+	q.Over = true
+	if q.Waiting {
+		d.drop(q)
+	}
+	if t := q.Out(); t != nil && t.Began == 0 && d.facts.Yes("policyLimits.cancelling") {
+		d.door.Cancel(t)
+	}
+	d.letGo(q)
+}
--- /dev/null
+++ b/brain/types.go
@@ -0,0 +1,180 @@
+package brain
+
+import "time"
+
+// Role says which stage of a question a host can do.
+type Role int
+
+const (
+	Reads Role = iota
+	Writes
+	Both
+)
+
+// Effect says how far running a question again does harm.
+type Effect int
+
+const (
+	Idempotent Effect = iota
+	Deduplicated
+	Unrepeatable
+)
+
+// Reach is the group of hosts that drops the repeats of a deduplicated question.
+type Reach int
+
+const (
+	Everywhere Reach = iota
+	SameZone
+	SameRack
+)
+
+// Standing is what the list of hosts says of one.
+type Standing int
+
+const (
+	Draining Standing = iota
+	Ready
+	Gone
+)
+
+// Outcome is how a trip ended.
+type Outcome int
+
+const (
+	Answered Outcome = iota
+	Read
+	Failed
+	Full
+	TimedOut
+	Unreached
+	Broken
+	Cancelled
+	Moot
+)
+
+// NeverRan tells whether the outcome proves that the trip had no effect.
+func (o Outcome) NeverRan() bool { return o == Full || o == Unreached || o == Moot || o == Read }
+
+// Grade is a service grade, as the operators state it.
+type Grade struct {
+	Effect    Effect
+	Reach     Reach
+	Window    time.Duration
+	Promise   time.Duration // to the first token
+	PromisePK time.Duration // added for each 1,000 prompt tokens
+	Benefit   float64
+	Reading   Mean // tokens left to read of this grade's questions
+	Writing   Mean // seconds that its answers stream
+}
+
+// Channel is a tenant with its share of the service.
+type Channel struct {
+	Quota float64 // questions a second over all dispatchers
+	Taken Ring
+}
+
+// Host is one server as this dispatcher knows it.
+type Host struct {
+	ID       uint32
+	Zone     int
+	Rack     int
+	Kind     int
+	Role     Role
+	Memory   float64 // tokens
+	Units    float64
+	Booted   time.Duration
+	Restart  bool // Booted is a start that the list told of
+	Standing Standing
+
+	Reads   int     // own trips that are being read here
+	Streams int     // own questions that are or will be answered here
+	Tokens  float64 // own tokens held here
+	Unread  float64 // own tokens still to be read here
+	Room    float64 // how many own trips it is trusted with
+	Cut     time.Duration
+
+	Util, Queue, Held float64 // last load report
+	Sent              Ring    // work sent
+	Good, Bad         Ring    // trips that went well, or not
+	Kept              map[uint64]Kept
+}
+
+// Kept is what a host is thought to have kept for one prefix key.
+type Kept struct {
+	Tokens float64
+	At     time.Duration
+}
+
+// Question is one try of a client that this dispatcher took.
+type Question struct {
+	ID       uint64
+	Session  uint64
+	Shared   uint64
+	Prompt   float64
+	Prefix   float64 // how much of the prompt is the shared beginning
+	Most     float64 // tokens the answer may have
+	Grade    *Grade
+	Channel  *Channel
+	Again    bool // the client says it asked before
+	Resumed  bool // it goes on with a stream that broke
+	Left     time.Duration
+	Taken    time.Duration
+	Over     bool
+	Surplus  bool    // beyond its channel's share
+	Density  float64 // benefit for its work
+	Waiting  bool    // among the held questions
+	Trips    []*Trip
+	State    *Host // where its read state waits
+	Promised time.Duration
+	Expiry   time.Duration
+}
+
+// Out returns the trip that is out, if any.
+func (q *Question) Out() *Trip {
+	if n := len(q.Trips); n > 0 && !q.Trips[n-1].Ended {
+		return q.Trips[n-1]
+	}
+	return nil
+}
+
+// Trip is one send of a question to a host. Next takes its result on.
+type Trip struct {
+	Question *Question
+	Host     *Host
+	Number   int
+	Sent     time.Duration
+	Began    time.Duration
+	Left     float64 // tokens expected to be read
+	Stage    Stage
+	Ended    bool
+	Outcome  Outcome
+	Next     func(Result)
+}
+
+// Stage is what a trip asks of its host.
+type Stage int
+
+const (
+	ToRead  Stage = iota // read and keep the state
+	ToWrite              // fetch a state and answer
+	Whole                // read and answer in one place
+)
+
+// Result is what came of a trip.
+type Result struct {
+	Outcome Outcome
+	Took    time.Duration
+	Over    bool
+	Note    int
+	Load    []float64
+}
+
+// Listing is one line of the list of hosts.
+type Listing struct {
+	Host     *Host
+	Standing Standing
+	Units    float64
+	Booted   time.Duration
+	Restart  bool
+}
--- /dev/null
+++ b/cmd/benchlink/instance.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/wire"
+)
+
+// instance is one dispatcher: the module and the ids by which the wire knows what the module holds.
+type instance struct {
+	who       uint16
+	clock     uint64
+	began     uint64
+	reply     *wire.Reply
+	module    *brain.Dispatcher
+	hosts     map[uint32]*brain.Host
+	questions map[uint64]*brain.Question
+	wakes     map[uint32]func()
+	lastWake  uint32
+}
+
+// outcomes gives the module's word for each status code of the wire.
+var outcomes = map[uint16]brain.Outcome{
+	200: brain.Answered,
+	210: brain.Read,
+	410: brain.Moot,
+	499: brain.Cancelled,
+	500: brain.Failed,
+	502: brain.Unreached,
+	503: brain.Full,
+	504: brain.TimedOut,
+	598: brain.Broken,
+}
+
+func start(e wire.Event, clock uint64, reply *wire.Reply) *instance {
+	in := &instance{
+		who: e.Who(), clock: clock, began: clock, reply: reply,
+		hosts: map[uint32]*brain.Host{}, questions: map[uint64]*brain.Question{}, wakes: map[uint32]func(){},
+	}
+	var info map[string]any
+	if err := json.Unmarshal(e.Span(11), &info); err != nil {
+		reply.BailOut(in.who, "bootInfo: "+err.Error())
+		return nil
+	}
+	facts := brain.Facts{}
+	flatten(facts, "", info)
+	module, err := brain.New(facts, e.U64(3), in)
+	if err != nil {
+		reply.BailOut(in.who, "bootInfo: "+err.Error())
+		return nil
+	}
+	in.module = module
+	return in
+}
+
+// flatten puts nested values under dotted names; a list also states its length under its own name.
+func flatten(into brain.Facts, name string, value any) {
+	under := func(part string) string {
+		if name == "" {
+			return part
+		}
+		return name + "." + part
+	}
+	switch v := value.(type) {
+	case map[string]any:
+		for k, x := range v {
+			flatten(into, under(k), x)
+		}
+	case []any:
+		into[name] = float64(len(v))
+		for i, x := range v {
+			flatten(into, under(strconv.Itoa(i)), x)
+		}
+	default:
+		into[name] = v
+	}
+}
+
+func micros(us uint32) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func (in *instance) take(e wire.Event, clock uint64) {
+	in.clock = clock
+	switch e.Code() {
+	case wire.Announce:
+		if e.U8(11) == 3 {
+			in.module.ListFailed()
+			return
+		}
+		in.module.Listed(in.listings(e.Entries()), e.U8(11) != 0)
+	case wire.Incoming:
+		q := &brain.Question{
+			ID: e.U64(3), Session: e.U64(11), Shared: e.U64(24), Prompt: e.F32(32), Prefix: e.F32(45), Most: e.F32(20),
+			Again: e.U8(19)&2 != 0, Resumed: e.U8(19)&16 != 0, Left: micros(e.U32(41)),
+		}
+		in.questions[q.ID] = q
+		in.module.Arrive(q, int(e.U8(36)), int(e.U16(49)))
+	case wire.First:
+		if t := in.trip(e); t != nil {
+			in.module.Began(t, micros(e.U32(16)))
+		}
+	case wire.Resolved:
+		if t := in.trip(e); t != nil && !t.Ended {
+			in.module.Ended(t, brain.Result{
+				Outcome: outcomes[e.U16(16)], Took: micros(e.U32(18)), Over: e.U8(22) != 0,
+				Note: int(e.U32(23)), Load: e.Load(27),
+			})
+			in.forget(t.Question)
+		}
+	case wire.Aborted:
+		if q := in.questions[e.U64(3)]; q != nil {
+			in.module.Left(q)
+			in.forget(q)
+		}
+	case wire.Due:
+		if do := in.wakes[e.U32(3)]; do != nil {
+			delete(in.wakes, e.U32(3))
+			do()
+		}
+	}
+}
+
+func (in *instance) trip(e wire.Event) *brain.Trip {
+	q := in.questions[e.U64(3)]
+	if q == nil || int(e.U8(11)) >= len(q.Trips) {
+		return nil
+	}
+	return q.Trips[e.U8(11)]
+}
+
+func (in *instance) forget(q *brain.Question) {
+	if q.Over && q.Out() == nil {
+		delete(in.questions, q.ID)
+	}
+}
+
+func (in *instance) listings(entries []wire.Entry) []brain.Listing {
+	lines := make([]brain.Listing, len(entries))
+	for i, e := range entries {
+		h := in.hosts[e.Host]
+		if h == nil {
+			h = &brain.Host{ID: e.Host, Zone: int(e.Zone), Rack: int(e.Rack), Kind: int(e.Machine)}
+			in.hosts[e.Host] = h
+		}
+		lines[i] = brain.Listing{
+			Host: h, Standing: brain.Standing(e.Readiness), Units: e.Units, Restart: e.BootUs != 0,
+			Booted: time.Duration(int64(e.BootUs)-int64(in.began)) * time.Microsecond,
+		}
+	}
+	return lines
+}
+
+func (in *instance) Now() time.Duration { return time.Duration(in.clock-in.began) * time.Microsecond }
+
+func (in *instance) Send(t *brain.Trip, wait time.Duration) {
+	in.reply.PassOn(in.who, t.Question.ID, t.Host.ID, uint32(max(wait.Microseconds(), 0)))
+}
+
+func (in *instance) Cancel(t *brain.Trip) { in.reply.Retract(in.who, t.Question.ID, uint8(t.Number)) }
+
+func (in *instance) Release(q *brain.Question) { in.reply.Discard(in.who, q.ID) }
+
+func (in *instance) Decline(q *brain.Question, after time.Duration) {
+	in.reply.TurnAway(in.who, q.ID, uint32(after.Microseconds()))
+	in.forget(q)
+}
+
+func (in *instance) Forfeit(q *brain.Question) {
+	in.reply.Lose(in.who, q.ID)
+	in.forget(q)
+}
+
+func (in *instance) Move(q *brain.Question) { in.reply.Transfer(in.who, q.ID) }
+
+func (in *instance) Wake(after time.Duration, do func()) {
+	in.lastWake++
+	in.wakes[in.lastWake] = do
+	in.reply.WakeAt(in.who, uint32(after.Microseconds()), in.lastWake)
+}
+
+func (in *instance) Watch(on bool) { in.reply.Tail(in.who, on) }
+
+func (in *instance) Note(text string) { in.reply.NoteDown(in.who, text) }
