--- a/brain/brain.go
+++ b/brain/brain.go
@@ -192,14 +192,12 @@
 	for _, q := range d.held {
 		overload = overload || float64(now-q.Taken) > impatient*float64(q.Promised-q.Taken)
 	}
-	if !overload {
-		return
-	}
 	rate := max(d.served.Sum(now)/(buckets*d.served.Width.Seconds()), 0.5)
 	place := 0.0
 	for _, q := range slices.Clone(d.held) {
 		wait := time.Duration(place / rate * float64(time.Second))
-		if now+wait > q.Taken+(q.Promised-q.Taken)*2/3 {
+		late := now+wait > q.Taken+(q.Promised-q.Taken)*2/3
+		if overload && late || now+2*sweep > q.Expiry {
 			d.drop(q)
 			d.giveUp(q)
 			continue
