Give up late tries at once; take hosts whose connections fail as cold

Also catches list delays and machines that flap; can hurt a host that merely refused a connection for its table being full, which then gets two thirds of its peers' work for a while. Evidence on hosts now spans 5 s instead of 15.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -15,14 +15,14 @@
 )
 
 const (
-	refresh   = 5 * time.Second         // how often the average of tokens left to read is taken anew (design)
-	cutShare  = 0.25                    // prompts under this share of the average are read in place (design)
-	keptFor   = 40 * time.Second        // a prefix key unused for longer is taken for forgotten
-	evidence  = 1500 * time.Millisecond // a tenth of the time for which trips speak for or against a host
-	believe   = 0.75                    // a doubtful host gets work if the draw of its chance of success is above this
-	sweep     = 20 * time.Millisecond   // how often held questions are looked at
-	tries     = 8                       // held questions in a row that find no room before the rest are left alone
-	impatient = 0.25                    // of the promised time: an oldest wait beyond it means overload
+	refresh   = 5 * time.Second        // how often the average of tokens left to read is taken anew (design)
+	cutShare  = 0.25                   // prompts under this share of the average are read in place (design)
+	keptFor   = 40 * time.Second       // a prefix key unused for longer is taken for forgotten
+	evidence  = 500 * time.Millisecond // a tenth of the time for which trips speak for or against a host
+	believe   = 0.75                   // a doubtful host gets work if the draw of its chance of success is above this
+	sweep     = 20 * time.Millisecond  // how often held questions are looked at
+	tries     = 8                      // held questions in a row that find no room before the rest are left alone
+	impatient = 0.25                   // of the promised time: an oldest wait beyond it means overload
 )
 
 // Dispatcher is one instance of the module.
@@ -151,8 +151,13 @@
 	return v
 }
 
-// hold puts a question among the held, densest first, then oldest.
+// hold puts a question among the held, densest first, then oldest. One that would expire before the next look is
+// given up on the spot: a client's late try may come with a few ms left.
 func (d *Dispatcher) hold(q *Question) {
+	if d.door.Now()+2*sweep > q.Expiry {
+		d.giveUp(q)
+		return
+	}
 	q.Waiting, q.Density = true, d.density(q)
 	i, _ := slices.BinarySearchFunc(d.held, q, func(a, b *Question) int {
 		return cmp.Or(cmp.Compare(b.Density, a.Density), cmp.Compare(a.Taken, b.Taken), cmp.Compare(a.ID, b.ID))
@@ -575,6 +580,9 @@
 		}
 	case Failed, TimedOut, Unreached, Broken:
 		d.learn(t, r.Took, false)
+		if r.Outcome == Unreached || r.Outcome == Broken {
+			h.Booted, h.Restart = now, true // it may have restarted, which the list tells seconds later: cold till then
+		}
 	}
 	if t.Stage != ToWrite && (r.Outcome == Read || r.Outcome == Answered) {
 		left := max(q.Prompt-float64(r.Note), 0)
