Room at answering hosts in tokens of memory; longer waits; kept share learned from reports

Rooms are now tokens, from the stated memory over the siblings, widened and narrowed by whether first tokens come in a third of the promised time; a trip is cut short only where another could still make it; the table of prefix keys forgets by what a host took in since and is scaled by the kept share reported. Should also hold against heavy prompts and slow hosts; hurts where the shared texts take less memory than counted.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -103,7 +103,11 @@
 			h.Role = map[string]Role{"read": Reads, "write": Writes, "both": Both}[d.facts.Text(fmt.Sprintf("familyInfo.kindRole.%d", h.Kind))]
 			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
 			h.Good.Width, h.Bad.Width = evidence, evidence
-			h.Room = map[Role]float64{Reads: 12, Writes: 40, Both: 40}[h.Role]
+			h.Memory = d.facts.Num(fmt.Sprintf("familyInfo.tokensByKind.%d", h.Kind), 150000)
+			h.Room = 12
+			if h.Role != Reads {
+				h.Room = 0.8 * h.Memory / d.facts.Num("siblings", 1)
+			}
 			d.hosts = append(d.hosts, h)
 		}
 		if h.Kept == nil || l.Restart && l.Booted != h.Booted {
@@ -305,45 +309,63 @@
 	}
 	now := d.door.Now()
 	t := &Trip{Question: q, Host: h, Number: len(q.Trips), Sent: now, Stage: stage, Next: next}
+	t.Kept = d.keeps(h, q) / h.Hits.Or(1)
 	if stage != ToWrite {
 		t.Left = q.Prompt - d.keeps(h, q)
 		h.Unread += t.Left
 	}
+	h.Tokens += need(q)
 	if stage == ToRead {
 		h.Reads++
 	} else {
 		h.Streams++
-		h.Tokens += q.Prompt
 	}
 	h.Sent.Add(now, d.weight(q))
 	q.Trips = append(q.Trips, t)
-	wait := max(q.Promised-now, (q.Expiry-now)/2)
-	if len(q.Trips) == int(d.facts.Num("policyLimits.maxAttempts", 1)) || q.Grade.Effect == Unrepeatable && stage != ToRead || wait > q.Expiry-now {
-		wait = q.Expiry - now
-	}
-	d.remember(h, q)
-	d.door.Send(t, wait)
+	d.door.Send(t, d.patience(t))
 	return true
 }
 
-// keeps is how much of the question's prompt the host should have kept, by the ageing table.
+// patience is how long a trip may take: cut short only where another trip could still make the promised time, for a
+// host that goes on with work nobody waits for any more only gets fuller.
+func (d *Dispatcher) patience(t *Trip) time.Duration {
+	q, now := t.Question, t.Sent
+	usual := time.Duration(d.typical[t.Stage].Or(1) * (t.Left + 300) * float64(time.Second))
+	if t.Stage != ToRead && q.Grade.Effect != Idempotent || now+7*usual > q.Promised {
+		return q.Expiry - now
+	}
+	return 5 * usual
+}
+
+// need is the memory that a question takes where it is answered.
+func need(q *Question) float64 { return q.Prompt + q.Most/4 }
+
+// keeps is how much of the question's prompt the host should have kept, by the ageing table: what the host has taken
+// in since pushes old texts out, and reports of less than expected lower all that is expected of it.
 func (d *Dispatcher) keeps(h *Host, q *Question) float64 {
 	kept := 0.0
 	for _, key := range []uint64{q.Session, q.Shared} {
-		if k, ok := h.Kept[key]; ok && key != 0 && d.door.Now()-k.At < keptFor {
+		k, ok := h.Kept[key]
+		since := (h.Taken - k.Taken) * d.facts.Num("siblings", 1)
+		if ok && key != 0 && d.door.Now()-k.At < keptFor && since < h.Memory-h.Tokens {
 			kept = max(kept, k.Tokens)
 		}
 	}
-	return min(kept, q.Prompt)
+	return min(kept, q.Prompt) * h.Hits.Or(1)
 }
 
-func (d *Dispatcher) remember(h *Host, q *Question) {
-	now := d.door.Now()
+// remember feeds the table with what a host has just read or fetched, and with the kept tokens that it reported.
+func (d *Dispatcher) remember(t *Trip, kept float64) {
+	h, q, now := t.Host, t.Question, d.door.Now()
+	if t.Kept > 0 {
+		h.Hits.Add(min(1, kept/t.Kept), 0.1)
+	}
+	h.Taken += max(q.Prompt-kept, 0)
 	if q.Session != 0 {
-		h.Kept[q.Session] = Kept{q.Prompt, now}
+		h.Kept[q.Session] = Kept{q.Prompt, now, h.Taken}
 	}
 	if q.Shared != 0 {
-		h.Kept[q.Shared] = Kept{q.Prefix, now}
+		h.Kept[q.Shared] = Kept{q.Prefix, now, h.Taken}
 	}
 	if len(h.Kept) > 4000 {
 		for key, k := range h.Kept {
@@ -414,8 +436,17 @@
 // route takes the first step of a question: read in place, whole at a mixed host, or at a reader. False: no room.
 func (d *Dispatcher) route(q *Question) bool {
 	answering := d.able(q, answers)
-	roomy := slices.DeleteFunc(slices.Clone(answering), func(h *Host) bool { return float64(h.Streams) >= h.Room })
-	if len(roomy) == 0 && len(answering) > 0 {
+	roomy := slices.DeleteFunc(slices.Clone(answering), func(h *Host) bool { return !hasRoom(h, q) })
+	free := need(q)
+	for _, h := range d.hosts {
+		if h.Role == Reads {
+			free += h.Tokens
+		}
+	}
+	for _, h := range answering {
+		free -= max(h.Room-h.Tokens, 0)
+	}
+	if len(roomy) == 0 && len(answering) > 0 || free > 0 {
 		return false
 	}
 	if h := d.inPlace(q, roomy); h != nil {
@@ -427,6 +458,14 @@
 	return d.send(q, d.reader(q), ToRead, d.read(q))
 }
 
+// hasRoom tells whether a host may take the question within what it is trusted with; an idle one always may.
+func hasRoom(h *Host, q *Question) bool {
+	if h.Role == Reads {
+		return float64(h.Reads) < h.Room
+	}
+	return h.Streams == 0 || h.Tokens+need(q) <= h.Room
+}
+
 // inPlace finds the writer that should read a short question itself, by kept prefix against load.
 func (d *Dispatcher) inPlace(q *Question, roomy []*Host) *Host {
 	if !d.facts.Yes("familyInfo.localRead") {
@@ -454,10 +493,10 @@
 	two := readers[:min(2, len(readers))]
 	fewest := func(h *Host) float64 { return float64(h.Reads) / h.Units }
 	h := best(two, fewest)
-	if h != nil && float64(h.Reads) >= h.Room {
+	if h != nil && !hasRoom(h, q) {
 		h = best(readers, fewest)
 	}
-	if h != nil && float64(h.Reads) >= h.Room {
+	if h != nil && !hasRoom(h, q) {
 		return nil
 	}
 	return h
@@ -527,15 +566,15 @@
 	} else {
 		h.Bad.Add(now, 1)
 	}
-	own := h.Streams
-	if t.Stage == ToRead {
-		own = h.Reads
+	one := 1.0
+	if h.Role != Reads {
+		one = need(t.Question)
 	}
 	late := took > (t.Question.Promised-t.Question.Taken)/3
 	if (late || !fine) && now-h.Cut > took {
-		h.Room, h.Cut = max(1, h.Room*0.8), now
-	} else if !late && fine && float64(own) >= h.Room-1 {
-		h.Room++
+		h.Room, h.Cut = max(one, h.Room*0.8), now
+	} else if !late && fine && !(h.Role == Reads && float64(h.Reads) < h.Room-1) && !(h.Role != Reads && h.Tokens < h.Room-one) {
+		h.Room += one
 	}
 }
 
@@ -546,11 +585,11 @@
 	if t.Stage != ToWrite {
 		h.Unread -= t.Left
 	}
+	h.Tokens -= need(q)
 	if t.Stage == ToRead {
 		h.Reads--
 	} else {
 		h.Streams--
-		h.Tokens -= q.Prompt
 	}
 	for i, v := range r.Load {
 		switch d.facts.Text(fmt.Sprintf("report.fields.%d", i)) {
@@ -584,6 +623,9 @@
 			h.Booted, h.Restart = now, true // it may have restarted, which the list tells seconds later: cold till then
 		}
 	}
+	if r.Outcome == Read || r.Outcome == Answered {
+		d.remember(t, float64(r.Note))
+	}
 	if t.Stage != ToWrite && (r.Outcome == Read || r.Outcome == Answered) {
 		left := max(q.Prompt-float64(r.Note), 0)
 		d.unread.Add(now, left)
--- a/brain/types.go
+++ b/brain/types.go
@@ -98,12 +98,15 @@
 	Sent              Ring    // work sent
 	Good, Bad         Ring    // trips that went well, or not
 	Kept              map[uint64]Kept
+	Hits              Mean    // reported kept tokens against expected ones
+	Taken             float64 // own tokens newly read or fetched here
 }
 
 // Kept is what a host is thought to have kept for one prefix key.
 type Kept struct {
 	Tokens float64
 	At     time.Duration
+	Taken  float64 // the host's Taken then
 }
 
 // Question is one try of a client that this dispatcher took.
@@ -146,6 +149,7 @@
 	Sent     time.Duration
 	Began    time.Duration
 	Left     float64 // tokens expected to be read
+	Kept     float64 // tokens expected to be kept
 	Stage    Stage
 	Ended    bool
 	Outcome  Outcome
