--- a/brain/brain.go
+++ b/brain/brain.go
@@ -331,10 +331,11 @@
 func (d *Dispatcher) patience(t *Trip) time.Duration {
 	q, now := t.Question, t.Sent
 	usual := time.Duration(d.typical[t.Stage].Or(1) * (t.Left + 300) * float64(time.Second))
-	if t.Stage != ToRead && q.Grade.Effect != Idempotent || now+7*usual > q.Promised {
+	cut := max(5*usual, (q.Promised-q.Taken)/2)
+	if t.Stage != ToRead && q.Grade.Effect != Idempotent || now+cut+2*usual > min(q.Promised, q.Expiry) {
 		return q.Expiry - now
 	}
-	return 5 * usual
+	return cut
 }
 
 // need is the memory that a question takes where it is answered.
