--- a/brain/brain.go
+++ b/brain/brain.go
@@ -106,7 +106,7 @@
 			h.Memory = d.facts.Num(fmt.Sprintf("familyInfo.tokensByKind.%d", h.Kind), 150000)
 			h.Room = 12
 			if h.Role != Reads {
-				h.Room = 0.8 * h.Memory / d.facts.Num("siblings", 1)
+				h.Room = 1.2 * h.Memory / d.facts.Num("siblings", 1)
 			}
 			d.hosts = append(d.hosts, h)
 		}
@@ -574,7 +574,7 @@
 	late := took > (t.Question.Promised-t.Question.Taken)/3
 	if (late || !fine) && now-h.Cut > took {
 		h.Room, h.Cut = max(one, h.Room*0.8), now
-	} else if !late && fine && !(h.Role == Reads && float64(h.Reads) < h.Room-1) && !(h.Role != Reads && h.Tokens < h.Room-one) {
+	} else if !late && fine && (len(d.held) > 0 || !hasRoom(h, t.Question)) {
 		h.Room += one
 	}
 }
