--- a/brain/brain.go
+++ b/brain/brain.go
@@ -309,9 +309,9 @@
 	}
 	now := d.door.Now()
 	t := &Trip{Question: q, Host: h, Number: len(q.Trips), Sent: now, Stage: stage, Next: next}
-	t.Kept = d.keeps(h, q) / h.Hits.Or(1)
+	t.Kept = d.keeps(h, q)
 	if stage != ToWrite {
-		t.Left = q.Prompt - d.keeps(h, q)
+		t.Left = q.Prompt - t.Kept
 		h.Unread += t.Left
 	}
 	h.Tokens += need(q)
@@ -352,7 +352,10 @@
 			kept = max(kept, k.Tokens)
 		}
 	}
-	return min(kept, q.Prompt) * h.Hits.Or(1)
+	if h.Hits.Or(1) < 0.6 {
+		return 0
+	}
+	return min(kept, q.Prompt)
 }
 
 // remember feeds the table with what a host has just read or fetched, and with the kept tokens that it reported.
@@ -492,7 +495,7 @@
 		return 1
 	})
 	two := readers[:min(2, len(readers))]
-	fewest := func(h *Host) float64 { return float64(h.Reads) / h.Units }
+	fewest := func(h *Host) float64 { return float64(h.Reads)/h.Units - d.keeps(h, q)/(1+q.Prompt)/100 }
 	h := best(two, fewest)
 	if h != nil && !hasRoom(h, q) {
 		h = best(readers, fewest)
