--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,6 +37,7 @@
 	asked    Ring
 	average  float64 // of tokens left to read, as last refreshed; 0 in a fresh router
 	typical  [3]Mean // seconds for each stage's unit of work
+	lately   [3]Mean // seconds that trips of each stage took lately
 	held     []*Question
 	served   Ring // questions let out of held
 	sweeping bool
@@ -470,13 +471,20 @@
 	return h.Streams == 0 || h.Tokens+need(q) <= h.Room
 }
 
+// cut is the share of the average under which a prompt is read in place. Where one pool has become slower than the
+// other, by what trips took lately, the cut moves work to the quicker one: in place only as far as writers bear it.
+func (d *Dispatcher) cut() float64 {
+	tilt := (d.lately[ToRead].Or(0) + 0.05) / (d.lately[ToWrite].Or(0) + 0.05)
+	return cutShare * d.average * min(max(tilt, 0.25), 4)
+}
+
 // inPlace finds the writer that should read a short question itself, by kept prefix against load.
 func (d *Dispatcher) inPlace(q *Question, roomy []*Host) *Host {
 	if !d.facts.Yes("familyInfo.localRead") {
 		return nil
 	}
 	short := slices.DeleteFunc(slices.Clone(roomy), func(h *Host) bool {
-		return h.Role != Writes || q.Prompt-d.keeps(h, q) >= cutShare*d.average
+		return h.Role != Writes || q.Prompt-d.keeps(h, q) >= d.cut()
 	})
 	return best(short, func(h *Host) float64 { return d.press(h) / (1 + d.keeps(h, q)) })
 }
@@ -564,6 +572,7 @@
 	slow := fine && unit > 4*d.typical[t.Stage].Or(unit)
 	if fine {
 		d.typical[t.Stage].Add(unit, 0.02)
+		d.lately[t.Stage].Add(took.Seconds(), 0.05)
 	}
 	if fine && !slow {
 		h.Good.Add(now, 1)
