The cut compares each pool with itself when free

Should catch any imbalance of the two stages, slow links included, as they slow first tokens at writers; may lag a quick swing by some ten trips.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,9 +35,10 @@
 	hosts    []*Host // by id
 	unread   Ring    // tokens left to read, and of how many questions
 	asked    Ring
-	average  float64 // of tokens left to read, as last refreshed; 0 in a fresh router
-	typical  [3]Mean // seconds for each stage's unit of work
-	lately   [3]Mean // seconds that trips of each stage took lately
+	average  float64    // of tokens left to read, as last refreshed; 0 in a fresh router
+	typical  [3]Mean    // seconds for each stage's unit of work
+	lately   [3]Mean    // the same, lately
+	free     [3]float64 // and its least, which slowly rises
 	held     []*Question
 	served   Ring // questions let out of held
 	sweeping bool
@@ -474,8 +475,12 @@
 // cut is the share of the average under which a prompt is read in place. Where one pool has become slower than the
 // other, by what trips took lately, the cut moves work to the quicker one: in place only as far as writers bear it.
 func (d *Dispatcher) cut() float64 {
-	tilt := (d.lately[ToRead].Or(0) + 0.05) / (d.lately[ToWrite].Or(0) + 0.05)
-	return cutShare * d.average * min(max(tilt, 0.25), 4)
+	return cutShare * d.average * min(max(d.slowed(ToRead)/d.slowed(ToWrite), 0.25), 4)
+}
+
+// slowed is how much longer a stage takes lately than when it was free.
+func (d *Dispatcher) slowed(stage Stage) float64 {
+	return (d.lately[stage].Or(0) + 1e-5) / (d.free[stage] + 1e-5)
 }
 
 // inPlace finds the writer that should read a short question itself, by kept prefix against load.
@@ -572,7 +577,12 @@
 	slow := fine && unit > 4*d.typical[t.Stage].Or(unit)
 	if fine {
 		d.typical[t.Stage].Add(unit, 0.02)
-		d.lately[t.Stage].Add(took.Seconds(), 0.05)
+		d.lately[t.Stage].Add(unit, 0.05)
+		if now := d.lately[t.Stage].Value; d.free[t.Stage] == 0 || now < d.free[t.Stage] {
+			d.free[t.Stage] = now
+		} else {
+			d.free[t.Stage] *= 1.0005
+		}
 	}
 	if fine && !slow {
 		h.Good.Add(now, 1)
