--- a/brain/brain.go
+++ b/brain/brain.go
@@ -422,9 +422,11 @@
 	return 1
 }
 
-// press is how full an answering host looks: own streams for its size, then what it last reported.
-func (d *Dispatcher) press(h *Host) float64 {
-	return (float64(h.Streams) + 1) / h.Units * (1 + h.Util + h.Queue/10) * d.far(h)
+// press is how full a host looks for one more question, of which left tokens are to be read there: own streams and own
+// reading for its size, an average prompt weighing as one stream, then what it last reported.
+func (d *Dispatcher) press(h *Host, left float64) float64 {
+	n := float64(h.Streams) + 1 + (h.Unread+left)/max(d.average, 300)
+	return n / h.Units * (1 + h.Util + h.Queue/10) * d.far(h)
 }
 
 // best returns the host with the least cost.
@@ -458,10 +460,11 @@
 	if h := d.inPlace(q, roomy); h != nil {
 		return d.send(q, h, Whole, d.answered(q))
 	}
-	if h := best(roomy, d.press); h != nil && h.Role == Both && d.average > 0 {
+	reader := d.reader(q)
+	if h := d.mixed(q, roomy, reader); h != nil {
 		return d.send(q, h, Whole, d.answered(q))
 	}
-	return d.send(q, d.reader(q), ToRead, d.read(q))
+	return d.send(q, reader, ToRead, d.read(q))
 }
 
 // hasRoom tells whether a host may take the question within what it is trusted with; an idle one always may.
@@ -491,7 +494,25 @@
 	short := slices.DeleteFunc(slices.Clone(roomy), func(h *Host) bool {
 		return h.Role != Writes || q.Prompt-d.keeps(h, q) >= d.cut()
 	})
-	return best(short, func(h *Host) float64 { return d.press(h) / (1 + d.keeps(h, q)) })
+	return best(short, func(h *Host) float64 { return d.press(h, 0) / (1 + d.keeps(h, q)) })
+}
+
+// mixed finds the mixed host that should take a question whole: its share is what it carries with less press than the
+// best writer and the reader together.
+func (d *Dispatcher) mixed(q *Question, roomy []*Host, reader *Host) *Host {
+	whole := func(h *Host) float64 { return d.press(h, q.Prompt-d.keeps(h, q)) }
+	var kinds [3][]*Host
+	for _, h := range roomy {
+		kinds[h.Role] = append(kinds[h.Role], h)
+	}
+	m, w := best(kinds[Both], whole), best(kinds[Writes], func(h *Host) float64 { return d.press(h, 0) })
+	if d.average == 0 && reader != nil || m == nil {
+		return nil
+	}
+	if w != nil && reader != nil && whole(m) > d.press(w, 0)+d.press(reader, q.Prompt-d.keeps(reader, q)) {
+		return nil
+	}
+	return m
 }
 
 // reader hashes the question's beginning to two readers and takes the one with fewer own reads.
@@ -533,9 +554,9 @@
 func (d *Dispatcher) write(q *Question) bool {
 	h := best(d.able(q, answers), func(h *Host) float64 {
 		if q.State != nil && h.Rack != q.State.Rack {
-			return d.press(h) * (1 + 10*d.facts.Num("familyInfo.transferPrice", 0))
+			return d.press(h, 0) * (1 + 10*d.facts.Num("familyInfo.transferPrice", 0))
 		}
-		return d.press(h)
+		return d.press(h, 0)
 	})
 	return d.send(q, h, ToWrite, d.answered(q))
 }
