--- a/brain/brain.go
+++ b/brain/brain.go
@@ -529,7 +529,7 @@
 		return 1
 	})
 	two := readers[:min(2, len(readers))]
-	fewest := func(h *Host) float64 { return float64(h.Reads)/h.Units - d.keeps(h, q)/(1+q.Prompt)/100 }
+	fewest := func(h *Host) float64 { return (h.Unread + q.Prompt - d.keeps(h, q)) / h.Units }
 	h := best(two, fewest)
 	if h != nil && !hasRoom(h, q) {
 		h = best(readers, fewest)
