Shedding counts the usual time from first trip to first token

What can't make three quarters of its promised time, held wait and usual service together, is now given up at once under overload. Should hold against any slow pool behind the held queue; hurts where the mean is lifted by a few slow trips.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,6 +36,7 @@
 	unread   Ring    // tokens left to read, and of how many questions
 	asked    Ring
 	average  float64    // of tokens left to read, as last refreshed; 0 in a fresh router
+	ahead    Mean       // seconds from the first trip of a question to its first token, lately
 	typical  [3]Mean    // seconds for each stage's unit of work
 	lately   [3]Mean    // the same, lately
 	free     [3]float64 // and its least, which slowly rises
@@ -207,7 +208,7 @@
 	place := 0.0
 	for _, q := range slices.Clone(d.held) {
 		wait := time.Duration(place / rate * float64(time.Second))
-		late := now+wait > q.Taken+(q.Promised-q.Taken)*2/3
+		late := now+wait+time.Duration(d.ahead.Or(0)*float64(time.Second)) > q.Promised-(q.Promised-q.Taken)/4
 		if overload && late || now+2*sweep > q.Expiry {
 			d.drop(q)
 			d.giveUp(q)
@@ -322,6 +323,9 @@
 	} else {
 		h.Streams++
 	}
+	if len(q.Trips) == 0 {
+		q.Routed = now
+	}
 	h.Sent.Add(now, d.weight(q))
 	q.Trips = append(q.Trips, t)
 	d.door.Send(t, d.patience(t))
@@ -589,6 +593,7 @@
 	t.Began = d.door.Now()
 	t.Question.State = nil
 	d.learn(t, took, true)
+	d.ahead.Add((t.Began - t.Question.Routed).Seconds(), 0.1)
 }
 
 // learn lets a trip speak for or against its host, and widens or narrows what it is trusted with.
--- a/brain/types.go
+++ b/brain/types.go
@@ -123,6 +123,7 @@
 	Resumed  bool // it goes on with a stream that broke
 	Left     time.Duration
 	Taken    time.Duration
+	Routed   time.Duration // when its first trip went out
 	Over     bool
 	Surplus  bool    // beyond its channel's share
 	Density  float64 // benefit for its work
