--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,203 @@
+package brain
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestGateBarsWhatTheRulesBar(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		set   func(d *Dispatcher, q *Question, h *Host)
+		bars  bool
+		reach Reach
+	}{
+		{name: "nothing against it", set: func(*Dispatcher, *Question, *Host) {}},
+		{name: "answered", bars: true, set: func(_ *Dispatcher, q *Question, _ *Host) { q.Over = true }},
+		{name: "a trip is out", bars: true, set: func(_ *Dispatcher, q *Question, h *Host) {
+			went(q, h, Full, 0).Ended = false
+		}},
+		{name: "expired", bars: true, set: func(d *Dispatcher, q *Question, _ *Host) { q.Expiry = d.door.Now() }},
+		{name: "trips used up", bars: true, set: func(_ *Dispatcher, q *Question, h *Host) {
+			for range 4 {
+				went(q, h, Full, 0)
+			}
+		}},
+		{name: "draining", bars: true, set: func(_ *Dispatcher, _ *Question, h *Host) { h.Standing = Draining }},
+		{name: "gone", bars: true, set: func(_ *Dispatcher, _ *Question, h *Host) { h.Standing = Gone }},
+		{name: "unrepeatable, may have run", bars: true, set: func(_ *Dispatcher, q *Question, h *Host) {
+			q.Grade.Effect = Unrepeatable
+			went(q, h, TimedOut, 0)
+		}},
+		{name: "unrepeatable, proven not run", set: func(_ *Dispatcher, q *Question, h *Host) {
+			q.Grade.Effect = Unrepeatable
+			went(q, h, Full, 0)
+		}},
+		{name: "unrepeatable, lost at a reader", set: func(d *Dispatcher, q *Question, _ *Host) {
+			q.Grade.Effect = Unrepeatable
+			went(q, d.hosts[0], Broken, 0)
+		}},
+		{name: "deduplicated, past its window", bars: true, set: func(d *Dispatcher, q *Question, h *Host) {
+			q.Grade.Effect, q.Grade.Window = Deduplicated, time.Second
+			went(q, h, TimedOut, d.door.Now()-time.Second)
+		}},
+		{name: "deduplicated, in its window", set: func(d *Dispatcher, q *Question, h *Host) {
+			q.Grade.Effect, q.Grade.Window = Deduplicated, time.Second
+			went(q, h, TimedOut, d.door.Now()-time.Second/2)
+		}},
+		{name: "deduplicated, other rack", bars: true, reach: SameRack, set: func(d *Dispatcher, q *Question, _ *Host) {
+			q.Grade.Effect, q.Grade.Window = Deduplicated, time.Minute
+			went(q, d.hosts[3], TimedOut, d.door.Now())
+		}},
+		{name: "deduplicated, other zone", bars: true, reach: SameZone, set: func(d *Dispatcher, q *Question, _ *Host) {
+			q.Grade.Effect, q.Grade.Window = Deduplicated, time.Minute
+			d.hosts[3].Zone = 1
+			went(q, d.hosts[3], TimedOut, d.door.Now())
+		}},
+		{name: "cold and at its budget", bars: true, set: func(d *Dispatcher, _ *Question, h *Host) {
+			h.Restart, h.Booted = true, d.door.Now()-time.Second
+			d.hosts[3].Sent.Add(d.door.Now(), 10000)
+			h.Sent.Add(d.door.Now(), 6000)
+		}},
+		{name: "cold with budget left", set: func(d *Dispatcher, _ *Question, h *Host) {
+			h.Restart, h.Booted = true, d.door.Now()-time.Second
+			d.hosts[3].Sent.Add(d.door.Now(), 10000)
+		}},
+	} {
+		d, _ := begin(t)
+		q := ask(d)
+		q.Grade.Reach = c.reach
+		c.set(d, q, d.hosts[2])
+		if got := d.barred(q, d.hosts[2]); got != c.bars {
+			t.Errorf("%s: barred is %v", c.name, got)
+		}
+	}
+}
+
+func TestGiveUpDeclinesOnlyWhereTryingAgainIsHarmless(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		effect  Effect
+		reach   Reach
+		outcome Outcome
+		decline bool
+	}{
+		{"idempotent that may have run", Idempotent, Everywhere, TimedOut, true},
+		{"unrepeatable that never ran", Unrepeatable, Everywhere, Full, true},
+		{"unrepeatable that may have run", Unrepeatable, Everywhere, Broken, false},
+		{"deduplicated everywhere", Deduplicated, Everywhere, TimedOut, true},
+		{"deduplicated in its rack", Deduplicated, SameRack, TimedOut, false},
+	} {
+		d, out := begin(t)
+		q := ask(d)
+		q.Grade.Effect, q.Grade.Reach, q.State = c.effect, c.reach, d.hosts[0]
+		went(q, d.hosts[2], c.outcome, 0)
+		d.giveUp(q)
+		if (len(out.declined) == 1) != c.decline || (len(out.lost) == 1) == c.decline || len(out.released) != 1 {
+			t.Errorf("%s: declined %d, forfeited %d, released %d", c.name, len(out.declined), len(out.lost), len(out.released))
+		}
+	}
+}
+
+func TestLeftReleasesAStateThatComesAfterTheClientHasGone(t *testing.T) {
+	d, out := begin(t)
+	q := ask(d)
+	trip := went(q, d.hosts[0], 0, d.door.Now())
+	trip.Ended, q.Over, d.hosts[0].Reads = false, true, 1
+	d.Ended(trip, Result{Outcome: Read, Over: true})
+	if len(out.released) != 1 || d.hosts[0].Reads != 0 {
+		t.Errorf("released %d, reads %d", len(out.released), d.hosts[0].Reads)
+	}
+}
+
+func TestHoldGivesUpWhatExpiresBeforeTheNextLook(t *testing.T) {
+	d, out := begin(t)
+	q := ask(d)
+	q.Expiry = d.door.Now() + sweep
+	d.hold(q)
+	if len(out.declined) != 1 || len(d.held) != 0 {
+		t.Errorf("declined %d, held %d", len(out.declined), len(d.held))
+	}
+}
+
+func TestEndedTakesAHostWhoseConnectionFailsAsCold(t *testing.T) {
+	d, _ := begin(t)
+	q := ask(d)
+	trip := went(q, d.hosts[2], 0, d.door.Now())
+	trip.Ended = false
+	d.Ended(trip, Result{Outcome: Unreached, Over: true})
+	if !d.cold(d.hosts[2]) {
+		t.Error("the host counts as warm")
+	}
+}
+
+func TestTrustedForgetsNoHostQuite(t *testing.T) {
+	d, _ := begin(t)
+	h := d.hosts[2]
+	h.Bad.Add(d.door.Now(), 3)
+	given := 0
+	for range 1000 {
+		if d.trusted(h) {
+			given++
+		}
+	}
+	if given == 0 || given > 500 {
+		t.Errorf("a doubtful host got %d of 1000", given)
+	}
+}
+
+func TestShedGivesUpTheLeastDenseUnderOverload(t *testing.T) {
+	d, out := begin(t)
+	early, late := ask(d), ask(d)
+	early.ID, late.ID = 1, 2
+	d.held = []*Question{early, late}
+	early.Waiting, late.Waiting = true, true
+	out.now += 300 * time.Millisecond
+	d.shed()
+	if !slices.Equal(out.declined, []*Question{late}) {
+		t.Errorf("declined %v", out.declined)
+	}
+}
+
+func TestRouteReadsShortPromptsInPlaceOnceAnAverageIsKnown(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		average float64
+		kept    float64
+		stage   Stage
+		host    uint32
+	}{
+		{"fresh router", 0, 1900, ToRead, 0},
+		{"short for the writer that keeps it", 1000, 1900, Whole, 4},
+	} {
+		d, out := begin(t)
+		d.average = c.average
+		d.hosts[4].Standing, d.hosts[5].Standing = Gone, Gone
+		d.hosts[3].Kept[7] = Kept{Tokens: c.kept, At: d.door.Now()}
+		d.route(ask(d))
+		if len(out.sent) != 1 || out.sent[0].Stage != c.stage || c.host != 0 && out.sent[0].Host.ID != c.host {
+			t.Errorf("%s: sent %+v", c.name, out.sent)
+		}
+	}
+}
+
+func TestAnsweredReadsALostStateAnew(t *testing.T) {
+	d, out := begin(t)
+	q := ask(d)
+	trip := went(q, d.hosts[2], 0, d.door.Now())
+	trip.Ended, trip.Stage, trip.Next, q.State = false, ToWrite, d.answered(q), d.hosts[0]
+	d.Ended(trip, Result{Outcome: Full, Note: 1})
+	if len(out.sent) != 1 || out.sent[0].Stage != ToRead {
+		t.Errorf("sent %v", out.sent)
+	}
+}
+
+func TestNewNamesAMissingSetting(t *testing.T) {
+	f := facts()
+	delete(f, "rules.coldFrom")
+	if _, err := New(f, 1, &door{}); err == nil || !strings.Contains(err.Error(), "rules.coldFrom") {
+		t.Errorf("got %v", err)
+	}
+}
--- /dev/null
+++ b/brain/help_test.go
@@ -0,0 +1,69 @@
+package brain
+
+import (
+	"testing"
+	"time"
+)
+
+// door records what the module does; its clock is set by the test.
+type door struct {
+	now                      time.Duration
+	sent                     []*Trip
+	cancelled                []*Trip
+	released, declined, lost []*Question
+	wakes                    []func()
+	waits                    []time.Duration
+}
+
+func (d *door) Now() time.Duration { return d.now }
+func (d *door) Send(t *Trip, wait time.Duration) {
+	d.sent, d.waits = append(d.sent, t), append(d.waits, wait)
+}
+func (d *door) Cancel(t *Trip)                       { d.cancelled = append(d.cancelled, t) }
+func (d *door) Release(q *Question)                  { d.released = append(d.released, q) }
+func (d *door) Decline(q *Question, _ time.Duration) { d.declined = append(d.declined, q) }
+func (d *door) Forfeit(q *Question)                  { d.lost = append(d.lost, q) }
+func (d *door) Move(*Question)                       {}
+func (d *door) Wake(_ time.Duration, do func())      { d.wakes = append(d.wakes, do) }
+func (d *door) Watch(bool)                           {}
+func (d *door) Note(string)                          {}
+
+func facts() Facts {
+	return Facts{
+		"rules.tipMultiple": 2.5, "rules.tipAfterUs": 2e6, "rules.coldFrom": 0.3, "rules.rampTimeUs": 10e6,
+		"familyInfo.pinLimitUs": 300e3, "familyInfo.kindRole": 3.0, "familyInfo.localRead": true,
+		"familyInfo.kindRole.0": "read", "familyInfo.kindRole.1": "write", "familyInfo.kindRole.2": "both",
+		"policyLimits.maxAttempts": 4.0, "policyLimits.cancelling": true, "policyLimits.maxRetryAfterUs": 5e5,
+		"requestClasses": 1.0, "requestClasses.0.aimUs": 1e6, "requestClasses.0.effect": "repeatable", "valueBy": "work",
+	}
+}
+
+// begin makes a dispatcher at 100 s that knows two hosts of each role (readers 1 and 2, writers 3 and 4, mixed 5 and 6).
+func begin(t *testing.T) (*Dispatcher, *door) {
+	t.Helper()
+	out := &door{now: 100 * time.Second}
+	d, err := New(facts(), 1, out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []Listing
+	for i := range 6 {
+		lines = append(lines, Listing{Host: &Host{ID: uint32(i + 1), Kind: i / 2, Rack: i % 2}, Standing: Ready, Units: 4})
+	}
+	d.Listed(lines, true)
+	return d, out
+}
+
+// ask makes a question of 2,000 tokens that was taken now.
+func ask(d *Dispatcher) *Question {
+	now := d.door.Now()
+	return &Question{ID: 1, Session: 7, Shared: 9, Prompt: 2000, Prefix: 1500, Most: 400, Grade: d.grades[0],
+		Taken: now, Left: 4 * time.Second, Promised: now + time.Second, Expiry: now + 4*time.Second}
+}
+
+// went gives the question an ended trip.
+func went(q *Question, h *Host, o Outcome, sent time.Duration) *Trip {
+	t := &Trip{Question: q, Host: h, Number: len(q.Trips), Sent: sent, Ended: true, Outcome: o, Next: func(Result) {}}
+	q.Trips = append(q.Trips, t)
+	return t
+}
