--- a/brain/brain.go
+++ b/brain/brain.go
@@ -623,7 +623,7 @@
 	if (late || !fine) && now-h.Cut > took {
 		h.Room, h.Cut = max(one, h.Room*0.8), now
 	} else if !late && fine && (len(d.held) > 0 || !hasRoom(h, t.Question)) {
-		h.Room += one
+		h.Room += one * one / h.Room
 	}
 }
 
