--- a/brain/brain.go
+++ b/brain/brain.go
@@ -621,7 +621,7 @@
 	}
 	late := took > (t.Question.Promised-t.Question.Taken)/3
 	if (late || !fine) && now-h.Cut > took {
-		h.Room, h.Cut = max(one, h.Room*0.8), now
+		h.Room, h.Cut = max(one, h.Room*0.9), now
 	} else if !late && fine && (len(d.held) > 0 || !hasRoom(h, t.Question)) {
 		h.Room += one * one / h.Room
 	}
@@ -664,7 +664,7 @@
 		if r.Note == 1 {
 			q.State = nil
 		} else if now-h.Cut > 100*time.Millisecond {
-			h.Room, h.Cut = max(1, h.Room*0.8), now
+			h.Room, h.Cut = max(1, h.Room*0.9), now
 		}
 	case Failed, TimedOut, Unreached, Broken:
 		d.learn(t, r.Took, false)
