--- a/brain/brain.go
+++ b/brain/brain.go
@@ -677,6 +677,9 @@
 	}
 	if t.Stage != ToWrite && (r.Outcome == Read || r.Outcome == Answered) {
 		left := max(q.Prompt-float64(r.Note), 0)
+		if d.average > 0 {
+			left = min(left, 3*d.average) // a few huge prompts must not lift the cut for all
+		}
 		d.unread.Add(now, left)
 		d.asked.Add(now, 1)
 		q.Grade.Reading.Add(left, 0.02)
