Kept tokens are expected at the share that hosts reported lately

Holds against forgotten texts and full memories too; a host found to forget is used less in place until reports say otherwise, which fetched states tell as well.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -312,9 +312,9 @@
 	}
 	now := d.door.Now()
 	t := &Trip{Question: q, Host: h, Number: len(q.Trips), Sent: now, Stage: stage, Next: next}
-	t.Kept = d.keeps(h, q)
+	t.Kept = d.keeps(h, q) / max(h.Hits.Or(1), 0.01)
 	if stage != ToWrite {
-		t.Left = q.Prompt - t.Kept
+		t.Left = q.Prompt - d.keeps(h, q)
 		h.Unread += t.Left
 	}
 	h.Tokens += need(q)
@@ -358,10 +358,7 @@
 			kept = max(kept, k.Tokens)
 		}
 	}
-	if h.Hits.Or(1) < 0.6 {
-		return 0
-	}
-	return min(kept, q.Prompt)
+	return min(kept, q.Prompt) * h.Hits.Or(1)
 }
 
 // remember feeds the table with what a host has just read or fetched, and with the kept tokens that it reported.
@@ -677,9 +674,6 @@
 	}
 	if t.Stage != ToWrite && (r.Outcome == Read || r.Outcome == Answered) {
 		left := max(q.Prompt-float64(r.Note), 0)
-		if d.average > 0 {
-			left = min(left, 3*d.average) // a few huge prompts must not lift the cut for all
-		}
 		d.unread.Add(now, left)
 		d.asked.Add(now, 1)
 		q.Grade.Reading.Add(left, 0.02)
