--- a/brain/brain.go
+++ b/brain/brain.go
@@ -617,7 +617,7 @@
 		one = need(t.Question)
 	}
 	late := took > (t.Question.Promised-t.Question.Taken)/3
-	if (late || !fine) && now-h.Cut > took {
+	if (late || !fine) && now-h.Cut > min(took, 250*time.Millisecond) {
 		h.Room, h.Cut = max(one, h.Room*0.9), now
 	} else if !late && fine && (len(d.held) > 0 || !hasRoom(h, t.Question)) {
 		h.Room += one * one / h.Room
