--- a/brain/brain.go
+++ b/brain/brain.go
@@ -105,7 +105,7 @@
 		if h.Kept == nil {
 			h.Role = map[string]Role{"read": Reads, "write": Writes, "both": Both}[d.facts.Text(fmt.Sprintf("familyInfo.kindRole.%d", h.Kind))]
 			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
-			h.Good.Width, h.Bad.Width, h.Busy.Width, h.Done.Width = evidence, evidence, 3*evidence, 3*evidence
+			h.Good.Width, h.Bad.Width = evidence, evidence
 			h.Memory = d.facts.Num(fmt.Sprintf("familyInfo.tokensByKind.%d", h.Kind), 150000)
 			h.Room = 12
 			if h.Role != Reads {
@@ -418,7 +418,7 @@
 // far is what it costs to use a host in another zone.
 func (d *Dispatcher) far(h *Host) float64 {
 	if h.Zone != int(d.facts.Num("zone", 0)) {
-		return 1 + 10*d.facts.Num("prices.crossZone", 0)
+		return 1 + 25*d.facts.Num("prices.crossZone", 0)
 	}
 	return 1
 }
@@ -427,16 +427,7 @@
 // reading for its size, an average prompt weighing as one stream, then what it last reported.
 func (d *Dispatcher) press(h *Host, left float64) float64 {
 	n := float64(h.Streams) + 1 + (h.Unread+left)/max(d.average, 300)
-	return n / h.Units * (1 + h.Util + h.Queue/10) * d.far(h) / d.pace(h)
-}
-
-// pace is how fast a host streams against the rest: the usual length of the answers it ended lately over the time that
-// its streams, running ones too, have lasted. So a host whose streams crawl is seen though its first tokens are quick.
-func (d *Dispatcher) pace(h *Host) float64 {
-	now := d.door.Now()
-	h.Busy.Add(now, float64(h.Live)*(now-h.Since).Seconds())
-	h.Since = now
-	return min(2*(10+h.Done.Sum(now))/(10+h.Busy.Sum(now)), 1)
+	return n / h.Units * (1 + h.Util + h.Queue/10) * d.far(h)
 }
 
 // best returns the host with the least cost.
@@ -598,8 +589,6 @@
 	}
 	t.Began = d.door.Now()
 	t.Question.State = nil
-	d.pace(t.Host)
-	t.Host.Live++
 	d.learn(t, took, true)
 	d.ahead.Add((t.Began - t.Question.Routed).Seconds(), 0.1)
 }
@@ -658,16 +647,6 @@
 			h.Held = v
 		}
 	}
-	if t.Began > 0 {
-		d.pace(h)
-		h.Live--
-		usual := (now - t.Began).Seconds()
-		if r.Outcome == Answered {
-			q.Grade.Writing.Add(usual, 0.02)
-			usual = q.Grade.Writing.Value
-		}
-		h.Done.Add(now, usual)
-	}
 	q.Over = q.Over || r.Over
 	switch r.Outcome {
 	case Read:
@@ -677,6 +656,7 @@
 		if t.Began == 0 {
 			d.learn(t, r.Took, true)
 		}
+		q.Grade.Writing.Add(now.Seconds()-t.Began.Seconds(), 0.02)
 	case Full:
 		if r.Note == 1 {
 			q.State = nil
--- a/brain/types.go
+++ b/brain/types.go
@@ -94,12 +94,9 @@
 	Room    float64 // how many own trips it is trusted with
 	Cut     time.Duration
 
-	Util, Queue, Held float64       // last load report
-	Sent              Ring          // work sent
-	Good, Bad         Ring          // trips that went well, or not
-	Busy, Done        Ring          // seconds that own streams lasted, and that those which ended should have
-	Live              int           // own streams that run
-	Since             time.Duration // when Busy was last added to
+	Util, Queue, Held float64 // last load report
+	Sent              Ring    // work sent
+	Good, Bad         Ring    // trips that went well, or not
 	Kept              map[uint64]Kept
 	Hits              Mean    // reported kept tokens against expected ones
 	Taken             float64 // own tokens newly read or fetched here
