--- a/brain/brain.go
+++ b/brain/brain.go
@@ -107,7 +107,7 @@
 			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
 			h.Good.Width, h.Bad.Width = evidence, evidence
 			h.Memory = d.facts.Num(fmt.Sprintf("familyInfo.tokensByKind.%d", h.Kind), 150000)
-			h.Room = 12
+			h.Room = 6
 			if h.Role != Reads {
 				h.Room = 1.2 * h.Memory / d.facts.Num("siblings", 1)
 			}
@@ -532,9 +532,6 @@
 	two := readers[:min(2, len(readers))]
 	fewest := func(h *Host) float64 { return (h.Unread + q.Prompt - d.keeps(h, q)) / h.Units }
 	h := best(two, fewest)
-	if h != nil && !hasRoom(h, q) {
-		h = best(readers, fewest)
-	}
 	if h != nil && !hasRoom(h, q) {
 		return nil
 	}
@@ -555,7 +552,7 @@
 func (d *Dispatcher) write(q *Question) bool {
 	h := best(d.able(q, answers), func(h *Host) float64 {
 		if q.State != nil && h.Rack != q.State.Rack {
-			return d.press(h, 0) * (1 + 10*d.facts.Num("familyInfo.transferPrice", 0))
+			return d.press(h, 0) * (1 + 30*d.facts.Num("familyInfo.transferPrice", 0))
 		}
 		return d.press(h, 0)
 	})
