--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,9 +17,9 @@
 const (
 	refresh   = 5 * time.Second        // how often the average of tokens left to read is taken anew (design)
 	cutShare  = 0.25                   // prompts under this share of the average are read in place (design)
-	keptFor   = 40 * time.Second       // a prefix key unused for longer is taken for forgotten
+	keptFor   = 20 * time.Second       // a prefix key unused for longer is taken for forgotten
 	evidence  = 500 * time.Millisecond // a tenth of the time for which trips speak for or against a host
-	believe   = 0.75                   // a doubtful host gets work if the draw of its chance of success is above this
+	believe   = 0.5                    // a doubtful host gets work if the draw of its chance of success is above this
 	sweep     = 20 * time.Millisecond  // how often held questions are looked at
 	tries     = 8                      // held questions in a row that find no room before the rest are left alone
 	impatient = 0.25                   // of the promised time: an oldest wait beyond it means overload
