A declined client's next try counts from its first

A dispatcher remembers what it declined by session and prompt; a next try keeps the first one's promised time, and what is known to be one has the late part of its benefit. Should hold in any overload with clients that come again; hurts a client whose first try was declined for another reason than overload.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,6 +43,7 @@
 	held     []*Question
 	served   Ring // questions let out of held
 	sweeping bool
+	turned   map[uint64]time.Duration // when the first of a client's tries came that was declined
 }
 
 // New starts an instance from its settings and the seed for its chance.
@@ -51,7 +52,7 @@
 		"familyInfo.pinLimitUs", "familyInfo.kindRole", "requestClasses", "policyLimits.maxAttempts"); err != nil {
 		return nil, err
 	}
-	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed)}
+	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed), turned: map[uint64]time.Duration{}}
 	d.unread.Width, d.asked.Width, d.served.Width = refresh, refresh, 200*time.Millisecond
 	for i := range int(facts.Num("requestClasses", 0)) {
 		at := fmt.Sprintf("requestClasses.%d.", i)
@@ -69,6 +70,7 @@
 			Promise:   facts.Span(at + "aimUs"),
 			PromisePK: facts.Span(fmt.Sprintf("familyInfo.aimUsPer1000PromptTokens.%d", i)),
 			Benefit:   facts.Num(at+"worth", 1),
+			Late:      facts.Num(at+"lateWorth", 1),
 		})
 	}
 	for i := range int(facts.Num("tenants", 0)) {
@@ -88,6 +90,11 @@
 	if n := d.asked.Sum(now); n > 0 {
 		d.average = d.unread.Sum(now) / n
 	}
+	for key, at := range d.turned {
+		if now-at > 4*refresh {
+			delete(d.turned, key)
+		}
+	}
 	d.door.Wake(refresh, d.refresh)
 }
 
@@ -135,7 +142,12 @@
 	now := d.door.Now()
 	q.Grade = d.grades[min(grade, len(d.grades)-1)]
 	q.Taken, q.Expiry = now, now+q.Left
-	q.Promised = now + q.Grade.Promise + time.Duration(q.Prompt/1000*float64(q.Grade.PromisePK))
+	first, known := d.turned[tryKey(q)]
+	if !known || now-first > d.facts.Span("policyLimits.maxRetryAfterUs")+q.Left {
+		first = now
+	}
+	q.Again = q.Again || first < now
+	q.Promised = first + q.Grade.Promise + time.Duration(q.Prompt/1000*float64(q.Grade.PromisePK))
 	if channel < len(d.channels) {
 		c := d.channels[channel]
 		c.Taken.Add(now, 1)
@@ -146,12 +158,18 @@
 	d.serve()
 }
 
+// tryKey is the same for each try of a client at one question.
+func tryKey(q *Question) uint64 { return Mix(q.Session, uint64(q.Prompt)) }
+
 // density is the benefit of a question for its work.
 func (d *Dispatcher) density(q *Question) float64 {
 	v := q.Grade.Benefit
 	if q.Surplus {
 		v *= d.facts.Num("overShareWorth", 1)
 	}
+	if q.Again {
+		v *= q.Grade.Late
+	}
 	if d.facts.Text("valueBy") != "work" {
 		v /= q.Prompt + q.Most + 1
 	}
@@ -233,6 +251,9 @@
 	if d.facts.Yes("policyLimits.retryAfter") {
 		after = min(d.facts.Span("policyLimits.maxRetryAfterUs"), time.Second)
 	}
+	if _, known := d.turned[tryKey(q)]; !known {
+		d.turned[tryKey(q)] = q.Taken // its next try still counts from here
+	}
 	d.door.Decline(q, after)
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -201,3 +201,14 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+func TestArriveCountsANextTryFromTheFirst(t *testing.T) {
+	d, out := begin(t)
+	first, next := ask(d), ask(d)
+	d.giveUp(first)
+	out.now += 600 * time.Millisecond
+	d.Arrive(next, 0, 0)
+	if next.Promised != first.Promised || !next.Again {
+		t.Errorf("promised %v after the first's %v, again %v", next.Promised, first.Promised, next.Again)
+	}
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -64,8 +64,9 @@
 	Promise   time.Duration // to the first token
 	PromisePK time.Duration // added for each 1,000 prompt tokens
 	Benefit   float64
-	Reading   Mean // tokens left to read of this grade's questions
-	Writing   Mean // seconds that its answers stream
+	Late      float64 // part of the benefit that is left after the promised time
+	Reading   Mean    // tokens left to read of this grade's questions
+	Writing   Mean    // seconds that its answers stream
 }
 
 // Channel is a tenant with its share of the service.
