--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,27 +1,26 @@
 // Package brain decides, for one dispatcher, where each question goes.
 //
-// The host program makes a Dispatcher with New and calls it with what happens: Listed and ListFailed for the list of
-// hosts, Arrive for a question, Began and Ended for its trips, Left when its client has gone. The module acts through
-// the Door of door.go and through nothing else; types.go has what it is handed. Each trip carries in Next what is to be
-// done with its result. The ordinary path is that of docs/design.md: inPlace, mixed, reader, then write.
+// The host program makes a Dispatcher with New and calls it with what happens: Listed and ListFailed
+// for the list of hosts, Arrive for a question, Began and Ended for its trips, Left when its client has
+// gone. The module acts through the Door of door.go and through nothing else; types.go has what it is
+// handed. Each trip carries in Next what is to be done with its result. The ordinary path is that of
+// docs/design.md: inPlace, mixed, reader, then write.
 package brain
 
 import (
 	"cmp"
-	"fmt"
-	"math"
 	"slices"
 	"time"
 )
 
 const (
-	refresh   = 5 * time.Second        // how often the average of tokens left to read is taken anew (design)
-	cutShare  = 0.25                   // prompts under this share of the average are read in place (design)
+	refresh   = 5 * time.Second        // how often the average is taken anew (design)
+	cutShare  = 0.25                   // shorter prompts are read in place (design)
 	keptFor   = 20 * time.Second       // a prefix key unused for longer is taken for forgotten
-	evidence  = 500 * time.Millisecond // a tenth of the time for which trips speak for or against a host
-	believe   = 0.5                    // a doubtful host gets work if the draw of its chance of success is above this
+	evidence  = 500 * time.Millisecond // a tenth of how long trips speak for or against a host
+	believe   = 0.5                    // a doubtful host gets work if its draw is above this
 	sweep     = 20 * time.Millisecond  // how often held questions are looked at
-	tries     = 8                      // held questions in a row that find no room before the rest are left alone
+	tries     = 8                      // held questions in a row without room before the rest wait
 	impatient = 0.25                   // of the promised time: an oldest wait beyond it means overload
 )
 
@@ -54,29 +53,11 @@
 	}
 	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed), turned: map[uint64]time.Duration{}}
 	d.unread.Width, d.asked.Width, d.served.Width = refresh, refresh, 200*time.Millisecond
-	for i := range int(facts.Num("requestClasses", 0)) {
-		at := fmt.Sprintf("requestClasses.%d.", i)
-		if err := facts.Lacks(at + "aimUs"); err != nil {
-			return nil, err
-		}
-		effect, known := map[string]Effect{"repeatable": Idempotent, "by_key": Deduplicated, "once": Unrepeatable}[facts.Text(at+"effect")]
-		if !known {
-			return nil, fmt.Errorf("setting %seffect is missing or unknown", at)
-		}
-		d.grades = append(d.grades, &Grade{
-			Effect:    effect,
-			Reach:     map[string]Reach{"zone": SameZone, "cell": SameRack}[facts.Text(at+"group")],
-			Window:    facts.Span(at + "windowUs"),
-			Promise:   facts.Span(at + "aimUs"),
-			PromisePK: facts.Span(fmt.Sprintf("familyInfo.aimUsPer1000PromptTokens.%d", i)),
-			Benefit:   facts.Num(at+"worth", 1),
-			Late:      facts.Num(at+"lateWorth", 1),
-		})
-	}
-	for i := range int(facts.Num("tenants", 0)) {
-		quota := facts.Num(fmt.Sprintf("tenants.%d.quotaPerS", i), math.Inf(1))
-		d.channels = append(d.channels, &Channel{Quota: quota, Taken: Ring{Width: 500 * time.Millisecond}})
+	var err error
+	if d.grades, err = facts.Grades(); err != nil {
+		return nil, err
 	}
+	d.channels = facts.Channels()
 	if facts.Text("discovery") == "subscribe" {
 		door.Watch(true)
 	}
@@ -110,10 +91,9 @@
 	for _, l := range lines {
 		h := l.Host
 		if h.Kept == nil {
-			h.Role = map[string]Role{"read": Reads, "write": Writes, "both": Both}[d.facts.Text(fmt.Sprintf("familyInfo.kindRole.%d", h.Kind))]
+			h.Role, h.Memory = d.facts.RoleOf(h.Kind), d.facts.MemoryOf(h.Kind)
 			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
 			h.Good.Width, h.Bad.Width = evidence, evidence
-			h.Memory = d.facts.Num(fmt.Sprintf("familyInfo.tokensByKind.%d", h.Kind), 150000)
 			h.Room = 6
 			if h.Role != Reads {
 				h.Room = 1.2 * h.Memory / d.facts.Num("siblings", 1)
@@ -142,7 +122,7 @@
 	now := d.door.Now()
 	q.Grade = d.grades[min(grade, len(d.grades)-1)]
 	q.Taken, q.Expiry = now, now+q.Left
-	first, known := d.turned[tryKey(q)]
+	first, known := d.turned[q.TryKey()]
 	if !known || now-first > d.facts.Span("policyLimits.maxRetryAfterUs")+q.Left {
 		first = now
 	}
@@ -158,9 +138,6 @@
 	d.serve()
 }
 
-// tryKey is the same for each try of a client at one question.
-func tryKey(q *Question) uint64 { return Mix(q.Session, uint64(q.Prompt)) }
-
 // density is the benefit of a question for its work.
 func (d *Dispatcher) density(q *Question) float64 {
 	v := q.Grade.Benefit
@@ -176,8 +153,8 @@
 	return v
 }
 
-// hold puts a question among the held, densest first, then oldest. One that would expire before the next look is
-// given up on the spot: a client's late try may come with a few ms left.
+// hold puts a question among the held, densest first, then oldest. One that would expire before the
+// next look is given up on the spot: a client's late try may come with a few ms left.
 func (d *Dispatcher) hold(q *Question) {
 	if d.door.Now()+2*sweep > q.Expiry {
 		d.giveUp(q)
@@ -214,8 +191,8 @@
 	d.held = slices.DeleteFunc(d.held, func(o *Question) bool { return o == q })
 }
 
-// shed gives up, at once, on held questions that can't make their promised time. Overload is told by the oldest
-// wait; then what stands too far back, and so has least benefit for its work, goes first.
+// shed gives up, at once, on held questions that can't make their promised time. Overload is told by
+// the oldest wait; then what stands too far back, and so has least benefit for its work, goes first.
 func (d *Dispatcher) shed() {
 	now := d.door.Now()
 	overload := false
@@ -251,8 +228,8 @@
 	if d.facts.Yes("policyLimits.retryAfter") {
 		after = min(d.facts.Span("policyLimits.maxRetryAfterUs"), time.Second)
 	}
-	if _, known := d.turned[tryKey(q)]; !known {
-		d.turned[tryKey(q)] = q.Taken // its next try still counts from here
+	if _, known := d.turned[q.TryKey()]; !known {
+		d.turned[q.TryKey()] = q.Taken // its next try still counts from here
 	}
 	d.door.Decline(q, after)
 }
@@ -262,16 +239,7 @@
 	if q.Grade.Effect == Idempotent || q.Grade.Effect == Deduplicated && q.Grade.Reach == Everywhere {
 		return true
 	}
-	return firstThatMayHaveRun(q) == nil
-}
-
-func firstThatMayHaveRun(q *Question) *Trip {
-	for _, t := range q.Trips {
-		if t.Host.Role != Reads && !(t.Ended && t.Outcome.NeverRan()) {
-			return t
-		}
-	}
-	return nil
+	return q.MayHaveRun() == nil
 }
 
 // letGo releases a state that waits for the question. Every end of a step comes through here (rule 5).
@@ -285,19 +253,20 @@
 // barred is the gate of rules 1 to 4: every send passes it, and every choice of a host asks it first.
 func (d *Dispatcher) barred(q *Question, h *Host) bool {
 	now := d.door.Now()
-	if q.Over || q.Out() != nil || now >= q.Expiry || len(q.Trips) >= int(d.facts.Num("policyLimits.maxAttempts", 1)) {
+	if q.Over || q.Out() != nil || now >= q.Expiry ||
+		len(q.Trips) >= int(d.facts.Num("policyLimits.maxAttempts", 1)) {
 		return true
 	}
 	if h.Standing != Ready {
 		return true
 	}
-	if t := firstThatMayHaveRun(q); t != nil && h.Role != Reads {
+	if t := q.MayHaveRun(); t != nil && h.Role != Reads {
 		g := q.Grade
 		if g.Effect == Unrepeatable {
 			return true
 		}
 		if g.Effect == Deduplicated && (now >= t.Sent+g.Window-10*time.Millisecond ||
-			g.Reach == SameZone && h.Zone != t.Host.Zone || g.Reach == SameRack && (h.Rack != t.Host.Rack || h.Zone != t.Host.Zone)) {
+			!g.Reach.Joins(h, t.Host)) {
 			return true
 		}
 	}
@@ -313,8 +282,9 @@
 	return q.Grade.Reading.Or(1000) + 100*q.Grade.Writing.Or(2)
 }
 
-// coldBudget is this dispatcher's part of what a cold host may be sent: what warm hosts of its role carry is under
-// their capacity, so that share of it which a cold host has, times the multiple, is safe for all dispatchers together.
+// coldBudget is this dispatcher's part of what a cold host may be sent: what warm hosts of its role
+// carry is under their capacity, so that share of it which a cold host has, times the multiple, is safe
+// for all dispatchers together.
 func (d *Dispatcher) coldBudget(h *Host) float64 {
 	sum, n := 0.0, 0.0
 	for _, o := range d.hosts {
@@ -323,7 +293,8 @@
 			n++
 		}
 	}
-	return 0.8 * d.facts.Num("rules.tipMultiple", 1) * d.facts.Num("rules.coldFrom", 0) * sum / max(n, 1) * h.Units
+	part := 0.8 * d.facts.Num("rules.tipMultiple", 1) * d.facts.Num("rules.coldFrom", 0)
+	return part * sum / max(n, 1) * h.Units
 }
 
 // send makes a trip unless the gate bars it.
@@ -338,7 +309,7 @@
 		t.Left = q.Prompt - d.keeps(h, q)
 		h.Unread += t.Left
 	}
-	h.Tokens += need(q)
+	h.Tokens += q.Memory()
 	if stage == ToRead {
 		h.Reads++
 	} else {
@@ -353,8 +324,8 @@
 	return true
 }
 
-// patience is how long a trip may take: cut short only where another trip could still make the promised time, for a
-// host that goes on with work nobody waits for any more only gets fuller.
+// patience is how long a trip may take: cut short only where another trip could still make the promised
+// time, for a host that goes on with work nobody waits for any more only gets fuller.
 func (d *Dispatcher) patience(t *Trip) time.Duration {
 	q, now := t.Question, t.Sent
 	usual := time.Duration(d.typical[t.Stage].Or(1) * (t.Left + 300) * float64(time.Second))
@@ -365,11 +336,9 @@
 	return cut
 }
 
-// need is the memory that a question takes where it is answered.
-func need(q *Question) float64 { return q.Prompt + q.Most/4 }
-
-// keeps is how much of the question's prompt the host should have kept, by the ageing table: what the host has taken
-// in since pushes old texts out, and reports of less than expected lower all that is expected of it.
+// keeps is how much of the question's prompt the host should have kept, by the ageing table: what the
+// host has taken in since pushes old texts out, and reports of less than expected lower all that is
+// expected of it.
 func (d *Dispatcher) keeps(h *Host, q *Question) float64 {
 	kept := 0.0
 	for _, key := range []uint64{q.Session, q.Shared} {
@@ -382,7 +351,8 @@
 	return min(kept, q.Prompt) * h.Hits.Or(1)
 }
 
-// remember feeds the table with what a host has just read or fetched, and with the kept tokens that it reported.
+// remember feeds the table with what a host has just read or fetched, and with the kept tokens that it
+// reported.
 func (d *Dispatcher) remember(t *Trip, kept float64) {
 	h, q, now := t.Host, t.Question, d.door.Now()
 	if t.Kept > 0 {
@@ -411,13 +381,14 @@
 	return bad == 0 || d.rng.Beta(4+h.Good.Sum(now), 1+bad) > believe
 }
 
-// able lists the hosts of the given roles that the gate lets through: the trusted ones, or all if none is.
+// able lists the hosts of the given roles that the gate lets through: the trusted ones, or all if none
+// is.
 func (d *Dispatcher) able(q *Question, want func(*Host) bool) []*Host {
 	var all, trusted []*Host
 	for _, h := range d.hosts {
 		if want(h) && !d.barred(q, h) {
 			all = append(all, h)
-			if d.trusted(h) && !failedAt(q, h) {
+			if d.trusted(h) && !q.FailedAt(h) {
 				trusted = append(trusted, h)
 			}
 		}
@@ -428,14 +399,6 @@
 	return all
 }
 
-func failedAt(q *Question, h *Host) bool {
-	return slices.ContainsFunc(q.Trips, func(t *Trip) bool { return t.Host == h && t.Ended && t.Outcome != Read })
-}
-
-func reads(h *Host) bool   { return h.Role == Reads }
-func answers(h *Host) bool { return h.Role != Reads }
-func writes(h *Host) bool  { return h.Role == Writes }
-
 // far is what it costs to use a host in another zone.
 func (d *Dispatcher) far(h *Host) float64 {
 	if h.Zone != int(d.facts.Num("zone", 0)) {
@@ -444,30 +407,20 @@
 	return 1
 }
 
-// press is how full a host looks for one more question, of which left tokens are to be read there: own streams and own
-// reading for its size, an average prompt weighing as one stream, then what it last reported.
+// press is how full a host looks for one more question, of which left tokens are to be read there: own
+// streams and own reading for its size, an average prompt weighing as one stream, then what it last
+// reported.
 func (d *Dispatcher) press(h *Host, left float64) float64 {
 	n := float64(h.Streams) + 1 + (h.Unread+left)/max(d.average, 300)
 	return n / h.Units * (1 + h.Util + h.Queue/10) * d.far(h)
 }
 
-// best returns the host with the least cost.
-func best(hosts []*Host, cost func(*Host) float64) *Host {
-	var found *Host
-	least := math.Inf(1)
-	for _, h := range hosts {
-		if c := cost(h); c < least {
-			found, least = h, c
-		}
-	}
-	return found
-}
-
-// route takes the first step of a question: read in place, whole at a mixed host, or at a reader. False: no room.
+// route takes the first step of a question: read in place, whole at a mixed host, or at a reader.
+// False: no room.
 func (d *Dispatcher) route(q *Question) bool {
-	answering := d.able(q, answers)
+	answering := d.able(q, (*Host).Answers)
 	roomy := slices.DeleteFunc(slices.Clone(answering), func(h *Host) bool { return !hasRoom(h, q) })
-	free := need(q)
+	free := q.Memory()
 	for _, h := range d.hosts {
 		if h.Role == Reads {
 			free += h.Tokens
@@ -489,16 +442,18 @@
 	return d.send(q, reader, ToRead, d.read(q))
 }
 
-// hasRoom tells whether a host may take the question within what it is trusted with; an idle one always may.
+// hasRoom tells whether a host may take the question within what it is trusted with; an idle one always
+// may.
 func hasRoom(h *Host, q *Question) bool {
 	if h.Role == Reads {
 		return float64(h.Reads) < h.Room
 	}
-	return h.Streams == 0 || h.Tokens+need(q) <= h.Room
+	return h.Streams == 0 || h.Tokens+q.Memory() <= h.Room
 }
 
-// cut is the share of the average under which a prompt is read in place. Where one pool has become slower than the
-// other, by what trips took lately, the cut moves work to the quicker one: in place only as far as writers bear it.
+// cut is the share of the average under which a prompt is read in place. Where one pool has become
+// slower than the other, by what trips took lately, the cut moves work to the quicker one: in place
+// only as far as writers bear it.
 func (d *Dispatcher) cut() float64 {
 	return cutShare * d.average * min(max(d.slowed(ToRead)/d.slowed(ToWrite), 0.25), 4)
 }
@@ -516,18 +471,18 @@
 	short := slices.DeleteFunc(slices.Clone(roomy), func(h *Host) bool {
 		return h.Role != Writes || q.Prompt-d.keeps(h, q) >= d.cut()
 	})
-	return best(short, func(h *Host) float64 { return d.press(h, 0) / (1 + d.keeps(h, q)) })
+	return Least(short, func(h *Host) float64 { return d.press(h, 0) / (1 + d.keeps(h, q)) })
 }
 
-// mixed finds the mixed host that should take a question whole: its share is what it carries with less press than the
-// best writer and the reader together.
+// mixed finds the mixed host that should take a question whole: its share is what it carries with less
+// press than the best writer and the reader together.
 func (d *Dispatcher) mixed(q *Question, roomy []*Host, reader *Host) *Host {
 	whole := func(h *Host) float64 { return d.press(h, q.Prompt-d.keeps(h, q)) }
 	var kinds [3][]*Host
 	for _, h := range roomy {
 		kinds[h.Role] = append(kinds[h.Role], h)
 	}
-	m, w := best(kinds[Both], whole), best(kinds[Writes], func(h *Host) float64 { return d.press(h, 0) })
+	m, w := Least(kinds[Both], whole), Least(kinds[Writes], func(h *Host) float64 { return d.press(h, 0) })
 	if d.average == 0 && reader != nil || m == nil {
 		return nil
 	}
@@ -539,7 +494,7 @@
 
 // reader hashes the question's beginning to two readers and takes the one with fewer own reads.
 func (d *Dispatcher) reader(q *Question) *Host {
-	readers := d.able(q, reads)
+	readers := d.able(q, (*Host).ReadsOnly)
 	key := q.Shared
 	if key == 0 {
 		key = q.Session
@@ -552,7 +507,7 @@
 	})
 	two := readers[:min(2, len(readers))]
 	fewest := func(h *Host) float64 { return (h.Unread + q.Prompt - d.keeps(h, q)) / h.Units }
-	h := best(two, fewest)
+	h := Least(two, fewest)
 	if h != nil && !hasRoom(h, q) {
 		return nil
 	}
@@ -569,9 +524,10 @@
 	}
 }
 
-// write picks the writer once the read has ended: fewest own streams, least reported load, near the state.
+// write picks the writer once the read has ended: fewest own streams, least reported load, near the
+// state.
 func (d *Dispatcher) write(q *Question) bool {
-	h := best(d.able(q, answers), func(h *Host) float64 {
+	h := Least(d.able(q, (*Host).Answers), func(h *Host) float64 {
 		if q.State != nil && h.Rack != q.State.Rack {
 			return d.press(h, 0) * (1 + 30*d.facts.Num("familyInfo.transferPrice", 0))
 		}
@@ -593,7 +549,7 @@
 // again starts a question over, if a host may still take it, else gives it up at once.
 func (d *Dispatcher) again(q *Question) {
 	d.letGo(q)
-	if !slices.ContainsFunc(d.hosts, func(h *Host) bool { return answers(h) && !d.barred(q, h) }) {
+	if !slices.ContainsFunc(d.hosts, func(h *Host) bool { return h.Answers() && !d.barred(q, h) }) {
 		d.giveUp(q)
 		return
 	}
@@ -632,7 +588,7 @@
 	}
 	one := 1.0
 	if h.Role != Reads {
-		one = need(t.Question)
+		one = t.Question.Memory()
 	}
 	late := took > (t.Question.Promised-t.Question.Taken)/3
 	if (late || !fine) && now-h.Cut > min(took, 250*time.Millisecond) {
@@ -649,22 +605,13 @@
 	if t.Stage != ToWrite {
 		h.Unread -= t.Left
 	}
-	h.Tokens -= need(q)
+	h.Tokens -= q.Memory()
 	if t.Stage == ToRead {
 		h.Reads--
 	} else {
 		h.Streams--
 	}
-	for i, v := range r.Load {
-		switch d.facts.Text(fmt.Sprintf("report.fields.%d", i)) {
-		case "util":
-			h.Util = v
-		case "queue":
-			h.Queue = v
-		case "x0":
-			h.Held = v
-		}
-	}
+	d.facts.Report(h, r.Load)
 	q.Over = q.Over || r.Over
 	switch r.Outcome {
 	case Read:
@@ -684,7 +631,7 @@
 	case Failed, TimedOut, Unreached, Broken:
 		d.learn(t, r.Took, false)
 		if r.Outcome == Unreached || r.Outcome == Broken {
-			h.Booted, h.Restart = now, true // it may have restarted, which the list tells seconds later: cold till then
+			h.Booted, h.Restart = now, true // it may have restarted, which the list tells seconds later
 		}
 	}
 	if r.Outcome == Read || r.Outcome == Answered {
--- a/brain/facts.go
+++ b/brain/facts.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
-// Facts are the settings that an instance is started with, under dotted names such as "rules.coldFrom" or "kinds.0".
+// Facts are the settings that an instance is started with, under dotted names such as "rules.coldFrom"
+// or "kinds.0".
 type Facts map[string]any
 
 func (f Facts) Num(name string, absent float64) float64 {
@@ -38,3 +40,69 @@
 	}
 	return nil
 }
+
+// Grades reads the service grades.
+func (f Facts) Grades() ([]*Grade, error) {
+	var grades []*Grade
+	for i := range int(f.Num("requestClasses", 0)) {
+		at := fmt.Sprintf("requestClasses.%d.", i)
+		effect, known := map[string]Effect{
+			"repeatable": Idempotent, "by_key": Deduplicated, "once": Unrepeatable,
+		}[f.Text(at+"effect")]
+		if !known {
+			return nil, fmt.Errorf("setting %seffect is missing or unknown", at)
+		}
+		needed := []string{at + "aimUs"}
+		if effect == Deduplicated {
+			needed = append(needed, at+"windowUs")
+		}
+		if err := f.Lacks(needed...); err != nil {
+			return nil, err
+		}
+		grades = append(grades, &Grade{
+			Effect:    effect,
+			Reach:     map[string]Reach{"zone": SameZone, "cell": SameRack}[f.Text(at+"group")],
+			Window:    f.Span(at + "windowUs"),
+			Promise:   f.Span(at + "aimUs"),
+			PromisePK: f.Span(fmt.Sprintf("familyInfo.aimUsPer1000PromptTokens.%d", i)),
+			Benefit:   f.Num(at+"worth", 1),
+			Late:      f.Num(at+"lateWorth", 1),
+		})
+	}
+	return grades, nil
+}
+
+// Channels reads the tenants.
+func (f Facts) Channels() []*Channel {
+	var channels []*Channel
+	for i := range int(f.Num("tenants", 0)) {
+		quota := f.Num(fmt.Sprintf("tenants.%d.quotaPerS", i), math.Inf(1))
+		channels = append(channels, &Channel{Quota: quota, Taken: Ring{Width: 500 * time.Millisecond}})
+	}
+	return channels
+}
+
+// RoleOf reads what a kind of machine can do.
+func (f Facts) RoleOf(kind int) Role {
+	return map[string]Role{"read": Reads, "write": Writes, "both": Both}[f.Text(fmt.Sprintf("familyInfo.kindRole.%d", kind))]
+}
+
+// MemoryOf reads how many tokens a kind of machine holds; one that is not stated counts as having
+// enough.
+func (f Facts) MemoryOf(kind int) float64 {
+	return f.Num(fmt.Sprintf("familyInfo.tokensByKind.%d", kind), math.Inf(1))
+}
+
+// Report takes a load report's values in the stated order.
+func (f Facts) Report(h *Host, values []float64) {
+	for i, v := range values {
+		switch f.Text(fmt.Sprintf("report.fields.%d", i)) {
+		case "util":
+			h.Util = v
+		case "queue":
+			h.Queue = v
+		case "x0":
+			h.Held = v
+		}
+	}
+}
--- a/brain/help_test.go
+++ b/brain/help_test.go
@@ -38,7 +38,8 @@
 	}
 }
 
-// begin makes a dispatcher at 100 s that knows two hosts of each role (readers 1 and 2, writers 3 and 4, mixed 5 and 6).
+// begin makes a dispatcher at 100 s that knows two hosts of each role (readers 1 and 2, writers 3 and
+// 4, mixed 5 and 6).
 func begin(t *testing.T) (*Dispatcher, *door) {
 	t.Helper()
 	out := &door{now: 100 * time.Second}
--- a/brain/types.go
+++ b/brain/types.go
@@ -1,6 +1,10 @@
 package brain
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // Role says which stage of a question a host can do.
 type Role int
@@ -29,6 +33,11 @@
 	SameRack
 )
 
+// Joins tells whether two hosts are of one group.
+func (r Reach) Joins(a, b *Host) bool {
+	return r == Everywhere || a.Zone == b.Zone && (r == SameZone || a.Rack == b.Rack)
+}
+
 // Standing is what the list of hosts says of one.
 type Standing int
 
@@ -103,6 +112,21 @@
 	Taken             float64 // own tokens newly read or fetched here
 }
 
+func (h *Host) Answers() bool   { return h.Role != Reads }
+func (h *Host) ReadsOnly() bool { return h.Role == Reads }
+
+// Least returns the host with the least cost.
+func Least(hosts []*Host, cost func(*Host) float64) *Host {
+	var found *Host
+	least := math.Inf(1)
+	for _, h := range hosts {
+		if c := cost(h); c < least {
+			found, least = h, c
+		}
+	}
+	return found
+}
+
 // Kept is what a host is thought to have kept for one prefix key.
 type Kept struct {
 	Tokens float64
@@ -143,6 +167,29 @@
 	return nil
 }
 
+// MayHaveRun returns the first trip that is not proven to have had no effect.
+func (q *Question) MayHaveRun() *Trip {
+	for _, t := range q.Trips {
+		if t.Host.Role != Reads && !(t.Ended && t.Outcome.NeverRan()) {
+			return t
+		}
+	}
+	return nil
+}
+
+// FailedAt tells whether a trip to the host ended without what was asked.
+func (q *Question) FailedAt(h *Host) bool {
+	return slices.ContainsFunc(q.Trips, func(t *Trip) bool {
+		return t.Host == h && t.Ended && t.Outcome != Read
+	})
+}
+
+// Memory is what the question takes where it is answered, with a quarter of the longest answer.
+func (q *Question) Memory() float64 { return q.Prompt + q.Most/4 }
+
+// TryKey is the same for each try of a client at one question.
+func (q *Question) TryKey() uint64 { return Mix(q.Session, uint64(q.Prompt)) }
+
 // Trip is one send of a question to a host. Next takes its result on.
 type Trip struct {
 	Question *Question
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -1,4 +1,5 @@
-// Benchlink lets the simulator drive the decision module: frames on standard input, replies on standard output.
+// Benchlink lets the simulator drive the decision module: frames on standard input, replies on standard
+// output.
 package main
 
 import (
--- a/internal/wire/read.go
+++ b/internal/wire/read.go
@@ -1,4 +1,5 @@
-// Package wire reads the simulator's batches and builds its replies. It knows bytes and offsets, and decides nothing.
+// Package wire reads the simulator's batches and builds its replies. It knows bytes and offsets, and
+// decides nothing.
 package wire
 
 import (
@@ -52,7 +53,8 @@
 
 func NewReader(from io.Reader) *Reader { return &Reader{from: from} }
 
-// Next returns the next batch, valid until the call after; io.EOF means the input ended between two batches.
+// Next returns the next batch, valid until the call after; io.EOF means the input ended between two
+// batches.
 func (r *Reader) Next() (Batch, error) {
 	var head [8]byte
 	if _, err := io.ReadFull(r.from, head[:]); err != nil {
