Cold hosts' budget follows what warm hosts ended well, not what they are sent

It is now a share of the work that warm hosts of the role ended well over five windows; a first question in a window is always allowed, so that an all-cold fleet is not shut out. Should hold in any rush, also after a dispatcher's standstill; hurts in that a cold host gets less while work is short.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -93,6 +93,7 @@
 		if h.Kept == nil {
 			h.Role, h.Memory = d.facts.RoleOf(h.Kind), d.facts.MemoryOf(h.Kind)
 			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
+			h.Carried.Width = max(d.facts.Span("rules.tipAfterUs")*5/buckets, 1)
 			h.Good.Width, h.Bad.Width = evidence, evidence
 			h.Room = 6
 			if h.Role != Reads {
@@ -270,7 +271,8 @@
 			return true
 		}
 	}
-	return d.cold(h) && h.Sent.Sum(now)+d.weight(q) > d.coldBudget(h)
+	sent := h.Sent.Sum(now)
+	return d.cold(h) && sent > 0 && sent+d.weight(q) > d.coldBudget(h)
 }
 
 func (d *Dispatcher) cold(h *Host) bool {
@@ -282,14 +284,14 @@
 	return q.Grade.Reading.Or(1000) + 100*q.Grade.Writing.Or(2)
 }
 
-// coldBudget is this dispatcher's part of what a cold host may be sent: what warm hosts of its role
-// carry is under their capacity, so that share of it which a cold host has, times the multiple, is safe
-// for all dispatchers together.
+// coldBudget is this dispatcher's part of what a cold host may be sent in a window. What warm hosts of
+// its role ended well over five windows is under their capacity, however hard they are pushed just now;
+// the share of it that a cold host has, times the multiple, is safe for all dispatchers together.
 func (d *Dispatcher) coldBudget(h *Host) float64 {
 	sum, n := 0.0, 0.0
 	for _, o := range d.hosts {
 		if o.Role == h.Role && o.Standing == Ready && !d.cold(o) {
-			sum += o.Sent.Sum(d.door.Now()) / o.Units
+			sum += o.Carried.Sum(d.door.Now()) / 5 / o.Units
 			n++
 		}
 	}
@@ -648,6 +650,7 @@
 	}
 	if r.Outcome == Read || r.Outcome == Answered {
 		d.remember(t, float64(r.Note))
+		h.Carried.Add(now, d.weight(q))
 	}
 	if t.Stage != ToWrite && (r.Outcome == Read || r.Outcome == Answered) {
 		left := max(q.Prompt-float64(r.Note), 0)
--- a/brain/types.go
+++ b/brain/types.go
@@ -107,6 +107,7 @@
 
 	Util, Queue, Held float64 // last load report
 	Sent              Ring    // work sent
+	Carried           Ring    // work of trips that ended well
 	Good, Bad         Ring    // trips that went well, or not
 	Kept              map[uint64]Kept
 	Hits              Mean    // reported kept tokens against expected ones
