--- a/brain/brain.go
+++ b/brain/brain.go
@@ -321,7 +321,7 @@
 		q.Routed = now
 	}
 	h.Sent.Add(now, d.weight(q))
-	q.Trips, h.Open = append(q.Trips, t), append(h.Open, t)
+	q.Trips = append(q.Trips, t)
 	d.door.Send(t, d.patience(t))
 	return true
 }
@@ -380,20 +380,9 @@
 func (d *Dispatcher) trusted(h *Host) bool {
 	now := d.door.Now()
 	bad := h.Bad.Sum(now)
-	for _, t := range h.Open {
-		if t.Began == 0 && now-t.Sent > d.overdue(t) {
-			bad++
-		}
-	}
 	return bad == 0 || d.rng.Beta(4+h.Good.Sum(now), 1+bad) > believe
 }
 
-// overdue is how long a trip may take before it speaks against its host, while still out as well as
-// at its end: silence is seen before any time-out, be the host slow, hung or cut off.
-func (d *Dispatcher) overdue(t *Trip) time.Duration {
-	return time.Duration(4 * d.typical[t.Stage].Or(1) * (t.Left + 300) * float64(time.Second))
-}
-
 // able lists the hosts of the given roles that the gate lets through: the trusted ones, or all if none
 // is.
 func (d *Dispatcher) able(q *Question, want func(*Host) bool) []*Host {
@@ -584,7 +573,7 @@
 func (d *Dispatcher) learn(t *Trip, took time.Duration, fine bool) {
 	h, now := t.Host, d.door.Now()
 	unit := took.Seconds() / (t.Left + 300)
-	slow := fine && took > d.overdue(t)
+	slow := fine && unit > 4*d.typical[t.Stage].Or(unit)
 	if fine {
 		d.typical[t.Stage].Add(unit, 0.02)
 		d.lately[t.Stage].Add(unit, 0.05)
@@ -615,7 +604,6 @@
 func (d *Dispatcher) Ended(t *Trip, r Result) {
 	q, h, now := t.Question, t.Host, d.door.Now()
 	t.Ended, t.Outcome = true, r.Outcome
-	h.Open = slices.DeleteFunc(h.Open, func(o *Trip) bool { return o == t })
 	if t.Stage != ToWrite {
 		h.Unread -= t.Left
 	}
--- a/brain/types.go
+++ b/brain/types.go
@@ -97,7 +97,6 @@
 	Restart  bool // Booted is a start that the list told of
 	Standing Standing
 
-	Open    []*Trip // own trips that are out
 	Reads   int     // own trips that are being read here
 	Streams int     // own questions that are or will be answered here
 	Tokens  float64 // own tokens held here
