--- a/brain/brain.go
+++ b/brain/brain.go
@@ -97,7 +97,7 @@
 			h.Good.Width, h.Bad.Width = evidence, evidence
 			h.Room = 6
 			if h.Role != Reads {
-				h.Room = 1.2 * h.Memory / d.facts.Num("siblings", 1)
+				h.Room = h.Memory / d.facts.Num("siblings", 1)
 			}
 			d.hosts = append(d.hosts, h)
 		}
@@ -410,10 +410,10 @@
 }
 
 // press is how full a host looks for one more question, of which left tokens are to be read there: own
-// streams and own reading for its size, an average prompt weighing as one stream, then what it last
+// streams and own reading for its size, an average prompt weighing as half a stream, then what it last
 // reported.
 func (d *Dispatcher) press(h *Host, left float64) float64 {
-	n := float64(h.Streams) + 1 + (h.Unread+left)/max(d.average, 300)
+	n := float64(h.Streams) + 1 + (h.Unread+left)/2/max(d.average, 300)
 	return n / h.Units * (1 + h.Util + h.Queue/10) * d.far(h)
 }
 
@@ -454,10 +454,11 @@
 }
 
 // cut is the share of the average under which a prompt is read in place. Where one pool has become
-// slower than the other, by what trips took lately, the cut moves work to the quicker one: in place
-// only as far as writers bear it.
+// slower than the other, by what trips took lately, it moves work to the quicker one. Slowed writers
+// count twice, as a prompt read there also holds up the streams that run.
 func (d *Dispatcher) cut() float64 {
-	return cutShare * d.average * min(max(d.slowed(ToRead)/d.slowed(ToWrite), 0.25), 4)
+	tilt := d.slowed(ToRead) / d.slowed(ToWrite) / d.slowed(ToWrite)
+	return cutShare * d.average * min(max(tilt, 0.25), 4)
 }
 
 // slowed is how much longer a stage takes lately than when it was free.
