Of its two readers, a question leans to the rack with the freer writers

A state stays in its reader's rack, so the reader settles where the writing goes; reads alone did not see that. Should hold against any uneven rack, hosts slow or lost in one included; hurts if the freer rack's reader has lost the text.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -495,7 +495,9 @@
 	return m
 }
 
-// reader hashes the question's beginning to two readers and takes the one with fewer own reads.
+// reader hashes the question's beginning to two readers and takes the one with fewer own reads, by their
+// tokens. As a state best stays in its rack, the reader counts for less whose rack has a freer writer:
+// else one rack's writers jam while another's are idle.
 func (d *Dispatcher) reader(q *Question) *Host {
 	readers := d.able(q, (*Host).ReadsOnly)
 	key := q.Shared
@@ -509,7 +511,16 @@
 		return 1
 	})
 	two := readers[:min(2, len(readers))]
-	fewest := func(h *Host) float64 { return (h.Unread + q.Prompt - d.keeps(h, q)) / h.Units }
+	answering := d.able(q, (*Host).Answers)
+	fewest := func(h *Host) float64 {
+		near := 1.0
+		for _, o := range answering {
+			if o.Rack == h.Rack {
+				near = min(near, d.press(o, 0))
+			}
+		}
+		return (h.Unread + q.Prompt - d.keeps(h, q)) / h.Units * near
+	}
 	h := Least(two, fewest)
 	if h != nil && !hasRoom(h, q) {
 		return nil
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -218,3 +218,20 @@
 		t.Errorf("promised %v after the first's %v, again %v", next.Promised, first.Promised, next.Again)
 	}
 }
+
+func TestReaderLeansToTheRackWithFreerWriters(t *testing.T) {
+	d, _ := begin(t)
+	for i, h := range d.hosts[2:] {
+		h.Units = 100
+		h.Streams = 90 * (i % 2) // the writer and the mixed host of the second rack are full
+	}
+	if h := d.reader(ask(d)); h == nil || h.Rack != 0 {
+		t.Errorf("got %+v", h)
+	}
+	for _, h := range d.hosts[2:] {
+		h.Streams = 90 - h.Streams
+	}
+	if h := d.reader(ask(d)); h == nil || h.Rack != 1 {
+		t.Errorf("got %+v", h)
+	}
+}
