--- a/brain/brain.go
+++ b/brain/brain.go
@@ -326,16 +326,15 @@
 	return true
 }
 
-// patience is how long a trip may take: cut short only where another trip could still make the promised
-// time, for a host that goes on with work nobody waits for any more only gets fuller.
+// patience is how long a trip may take: three quarters of what is left where another trip may follow it,
+// so that a silent host leaves time for one. Shorter waits only fill hosts that go on with dropped work.
 func (d *Dispatcher) patience(t *Trip) time.Duration {
-	q, now := t.Question, t.Sent
-	usual := time.Duration(d.typical[t.Stage].Or(1) * (t.Left + 300) * float64(time.Second))
-	cut := max(5*usual, (q.Promised-q.Taken)/2)
-	if t.Stage != ToRead && q.Grade.Effect != Idempotent || now+cut+2*usual > min(q.Promised, q.Expiry) {
-		return q.Expiry - now
+	left := t.Question.Expiry - t.Sent
+	if t.Stage != ToRead && t.Question.Grade.Effect != Idempotent ||
+		t.Number+1 >= int(d.facts.Num("policyLimits.maxAttempts", 1)) {
+		return left
 	}
-	return cut
+	return left * 3 / 4
 }
 
 // keeps is how much of the question's prompt the host should have kept, by the ageing table: what the
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -235,3 +235,26 @@
 		t.Errorf("got %+v", h)
 	}
 }
+
+func TestPatienceLeavesTimeForAnotherTripWhereOneMayFollow(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		effect Effect
+		stage  Stage
+		number int
+		all    bool
+	}{
+		{"idempotent", Idempotent, Whole, 0, false},
+		{"unrepeatable at a reader", Unrepeatable, ToRead, 0, false},
+		{"unrepeatable at a writer", Unrepeatable, ToWrite, 1, true},
+		{"the last trip allowed", Idempotent, Whole, 3, true},
+	} {
+		d, _ := begin(t)
+		q := ask(d)
+		q.Grade.Effect = c.effect
+		wait := d.patience(&Trip{Question: q, Stage: c.stage, Number: c.number, Sent: q.Taken})
+		if (wait == q.Expiry-q.Taken) != c.all {
+			t.Errorf("%s: waits %v of %v", c.name, wait, q.Expiry-q.Taken)
+		}
+	}
+}
