--- a/brain/brain.go
+++ b/brain/brain.go
@@ -512,10 +512,10 @@
 	two := readers[:min(2, len(readers))]
 	answering := d.able(q, (*Host).Answers)
 	fewest := func(h *Host) float64 {
-		near := 1.0
-		for _, o := range answering {
-			if o.Rack == h.Rack {
-				near = min(near, d.press(o, 0))
+		near := d.press(h, 0) // of a rack without writers
+		for i, o := range slices.DeleteFunc(slices.Clone(answering), func(o *Host) bool { return o.Rack != h.Rack }) {
+			if p := d.press(o, 0); i == 0 || p < near {
+				near = p
 			}
 		}
 		return (h.Unread + q.Prompt - d.keeps(h, q)) / h.Units * near
