Only a failed connect makes a host count as cold, not a broken connection

Each reset made its host cold, cold hosts are budgeted by warm ones, and with few warm left two thirds of questions were declined. A host that restarts also fails connects, which still counts. Where no warm host of a role is left, what the cold ones ended well is the measure.

Should hold in any rash of resets; hurts if a host restarts so fast that no connect fails.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -288,15 +288,22 @@
 // its role ended well over five windows is under their capacity, however hard they are pushed just now;
 // the share of it that a cold host has, times the multiple, is safe for all dispatchers together.
 func (d *Dispatcher) coldBudget(h *Host) float64 {
-	sum, n := 0.0, 0.0
+	var sum, n [2]float64 // of warm hosts, and of cold ones, which serve where none is warm
 	for _, o := range d.hosts {
-		if o.Role == h.Role && o.Standing == Ready && !d.cold(o) {
-			sum += o.Carried.Sum(d.door.Now()) / 5 / o.Units
-			n++
+		if o.Role == h.Role && o.Standing == Ready {
+			i := 0
+			if d.cold(o) {
+				i = 1
+			}
+			sum[i] += o.Carried.Sum(d.door.Now()) / 5 / o.Units
+			n[i]++
 		}
 	}
+	if n[0] == 0 {
+		sum, n = [2]float64{sum[1]}, [2]float64{n[1]}
+	}
 	part := 0.8 * d.facts.Num("rules.tipMultiple", 1) * d.facts.Num("rules.coldFrom", 0)
-	return part * sum / max(n, 1) * h.Units
+	return part * sum[0] / max(n[0], 1) * h.Units
 }
 
 // send makes a trip unless the gate bars it.
@@ -644,8 +651,10 @@
 		}
 	case Failed, TimedOut, Unreached, Broken:
 		d.learn(t, r.Took, false)
-		if r.Outcome == Unreached || r.Outcome == Broken {
-			h.Booted, h.Restart = now, true // it may have restarted, which the list tells seconds later
+		// A host that can't be reached may be restarting, which the list tells seconds later: cold till then.
+		// A broken connection alone says nothing of that; taken so, a rash of resets shuts out the fleet.
+		if r.Outcome == Unreached {
+			h.Booted, h.Restart = now, true
 		}
 	}
 	if r.Outcome == Read || r.Outcome == Answered {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -258,3 +258,13 @@
 		}
 	}
 }
+
+func TestEndedDoesNotTakeAHostForColdForABrokenConnection(t *testing.T) {
+	d, _ := begin(t)
+	trip := went(ask(d), d.hosts[2], 0, d.door.Now())
+	trip.Ended = false
+	d.Ended(trip, Result{Outcome: Broken, Over: true})
+	if d.cold(d.hosts[2]) {
+		t.Error("the host counts as cold")
+	}
+}
