--- a/brain/brain.go
+++ b/brain/brain.go
@@ -520,7 +520,8 @@
 	answering := d.able(q, (*Host).Answers)
 	fewest := func(h *Host) float64 {
 		near := d.press(h, 0) // of a rack without writers
-		for i, o := range slices.DeleteFunc(slices.Clone(answering), func(o *Host) bool { return o.Rack != h.Rack }) {
+		other := func(o *Host) bool { return o.Rack != h.Rack }
+		for i, o := range slices.DeleteFunc(slices.Clone(answering), other) {
 			if p := d.press(o, 0); i == 0 || p < near {
 				near = p
 			}
