--- a/brain/facts.go
+++ b/brain/facts.go
@@ -101,8 +101,6 @@
 			h.Util = v
 		case "queue":
 			h.Queue = v
-		case "x0":
-			h.Held = v
 		}
 	}
 }
