--- a/brain/types.go
+++ b/brain/types.go
@@ -104,12 +104,13 @@
 	Room    float64 // how many own trips it is trusted with
 	Cut     time.Duration
 
-	Sent      Ring // work sent
-	Carried   Ring // work of trips that ended well
-	Good, Bad Ring // trips that went well, or not
-	Kept      map[uint64]Kept
-	Hits      Mean    // reported kept tokens against expected ones
-	Taken     float64 // own tokens newly read or fetched here
+	Util, Queue float64 // last load report
+	Sent        Ring    // work sent
+	Carried     Ring    // work of trips that ended well
+	Good, Bad   Ring    // trips that went well, or not
+	Kept        map[uint64]Kept
+	Hits        Mean    // reported kept tokens against expected ones
+	Taken       float64 // own tokens newly read or fetched here
 }
 
 func (h *Host) Answers() bool   { return h.Role != Reads }
