Tidy: sums and draws done once, a dead field and a copied search gone

The kept share and the cut are worked out once where they were twice, cold hosts' work is summed only for cold hosts, the reader's search for the freest writer of a rack uses Least, and a question's unused channel is gone.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -94,7 +94,6 @@
 			h.Role, h.Memory = d.facts.RoleOf(h.Kind), d.facts.MemoryOf(h.Kind)
 			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
 			h.Carried.Width = max(d.facts.Span("rules.tipAfterUs")*5/buckets, 1)
-			h.Good.Width, h.Bad.Width = evidence, evidence
 			h.Room = 6
 			if h.Role != Reads {
 				h.Room = h.Memory / d.facts.Num("siblings", 1)
@@ -271,8 +270,11 @@
 			return true
 		}
 	}
+	if !d.cold(h) {
+		return false
+	}
 	sent := h.Sent.Sum(now)
-	return d.cold(h) && sent > 0 && sent+d.weight(q) > d.coldBudget(h)
+	return sent > 0 && sent+d.weight(q) > d.coldBudget(h)
 }
 
 func (d *Dispatcher) cold(h *Host) bool {
@@ -299,11 +301,12 @@
 			n[i]++
 		}
 	}
+	i := 0
 	if n[0] == 0 {
-		sum, n = [2]float64{sum[1]}, [2]float64{n[1]}
+		i = 1
 	}
 	part := 0.8 * d.facts.Num("rules.tipMultiple", 1) * d.facts.Num("rules.coldFrom", 0)
-	return part * sum[0] / max(n[0], 1) * h.Units
+	return part * sum[i] / max(n[i], 1) * h.Units
 }
 
 // send makes a trip unless the gate bars it.
@@ -313,9 +316,10 @@
 	}
 	now := d.door.Now()
 	t := &Trip{Question: q, Host: h, Number: len(q.Trips), Sent: now, Stage: stage, Next: next}
-	t.Kept = d.keeps(h, q) / max(h.Hits.Or(1), 0.01)
+	kept := d.keeps(h, q)
+	t.Kept = kept / max(h.Hits.Or(1), 0.01)
 	if stage != ToWrite {
-		t.Left = q.Prompt - d.keeps(h, q)
+		t.Left = q.Prompt - kept
 		h.Unread += t.Left
 	}
 	h.Tokens += q.Memory()
@@ -477,8 +481,9 @@
 	if !d.facts.Yes("familyInfo.localRead") {
 		return nil
 	}
+	cut := d.cut()
 	short := slices.DeleteFunc(slices.Clone(roomy), func(h *Host) bool {
-		return h.Role != Writes || q.Prompt-d.keeps(h, q) >= d.cut()
+		return h.Role != Writes || q.Prompt-d.keeps(h, q) >= cut
 	})
 	return Least(short, func(h *Host) float64 { return d.press(h, 0) / (1 + d.keeps(h, q)) })
 }
@@ -518,15 +523,14 @@
 	})
 	two := readers[:min(2, len(readers))]
 	answering := d.able(q, (*Host).Answers)
+	press := func(h *Host) float64 { return d.press(h, 0) }
 	fewest := func(h *Host) float64 {
-		near := d.press(h, 0) // of a rack without writers
 		other := func(o *Host) bool { return o.Rack != h.Rack }
-		for i, o := range slices.DeleteFunc(slices.Clone(answering), other) {
-			if p := d.press(o, 0); i == 0 || p < near {
-				near = p
-			}
+		near := Least(slices.DeleteFunc(slices.Clone(answering), other), press)
+		if near == nil {
+			near = h // a rack without writers
 		}
-		return (h.Unread + q.Prompt - d.keeps(h, q)) / h.Units * near
+		return (h.Unread + q.Prompt - d.keeps(h, q)) / h.Units * press(near)
 	}
 	h := Least(two, fewest)
 	if h != nil && !hasRoom(h, q) {
@@ -662,12 +666,12 @@
 	if r.Outcome == Read || r.Outcome == Answered {
 		d.remember(t, float64(r.Note))
 		h.Carried.Add(now, d.weight(q))
-	}
-	if t.Stage != ToWrite && (r.Outcome == Read || r.Outcome == Answered) {
-		left := max(q.Prompt-float64(r.Note), 0)
-		d.unread.Add(now, left)
-		d.asked.Add(now, 1)
-		q.Grade.Reading.Add(left, 0.02)
+		if t.Stage != ToWrite {
+			left := max(q.Prompt-float64(r.Note), 0)
+			d.unread.Add(now, left)
+			d.asked.Add(now, 1)
+			q.Grade.Reading.Add(left, 0.02)
+		}
 	}
 	if q.Over {
 		d.letGo(q)
--- a/brain/types.go
+++ b/brain/types.go
@@ -144,7 +144,6 @@
 	Prefix   float64 // how much of the prompt is the shared beginning
 	Most     float64 // tokens the answer may have
 	Grade    *Grade
-	Channel  *Channel
 	Again    bool // the client says it asked before
 	Resumed  bool // it goes on with a stream that broke
 	Left     time.Duration
