Ties between hosts go by an order of each dispatcher's own

Cause: with one question a second, own streams and reads are nearly always nought, so almost every choice is a tie, and ties went to the lowest id in every dispatcher alike. Also holds against any state in which dispatchers know equally little (a fresh list, a mass restart). It can't hurt where choices are not ties.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,7 +31,8 @@
 	rng      *PCG
 	grades   []*Grade
 	channels []*Channel
-	hosts    []*Host // by id
+	own      uint64  // drawn at the start: orders the hosts differently in each dispatcher
+	hosts    []*Host // in that order, by which ties go: in one order all dispatchers would pick the same
 	unread   Ring    // tokens left to read, and of how many questions
 	asked    Ring
 	average  float64    // of tokens left to read, as last refreshed; 0 in a fresh router
@@ -51,7 +52,7 @@
 		"familyInfo.pinLimitUs", "familyInfo.kindRole", "requestClasses", "policyLimits.maxAttempts"); err != nil {
 		return nil, err
 	}
-	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed), turned: map[uint64]time.Duration{}}
+	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed), own: seed, turned: map[uint64]time.Duration{}}
 	d.unread.Width, d.asked.Width, d.served.Width = refresh, refresh, 200*time.Millisecond
 	var err error
 	if d.grades, err = facts.Grades(); err != nil {
@@ -106,7 +107,7 @@
 		}
 		h.Standing, h.Units, h.Booted, h.Restart = l.Standing, max(l.Units, 0.01), l.Booted, l.Restart
 	}
-	slices.SortFunc(d.hosts, func(a, b *Host) int { return int(a.ID) - int(b.ID) })
+	slices.SortFunc(d.hosts, func(a, b *Host) int { return cmp.Compare(Mix(d.own, uint64(a.ID)), Mix(d.own, uint64(b.ID))) })
 	d.serve()
 }
 
