--- a/brain/brain.go
+++ b/brain/brain.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -20,6 +21,10 @@
 	evidence  = 500 * time.Millisecond // a tenth of how long trips speak for or against a host
 	believe   = 0.5                    // a doubtful host gets work if its draw is above this
 	sweep     = 20 * time.Millisecond  // how often held questions are looked at
+	perHost   = 4.0                    // questions without a first token for each host, to begin with
+	calm      = 0.5                    // of the promised span to a first token, at which the window stays
+	memory    = 3 * time.Second        // a tenth of how long what a host was given counts
+	lasting   = 0.5                    // how much that counts beside what it holds now
 	tries     = 8                      // held questions in a row without room before the rest wait
 	impatient = 0.25                   // of the promised time: an oldest wait beyond it means overload
 )
@@ -35,11 +40,14 @@
 	hosts    []*Host // in that order, by which ties go: in one order all dispatchers would pick the same
 	unread   Ring    // tokens left to read, and of how many questions
 	asked    Ring
-	average  float64    // of tokens left to read, as last refreshed; 0 in a fresh router
-	ahead    Mean       // seconds from the first trip of a question to its first token, lately
-	typical  [3]Mean    // seconds for each stage's unit of work
-	lately   [3]Mean    // the same, lately
-	free     [3]float64 // and its least, which slowly rises
+	average  float64       // of tokens left to read, as last refreshed; 0 in a fresh router
+	ahead    Mean          // seconds from the first trip of a question to its first token, lately
+	typical  [3]Mean       // seconds for each stage's unit of work
+	lately   [3]Mean       // the same, lately
+	free     [3]float64    // and its least, which slowly rises
+	window   float64       // how many own questions may be out without a first token; 0 before the first list
+	unbegun  int           // how many are
+	paced    time.Duration // when the next may go out where the window is under one
 	held     []*Question
 	served   Ring // questions let out of held
 	sweeping bool
@@ -95,6 +103,7 @@
 			h.Role, h.Memory = d.facts.RoleOf(h.Kind), d.facts.MemoryOf(h.Kind)
 			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
 			h.Carried.Width = max(d.facts.Span("rules.tipAfterUs")*5/buckets, 1)
+			h.Given.Width = memory
 			h.Room = 6
 			if h.Role != Reads {
 				h.Room = h.Memory / d.facts.Num("siblings", 1)
@@ -108,6 +117,9 @@
 		h.Standing, h.Units, h.Booted, h.Restart = l.Standing, max(l.Units, 0.01), l.Booted, l.Restart
 	}
 	slices.SortFunc(d.hosts, func(a, b *Host) int { return cmp.Compare(Mix(d.own, uint64(a.ID)), Mix(d.own, uint64(b.ID))) })
+	if d.window == 0 && len(d.hosts) > 0 {
+		d.window = max(perHost*float64(len(d.hosts))/d.facts.Num("siblings", 1), 1)
+	}
 	d.serve()
 }
 
@@ -173,6 +185,9 @@
 	now := d.door.Now()
 	stuck := 0
 	for i := 0; i < len(d.held) && stuck < tries; {
+		if float64(d.unbegun) >= max(d.window, 1) || now < d.paced {
+			break
+		}
 		if q := d.held[i]; d.route(q) {
 			d.drop(q)
 			d.served.Add(now, 1)
@@ -328,14 +343,21 @@
 		h.Unread += t.Left
 	}
 	h.Tokens += q.Memory()
+	h.Given.Add(now, t.Left/2/max(d.average, 300))
 	if stage == ToRead {
 		h.Reads++
 	} else {
 		h.Streams++
+		h.Given.Add(now, 1)
 	}
 	if len(q.Trips) == 0 {
 		q.Routed = now
 	}
+	if !q.Unbegun {
+		q.Unbegun = true
+		d.unbegun++
+		q.LetOut = now
+	}
 	h.Sent.Add(now, d.weight(q))
 	q.Trips = append(q.Trips, t)
 	d.door.Send(t, d.patience(t))
@@ -428,7 +450,7 @@
 // streams and own reading for its size, an average prompt weighing as half a stream, then what it last
 // reported.
 func (d *Dispatcher) press(h *Host, left float64) float64 {
-	n := float64(h.Streams) + 1 + (h.Unread+left)/2/max(d.average, 300)
+	n := float64(h.Streams) + 1 + (h.Unread+left)/2/max(d.average, 300) + lasting*h.Given.Sum(d.door.Now())
 	return n / h.Units * (1 + h.Util + h.Queue/10) * d.far(h)
 }
 
@@ -535,7 +557,7 @@
 		if near == nil {
 			near = h // a rack without writers
 		}
-		return (h.Unread + q.Prompt - d.keeps(h, q)) / h.Units * press(near)
+		return d.press(h, q.Prompt-d.keeps(h, q)) * press(near)
 	}
 	h := Least(two, fewest)
 	if h != nil && !hasRoom(h, q) {
@@ -559,7 +581,7 @@
 func (d *Dispatcher) write(q *Question) bool {
 	h := Least(d.able(q, (*Host).Answers), func(h *Host) float64 {
 		if q.State != nil && h.Rack != q.State.Rack {
-			return d.press(h, 0) * (1 + 30*d.facts.Num("familyInfo.transferPrice", 0))
+			return d.press(h, 0) * (1 + 10*d.facts.Num("familyInfo.transferPrice", 0))
 		}
 		return d.press(h, 0)
 	})
@@ -576,8 +598,34 @@
 	}
 }
 
+// tell takes note that a question that was out has its first token, or goes back among the held or is
+// over without one, and lets its time in flight widen or narrow the window. One window for the whole
+// fleet: over many hosts a dispatcher's own trips to any one of them are too few to tell a jam by.
+func (d *Dispatcher) tell(q *Question, full bool) {
+	if !q.Unbegun {
+		return
+	}
+	q.Unbegun = false
+	d.unbegun--
+	now := d.door.Now()
+	out := now - q.LetOut
+	x := min(float64(out)/float64(q.Promised-q.Taken), 1)
+	if full {
+		x = 1
+	}
+	if x > calm || len(d.held) > 0 {
+		d.window *= math.Exp(0.5 * (calm - x))
+	}
+	d.window = max(d.window, 0.05)
+	if d.window < 1 {
+		d.paced = now + time.Duration(float64(out)*(1/d.window-1))
+	}
+}
+
 // again starts a question over, if a host may still take it, else gives it up at once.
 func (d *Dispatcher) again(q *Question) {
+	n := len(q.Trips)
+	d.tell(q, n > 0 && q.Trips[n-1].Outcome == Full)
 	d.letGo(q)
 	if !slices.ContainsFunc(d.hosts, func(h *Host) bool { return h.Answers() && !d.barred(q, h) }) {
 		d.giveUp(q)
@@ -593,8 +641,10 @@
 	}
 	t.Began = d.door.Now()
 	t.Question.State = nil
+	d.tell(t.Question, false)
 	d.learn(t, took, true)
 	d.ahead.Add((t.Began - t.Question.Routed).Seconds(), 0.1)
+	d.serve()
 }
 
 // learn lets a trip speak for or against its host, and widens or narrows what it is trusted with.
@@ -679,6 +729,7 @@
 		}
 	}
 	if q.Over {
+		d.tell(q, false)
 		d.letGo(q)
 	} else {
 		t.Next(r)
@@ -692,6 +743,7 @@
 		return
 	}
 	q.Over = true
+	d.tell(q, false)
 	if q.Waiting {
 		d.drop(q)
 	}
--- a/brain/types.go
+++ b/brain/types.go
@@ -106,6 +106,7 @@
 
 	Util, Queue float64 // last load report
 	Sent        Ring    // work sent
+	Given       Ring    // reads and streams sent over a longer time
 	Carried     Ring    // work of trips that ended well
 	Good, Bad   Ring    // trips that went well, or not
 	Kept        map[uint64]Kept
@@ -149,6 +150,8 @@
 	Left     time.Duration
 	Taken    time.Duration
 	Routed   time.Duration // when its first trip went out
+	LetOut   time.Duration // when it last went out from among the held
+	Unbegun  bool          // it is out without a first token
 	Over     bool
 	Surplus  bool    // beyond its channel's share
 	Density  float64 // benefit for its work
