--- a/brain/brain.go
+++ b/brain/brain.go
@@ -22,7 +22,7 @@
 	believe   = 0.5                    // a doubtful host gets work if its draw is above this
 	sweep     = 20 * time.Millisecond  // how often held questions are looked at
 	perHost   = 4.0                    // questions without a first token for each host, to begin with
-	calm      = 0.5                    // of the promised span to a first token, at which the window stays
+	calm      = 0.7                    // of the promised span to a first token, at which the window stays
 	memory    = 3 * time.Second        // a tenth of how long what a host was given counts
 	lasting   = 0.5                    // how much that counts beside what it holds now
 	tries     = 8                      // held questions in a row without room before the rest wait
