--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,27 +31,28 @@
 
 // Dispatcher is one instance of the module.
 type Dispatcher struct {
-	facts    Facts
-	door     Door
-	rng      *PCG
-	grades   []*Grade
-	channels []*Channel
-	own      uint64  // drawn at the start: orders the hosts differently in each dispatcher
-	hosts    []*Host // in that order, by which ties go: in one order all dispatchers would pick the same
-	unread   Ring    // tokens left to read, and of how many questions
-	asked    Ring
-	average  float64       // of tokens left to read, as last refreshed; 0 in a fresh router
-	ahead    Mean          // seconds from the first trip of a question to its first token, lately
-	typical  [3]Mean       // seconds for each stage's unit of work
-	lately   [3]Mean       // the same, lately
-	free     [3]float64    // and its least, which slowly rises
-	window   float64       // how many own questions may be out without a first token; 0 before the first list
-	unbegun  int           // how many are
-	paced    time.Duration // when the next may go out where the window is under one
-	held     []*Question
-	served   Ring // questions let out of held
-	sweeping bool
-	turned   map[uint64]time.Duration // when the first of a client's tries came that was declined
+	facts              Facts
+	door               Door
+	rng                *PCG
+	grades             []*Grade
+	channels           []*Channel
+	own                uint64  // drawn at the start: orders the hosts differently in each dispatcher
+	hosts              []*Host // in that order, by which ties go: in one order all dispatchers would pick the same
+	unread             Ring    // tokens left to read, and of how many questions
+	asked              Ring
+	average            float64       // of tokens left to read, as last refreshed; 0 in a fresh router
+	ahead              Mean          // seconds from the first trip of a question to its first token, lately
+	typical            [3]Mean       // seconds for each stage's unit of work
+	lately             [3]Mean       // the same, lately
+	free               [3]float64    // and its least, which slowly rises
+	streams, answering float64       // own streams, and the hosts that may have them
+	window             float64       // how many own questions may be out without a first token; 0 before the first list
+	unbegun            int           // how many are
+	paced              time.Duration // when the next may go out where the window is under one
+	held               []*Question
+	served             Ring // questions let out of held
+	sweeping           bool
+	turned             map[uint64]time.Duration // when the first of a client's tries came that was declined
 }
 
 // New starts an instance from its settings and the seed for its chance.
@@ -117,6 +118,12 @@
 		h.Standing, h.Units, h.Booted, h.Restart = l.Standing, max(l.Units, 0.01), l.Booted, l.Restart
 	}
 	slices.SortFunc(d.hosts, func(a, b *Host) int { return cmp.Compare(Mix(d.own, uint64(a.ID)), Mix(d.own, uint64(b.ID))) })
+	d.answering = 0
+	for _, h := range d.hosts {
+		if h.Answers() && h.Standing == Ready {
+			d.answering++
+		}
+	}
 	if d.window == 0 && len(d.hosts) > 0 {
 		d.window = max(perHost*float64(len(d.hosts))/d.facts.Num("siblings", 1), 1)
 	}
@@ -348,6 +355,7 @@
 		h.Reads++
 	} else {
 		h.Streams++
+		d.streams++
 		h.Given.Add(now, 1)
 	}
 	if len(q.Trips) == 0 {
@@ -450,7 +458,8 @@
 // streams and own reading for its size, an average prompt weighing as half a stream, then what it last
 // reported.
 func (d *Dispatcher) press(h *Host, left float64) float64 {
-	n := float64(h.Streams) + 1 + (h.Unread+left)/2/max(d.average, 300) + lasting*h.Given.Sum(d.door.Now())
+	n := float64(h.Streams) + 1 + (h.Unread+left)/2/max(d.average, 300) +
+		lasting*h.Given.Sum(d.door.Now())/(1+d.streams/max(d.answering, 1))
 	return n / h.Units * (1 + h.Util + h.Queue/10) * d.far(h)
 }
 
@@ -692,6 +701,7 @@
 		h.Reads--
 	} else {
 		h.Streams--
+		d.streams--
 	}
 	d.facts.Report(h, r.Load)
 	q.Over = q.Over || r.Over
