--- a/brain/brain.go
+++ b/brain/brain.go
@@ -105,10 +105,7 @@
 			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
 			h.Carried.Width = max(d.facts.Span("rules.tipAfterUs")*5/buckets, 1)
 			h.Given.Width = memory
-			h.Room = 6
-			if h.Role != Reads {
-				h.Room = h.Memory / d.facts.Num("siblings", 1)
-			}
+			h.Room = h.Memory / d.facts.Num("siblings", 1)
 			d.hosts = append(d.hosts, h)
 		}
 		if h.Kept == nil || l.Restart && l.Booted != h.Booted {
@@ -493,9 +490,6 @@
 // hasRoom tells whether a host may take the question within what it is trusted with; an idle one always
 // may.
 func hasRoom(h *Host, q *Question) bool {
-	if h.Role == Reads {
-		return float64(h.Reads) < h.Room
-	}
 	return h.Streams == 0 || h.Tokens+q.Memory() <= h.Room
 }
 
@@ -568,11 +562,7 @@
 		}
 		return d.press(h, q.Prompt-d.keeps(h, q)) * press(near)
 	}
-	h := Least(two, fewest)
-	if h != nil && !hasRoom(h, q) {
-		return nil
-	}
-	return h
+	return Least(two, fewest)
 }
 
 // read takes the result of a trip to a reader.
@@ -675,10 +665,7 @@
 	} else {
 		h.Bad.Add(now, 1)
 	}
-	one := 1.0
-	if h.Role != Reads {
-		one = t.Question.Memory()
-	}
+	one := t.Question.Memory()
 	span := t.Question.Promised - t.Question.Taken
 	// Only time tells of a full host; errors and resets speak through the posterior alone.
 	late := took > span/3 || now-t.Question.Taken > span*7/10
@@ -717,8 +704,6 @@
 	case Full:
 		if r.Note == 1 {
 			q.State = nil
-		} else if now-h.Cut > 100*time.Millisecond {
-			h.Room, h.Cut = max(1, h.Room*0.9), now
 		}
 	case Failed, TimedOut, Unreached, Broken:
 		d.learn(t, r.Took, false)
