A trip waits for all that is left where the last quarter is too short for another

It should also hold for late next tries; it hurts where a host hangs and the time would just have done.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -373,7 +373,7 @@
 // so that a silent host leaves time for one. Shorter waits only fill hosts that go on with dropped work.
 func (d *Dispatcher) patience(t *Trip) time.Duration {
 	left := t.Question.Expiry - t.Sent
-	if t.Stage != ToRead && t.Question.Grade.Effect != Idempotent ||
+	if left.Seconds()/4 < d.ahead.Or(0) || t.Stage != ToRead && t.Question.Grade.Effect != Idempotent ||
 		t.Number+1 >= int(d.facts.Num("policyLimits.maxAttempts", 1)) {
 		return left
 	}
