Evidence lasts as long as it takes to gather; short time-outs say nothing of a host

Cause: at full size a dispatcher makes a trip to a given host once in half a minute, and forgot it after five seconds.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -110,7 +110,8 @@
 		}
 		if h.Kept == nil || l.Restart && l.Booted != h.Booted {
 			h.Kept = map[uint64]Kept{}
-			h.Good, h.Bad = Ring{Width: evidence}, Ring{Width: evidence}
+			lasts := time.Duration(max(d.facts.Num("siblings", 1)/20, 1) * float64(evidence))
+			h.Good, h.Bad = Ring{Width: lasts}, Ring{Width: lasts}
 		}
 		h.Standing, h.Units, h.Booted, h.Restart = l.Standing, max(l.Units, 0.01), l.Booted, l.Restart
 	}
@@ -422,7 +423,7 @@
 func (d *Dispatcher) trusted(h *Host) bool {
 	now := d.door.Now()
 	bad := h.Bad.Sum(now)
-	return bad == 0 || d.rng.Beta(4+h.Good.Sum(now), 1+bad) > believe
+	return bad == 0 || d.rng.Beta(2+h.Good.Sum(now), 1+bad) > believe
 }
 
 // able lists the hosts of the given roles that the gate lets through: the trusted ones, or all if none
@@ -650,7 +651,7 @@
 func (d *Dispatcher) learn(t *Trip, took time.Duration, fine bool) {
 	h, now := t.Host, d.door.Now()
 	unit := took.Seconds() / (t.Left + 300)
-	slow := fine && unit > 4*d.typical[t.Stage].Or(unit)
+	slow := unit > 4*d.typical[t.Stage].Or(unit)
 	if fine {
 		d.typical[t.Stage].Add(unit, 0.02)
 		d.lately[t.Stage].Add(unit, 0.05)
@@ -660,9 +661,12 @@
 			d.free[t.Stage] *= 1.0005
 		}
 	}
+	// A trip that was cut short, by a client with little time, says nothing of its host.
 	if fine && !slow {
 		h.Good.Add(now, 1)
-	} else {
+	} else if fine {
+		h.Bad.Add(now, 0.25)
+	} else if slow || t.Outcome != TimedOut {
 		h.Bad.Add(now, 1)
 	}
 	one := t.Question.Memory()
