Dispatchers tell a few others how trips went; failures since the last good one do not fade

Evidence by host and by grade of question; each trip is told to at most eight others, fewer where messages are dear. Load reports go the same way. A host's failures since its last good trip stay: one that is silent for good looked idle for ever. Also holds for hosts that fail one grade. It hurts where a whole rack is slow for a reason outside it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,6 +25,8 @@
 	calm      = 0.7                    // of the promised span to a first token, at which the window stays
 	memory    = 3 * time.Second        // a tenth of how long what a host was given counts
 	lasting   = 0.5                    // how much that counts beside what it holds now
+	gossip    = 0.0007                 // of the benefit, at most, for telling others of one trip
+	newsSize  = 8                      // bytes of what is told
 	tries     = 8                      // held questions in a row without room before the rest wait
 	impatient = 0.25                   // of the promised time: an oldest wait beyond it means overload
 )
@@ -110,8 +112,8 @@
 		}
 		if h.Kept == nil || l.Restart && l.Booted != h.Booted {
 			h.Kept = map[uint64]Kept{}
-			lasts := time.Duration(max(d.facts.Num("siblings", 1)/20, 1) * float64(evidence))
-			h.Good, h.Bad = Ring{Width: lasts}, Ring{Width: lasts}
+			lasts := time.Duration(max(d.facts.Num("siblings", 1)/20/float64(1+d.listeners()), 1) * float64(evidence))
+			h.Records = slices.Repeat([]Record{{Good: Ring{Width: lasts}, Bad: Ring{Width: lasts}}}, 1+len(d.grades))
 		}
 		h.Standing, h.Units, h.Booted, h.Restart = l.Standing, max(l.Units, 0.01), l.Booted, l.Restart
 	}
@@ -419,11 +421,62 @@
 	}
 }
 
-// trusted draws from the posterior of a host's chance of success whether it is given work.
-func (d *Dispatcher) trusted(h *Host) bool {
+// trusted draws from the posterior of a host's chance of success whether it is given work: from how trips
+// of any grade went, and from those of this one, as a host may fail one grade and serve the rest.
+func (d *Dispatcher) trusted(h *Host, q *Question) bool {
 	now := d.door.Now()
-	bad := h.Bad.Sum(now)
-	return bad == 0 || d.rng.Beta(2+h.Good.Sum(now), 1+bad) > believe
+	for _, i := range []int{0, 1 + q.Grade.Index} {
+		r := &h.Records[i]
+		if bad := r.Bad.Sum(now) + r.Missed; bad > 0 && d.rng.Beta(2+r.Good.Sum(now), 1+bad) < believe {
+			return false
+		}
+	}
+	return true
+}
+
+// Heard takes what another dispatcher tells of a host; it counts like an own trip.
+func (d *Dispatcher) Heard(n News) {
+	if n.Loaded {
+		n.Host.Util, n.Host.Queue = n.Util, n.Queue
+	}
+	for _, i := range []int{0, 1 + n.Grade} {
+		if i >= len(n.Host.Records) {
+			return
+		}
+		r := &n.Host.Records[i]
+		switch now := d.door.Now(); n.Verdict {
+		case Well:
+			r.Good.Add(now, 1)
+			r.Missed = 0
+		case Slowly:
+			r.Bad.Add(now, 0.25)
+		case Badly:
+			r.Bad.Add(now, 1)
+			r.Missed++
+		}
+	}
+}
+
+// share tells a few others of an own trip: at most what the price of messages allows.
+func (d *Dispatcher) share(n News) {
+	others := int(d.facts.Num("siblings", 1)) - 1
+	first := d.rng.Float() * float64(others)
+	for i := range d.listeners() {
+		peer := (int(first) + i) % others
+		if peer >= int(d.facts.Num("slotNo", 0)) {
+			peer++
+		}
+		d.door.Tell(peer, n)
+	}
+}
+
+// listeners is how many others hear of each trip.
+func (d *Dispatcher) listeners() int {
+	if !d.facts.Yes("policyLimits.peers") {
+		return 0
+	}
+	dear := d.facts.Num("prices.peer", 0) * newsSize / 256
+	return int(min(gossip/max(dear, gossip/8), d.facts.Num("siblings", 1)-1))
 }
 
 // able lists the hosts of the given roles that the gate lets through: the trusted ones, or all if none
@@ -433,7 +486,7 @@
 	for _, h := range d.hosts {
 		if want(h) && !d.barred(q, h) {
 			all = append(all, h)
-			if d.trusted(h) && !q.FailedAt(h) {
+			if d.trusted(h, q) && !q.FailedAt(h) {
 				trusted = append(trusted, h)
 			}
 		}
@@ -662,13 +715,16 @@
 		}
 	}
 	// A trip that was cut short, by a client with little time, says nothing of its host.
+	news := News{Host: h, Grade: t.Question.Grade.Index, Loaded: t.Ended, Util: h.Util, Queue: h.Queue}
 	if fine && !slow {
-		h.Good.Add(now, 1)
+		news.Verdict = Well
 	} else if fine {
-		h.Bad.Add(now, 0.25)
+		news.Verdict = Slowly
 	} else if slow || t.Outcome != TimedOut {
-		h.Bad.Add(now, 1)
+		news.Verdict = Badly
 	}
+	d.Heard(news)
+	d.share(news)
 	one := t.Question.Memory()
 	span := t.Question.Promised - t.Question.Taken
 	// Only time tells of a full host; errors and resets speak through the posterior alone.
@@ -704,6 +760,7 @@
 		if t.Began == 0 {
 			d.learn(t, r.Took, true)
 		}
+		d.share(News{Host: h, Loaded: true, Util: h.Util, Queue: h.Queue})
 		q.Grade.Writing.Add(now.Seconds()-t.Began.Seconds(), 0.02)
 	case Full:
 		if r.Note == 1 {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -142,10 +142,10 @@
 func TestTrustedForgetsNoHostQuite(t *testing.T) {
 	d, _ := begin(t)
 	h := d.hosts[2]
-	h.Bad.Add(d.door.Now(), 8)
+	h.Records[0].Bad.Add(d.door.Now(), 8)
 	given := 0
 	for range 1000 {
-		if d.trusted(h) {
+		if d.trusted(h, ask(d)) {
 			given++
 		}
 	}
--- a/brain/door.go
+++ b/brain/door.go
@@ -13,5 +13,6 @@
 	Move(q *Question)
 	Wake(after time.Duration, do func())
 	Watch(on bool)
+	Tell(peer int, n News)
 	Note(text string)
 }
--- a/brain/facts.go
+++ b/brain/facts.go
@@ -60,6 +60,7 @@
 			return nil, err
 		}
 		grades = append(grades, &Grade{
+			Index:     i,
 			Effect:    effect,
 			Reach:     map[string]Reach{"zone": SameZone, "cell": SameRack}[f.Text(at+"group")],
 			Window:    f.Span(at + "windowUs"),
--- a/brain/help_test.go
+++ b/brain/help_test.go
@@ -15,6 +15,7 @@
 	released, declined, lost []*Question
 	wakes                    []func()
 	waits                    []time.Duration
+	told                     []int
 }
 
 func (d *door) Now() time.Duration { return d.now }
@@ -28,6 +29,7 @@
 func (d *door) Move(*Question)                       {}
 func (d *door) Wake(_ time.Duration, do func())      { d.wakes = append(d.wakes, do) }
 func (d *door) Watch(bool)                           {}
+func (d *door) Tell(peer int, _ News)                { d.told = append(d.told, peer) }
 func (d *door) Note(string)                          {}
 
 func facts() Facts {
--- a/brain/types.go
+++ b/brain/types.go
@@ -67,6 +67,7 @@
 
 // Grade is a service grade, as the operators state it.
 type Grade struct {
+	Index     int
 	Effect    Effect
 	Reach     Reach
 	Window    time.Duration
@@ -104,11 +105,11 @@
 	Room    float64 // how many own trips it is trusted with
 	Cut     time.Duration
 
-	Util, Queue float64 // last load report
-	Sent        Ring    // work sent
-	Given       Ring    // reads and streams sent over a longer time
-	Carried     Ring    // work of trips that ended well
-	Good, Bad   Ring    // trips that went well, or not
+	Util, Queue float64  // last load report
+	Sent        Ring     // work sent
+	Given       Ring     // reads and streams sent over a longer time
+	Carried     Ring     // work of trips that ended well
+	Records     []Record // of questions of any grade, then of each grade
 	Kept        map[uint64]Kept
 	Hits        Mean    // reported kept tokens against expected ones
 	Taken       float64 // own tokens newly read or fetched here
@@ -129,6 +130,31 @@
 	return found
 }
 
+// Record is how trips to a host went.
+type Record struct {
+	Good, Bad Ring
+	Missed    float64 // bad ones since the last good one
+}
+
+// News is what one dispatcher tells another of a trip of its own.
+type News struct {
+	Host        *Host
+	Grade       int
+	Verdict     Verdict
+	Loaded      bool // Util and Queue are from this trip's load report
+	Util, Queue float64
+}
+
+// Verdict is what a trip says of its host.
+type Verdict int
+
+const (
+	Silent Verdict = iota // nothing
+	Well
+	Slowly
+	Badly
+)
+
 // Kept is what a host is thought to have kept for one prefix key.
 type Kept struct {
 	Tokens float64
--- a/cmd/benchlink/instance.go
+++ b/cmd/benchlink/instance.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -114,6 +116,12 @@
 			in.module.Left(q)
 			in.forget(q)
 		}
+	case wire.Datagram:
+		if n, err := in.heard(e.Span(7)); err != nil {
+			in.Note(fmt.Sprintf("message of %d dropped: %v", e.U32(3), err))
+		} else if n.Host != nil {
+			in.module.Heard(n)
+		}
 	case wire.Due:
 		if do := in.wakes[e.U32(3)]; do != nil {
 			delete(in.wakes, e.U32(3))
@@ -182,4 +190,28 @@
 
 func (in *instance) Watch(on bool) { in.reply.Tail(in.who, on) }
 
+func (in *instance) Tell(peer int, n brain.News) {
+	loaded := byte(0)
+	if n.Loaded {
+		loaded = 1
+	}
+	raw := binary.BigEndian.AppendUint32(nil, n.Host.ID)
+	raw = append(raw, byte(n.Grade), byte(n.Verdict)<<1|loaded, share(n.Util, 200), share(n.Queue, 1))
+	in.reply.Post(in.who, uint32(peer), raw)
+}
+
+// share puts a value into one byte, scale to the unit.
+func share(value, scale float64) byte { return byte(min(max(value*scale, 0), 255)) }
+
+// heard reads what Tell wrote; of a host that is not on the own list it says nothing.
+func (in *instance) heard(raw []byte) (brain.News, error) {
+	if len(raw) != 8 || raw[5]>>1 > byte(brain.Badly) {
+		return brain.News{}, fmt.Errorf("%d bytes are no news of a trip: %x", len(raw), raw[:min(len(raw), 16)])
+	}
+	return brain.News{
+		Host: in.hosts[binary.BigEndian.Uint32(raw)], Grade: int(raw[4]), Verdict: brain.Verdict(raw[5] >> 1),
+		Loaded: raw[5]&1 == 1, Util: float64(raw[6]) / 200, Queue: float64(raw[7]),
+	}, nil
+}
+
 func (in *instance) Note(text string) { in.reply.NoteDown(in.who, text) }
