--- a/brain/brain.go
+++ b/brain/brain.go
@@ -450,11 +450,16 @@
 			r.Missed = 0
 		case Slowly:
 			r.Bad.Add(now, 0.25)
-		case Badly:
+		case Badly, Unmet:
 			r.Bad.Add(now, 1)
 			r.Missed++
 		}
 	}
+	// A host that can't be reached may be restarting, which the list tells seconds later: cold till then.
+	// A broken connection alone says nothing of that; taken so, a rash of resets shuts out the fleet.
+	if n.Verdict == Unmet {
+		n.Host.Booted, n.Host.Restart = d.door.Now(), true
+	}
 }
 
 // share tells a few others of an own trip: at most what the price of messages allows.
@@ -720,9 +725,12 @@
 		news.Verdict = Well
 	} else if fine {
 		news.Verdict = Slowly
-	} else if slow || t.Outcome != TimedOut {
+	} else if slow || t.Outcome != TimedOut || took > t.Question.Promised-t.Question.Taken {
 		news.Verdict = Badly
 	}
+	if t.Outcome == Unreached {
+		news.Verdict = Unmet
+	}
 	d.Heard(news)
 	d.share(news)
 	one := t.Question.Memory()
@@ -768,11 +776,6 @@
 		}
 	case Failed, TimedOut, Unreached, Broken:
 		d.learn(t, r.Took, false)
-		// A host that can't be reached may be restarting, which the list tells seconds later: cold till then.
-		// A broken connection alone says nothing of that; taken so, a rash of resets shuts out the fleet.
-		if r.Outcome == Unreached {
-			h.Booted, h.Restart = now, true
-		}
 	}
 	if r.Outcome == Read || r.Outcome == Answered {
 		d.remember(t, float64(r.Note))
--- a/brain/types.go
+++ b/brain/types.go
@@ -153,6 +153,7 @@
 	Well
 	Slowly
 	Badly
+	Unmet // it could not be reached
 )
 
 // Kept is what a host is thought to have kept for one prefix key.
--- a/cmd/benchlink/instance.go
+++ b/cmd/benchlink/instance.go
@@ -205,7 +205,7 @@
 
 // heard reads what Tell wrote; of a host that is not on the own list it says nothing.
 func (in *instance) heard(raw []byte) (brain.News, error) {
-	if len(raw) != 8 || raw[5]>>1 > byte(brain.Badly) {
+	if len(raw) != 8 || raw[5]>>1 > byte(brain.Unmet) {
 		return brain.News{}, fmt.Errorf("%d bytes are no news of a trip: %x", len(raw), raw[:min(len(raw), 16)])
 	}
 	return brain.News{
