Of hosts more likely to fail than not, one at a time is drawn for

Cause: each of many failing hosts had its own draw, so that one of them was trusted for nearly every question, and as it looked idle it was taken. It can hurt after a trouble of most hosts: they come back one at a time.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -421,17 +421,25 @@
 	}
 }
 
-// trusted draws from the posterior of a host's chance of success whether it is given work: from how trips
-// of any grade went, and from those of this one, as a host may fail one grade and serve the rest.
-func (d *Dispatcher) trusted(h *Host, q *Question) bool {
-	now := d.door.Now()
+// chance is the posterior of a host's success: how many trips went well and badly, a prior with them.
+// It is the worse of what trips of any grade say, and those of the question's own, as a host may fail one
+// grade and serve the rest.
+func (d *Dispatcher) chance(h *Host, q *Question) (well, badly float64) {
+	well, badly = 1, 0
 	for _, i := range []int{0, 1 + q.Grade.Index} {
-		r := &h.Records[i]
-		if bad := r.Bad.Sum(now) + r.Missed; bad > 0 && d.rng.Beta(2+r.Good.Sum(now), 1+bad) < believe {
-			return false
+		r, now := &h.Records[i], d.door.Now()
+		good, bad := 2+r.Good.Sum(now), 1+r.Bad.Sum(now)+r.Missed
+		if bad > 1 && bad*well >= badly*good {
+			well, badly = good, bad
 		}
 	}
-	return true
+	return well, badly
+}
+
+// trusted draws from that whether the host is given work.
+func (d *Dispatcher) trusted(h *Host, q *Question) bool {
+	well, badly := d.chance(h, q)
+	return badly == 0 || d.rng.Beta(well, badly) > believe
 }
 
 // Heard takes what another dispatcher tells of a host; it counts like an own trip.
@@ -485,15 +493,26 @@
 }
 
 // able lists the hosts of the given roles that the gate lets through: the trusted ones, or all if none
-// is.
+// is. Of those more likely to fail than not, one at a time is drawn for: failing hosts look idle, and if
+// each had its own draw, one of many would be taken for nearly every question.
 func (d *Dispatcher) able(q *Question, want func(*Host) bool) []*Host {
-	var all, trusted []*Host
+	var all, trusted, doubtful []*Host
 	for _, h := range d.hosts {
-		if want(h) && !d.barred(q, h) {
-			all = append(all, h)
-			if d.trusted(h, q) && !q.FailedAt(h) {
-				trusted = append(trusted, h)
-			}
+		if !want(h) || d.barred(q, h) {
+			continue
+		}
+		all = append(all, h)
+		if well, badly := d.chance(h, q); q.FailedAt(h) {
+			continue
+		} else if badly > well {
+			doubtful = append(doubtful, h)
+		} else if d.trusted(h, q) {
+			trusted = append(trusted, h)
+		}
+	}
+	if n := len(doubtful); n > 0 {
+		if h := doubtful[int(d.rng.Float()*float64(n))]; d.trusted(h, q) {
+			trusted = append(trusted, h)
 		}
 	}
 	if len(trusted) > 0 {
