--- a/brain/brain.go
+++ b/brain/brain.go
@@ -73,7 +73,8 @@
 	if facts.Text("discovery") == "subscribe" {
 		door.Watch(true)
 	}
-	door.Wake(refresh, d.refresh)
+	// Its own phase: dispatchers that start together would all turn to the same hosts in one moment.
+	door.Wake(time.Duration(d.rng.Float()*float64(refresh)), d.refresh)
 	return d, nil
 }
 
