Mixed hosts: sizes within a role, hashed as readers, a whole question weighs twice

Cause: stated units compare hosts of one role only, yet mixed hosts were weighed against writers by them; and with nothing known to be kept, reading whole prompts jammed mixed hosts (first tokens after 0.9 s) beside idle writers (0.03 s). Reason for twice: what is read there also holds up the answers that run there.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -119,12 +119,16 @@
 		h.Standing, h.Units, h.Booted, h.Restart = l.Standing, max(l.Units, 0.01), l.Booted, l.Restart
 	}
 	slices.SortFunc(d.hosts, func(a, b *Host) int { return cmp.Compare(Mix(d.own, uint64(a.ID)), Mix(d.own, uint64(b.ID))) })
-	d.answering = 0
+	var units, n [3]float64 // they compare hosts of one role only
 	for _, h := range d.hosts {
-		if h.Answers() && h.Standing == Ready {
-			d.answering++
+		if h.Standing == Ready {
+			units[h.Role], n[h.Role] = units[h.Role]+h.Units, n[h.Role]+1
 		}
 	}
+	for _, h := range d.hosts {
+		h.Size = h.Units / (units[h.Role] + 0.01) * max(n[h.Role], 1)
+	}
+	d.answering = n[Writes] + n[Both]
 	if d.window == 0 && len(d.hosts) > 0 {
 		d.window = max(perHost*float64(len(d.hosts))/d.facts.Num("siblings", 1), 1)
 	}
@@ -536,7 +540,7 @@
 func (d *Dispatcher) press(h *Host, left float64) float64 {
 	n := float64(h.Streams) + 1 + (h.Unread+left)/2/max(d.average, 300) +
 		lasting*h.Given.Sum(d.door.Now())/(1+d.streams/max(d.answering, 1))
-	return n / h.Units * (1 + h.Util + h.Queue/10) * d.far(h)
+	return n / h.Size * (1 + h.Util + h.Queue/10) * d.far(h)
 }
 
 // route takes the first step of a question: read in place, whole at a mixed host, or at a reader.
@@ -576,13 +580,13 @@
 // slower than the other, by what trips took lately, it moves work to the quicker one. Slowed writers
 // count twice, as a prompt read there also holds up the streams that run.
 func (d *Dispatcher) cut() float64 {
-	tilt := d.slowed(ToRead) / d.slowed(ToWrite) / d.slowed(ToWrite)
+	tilt := d.slowed(Reads) / d.slowed(Writes) / d.slowed(Writes)
 	return cutShare * d.average * min(max(tilt, 0.25), 4)
 }
 
-// slowed is how much longer a stage takes lately than when it was free.
-func (d *Dispatcher) slowed(stage Stage) float64 {
-	return (d.lately[stage].Or(0) + 1e-5) / (d.free[stage] + 1e-5)
+// slowed is how much longer trips to hosts of a role take lately than when these were free.
+func (d *Dispatcher) slowed(role Role) float64 {
+	return (d.lately[role].Or(0) + 1e-5) / (d.free[role] + 1e-5)
 }
 
 // inPlace finds the writer that should read a short question itself, by kept prefix against load.
@@ -605,32 +609,32 @@
 	for _, h := range roomy {
 		kinds[h.Role] = append(kinds[h.Role], h)
 	}
-	m, w := Least(kinds[Both], whole), Least(kinds[Writes], func(h *Host) float64 { return d.press(h, 0) })
+	m, w := Least(d.homes(q, kinds[Both]), whole), Least(kinds[Writes], func(h *Host) float64 { return d.press(h, 0) })
 	if d.average == 0 && reader != nil || m == nil {
 		return nil
 	}
-	if w != nil && reader != nil && whole(m) > d.press(w, 0)+d.press(reader, q.Prompt-d.keeps(reader, q)) {
+	if w != nil && reader != nil && 2*whole(m) > d.press(w, 0)+d.press(reader, q.Prompt-d.keeps(reader, q)) {
 		return nil
 	}
 	return m
 }
 
-// reader hashes the question's beginning to two readers and takes the one with fewer own reads, by their
-// tokens. As a state best stays in its rack, the reader counts for less whose rack has a freer writer:
-// else one rack's writers jam while another's are idle.
-func (d *Dispatcher) reader(q *Question) *Host {
-	readers := d.able(q, (*Host).ReadsOnly)
+// homes are the two of the hosts to which the question's beginning is hashed, in every dispatcher alike:
+// they keep it, though no dispatcher sends it often enough to know.
+func (d *Dispatcher) homes(q *Question, hosts []*Host) []*Host {
 	key := q.Shared
 	if key == 0 {
 		key = q.Session
 	}
-	slices.SortStableFunc(readers, func(a, b *Host) int {
-		if Mix(key, uint64(a.ID)) < Mix(key, uint64(b.ID)) {
-			return -1
-		}
-		return 1
-	})
-	two := readers[:min(2, len(readers))]
+	slices.SortFunc(hosts, func(a, b *Host) int { return cmp.Compare(Mix(key, uint64(a.ID)), Mix(key, uint64(b.ID))) })
+	return hosts[:min(2, len(hosts))]
+}
+
+// reader hashes the question's beginning to two readers and takes the one with fewer own reads, by their
+// tokens. As a state best stays in its rack, the reader counts for less whose rack has a freer writer:
+// else one rack's writers jam while another's are idle.
+func (d *Dispatcher) reader(q *Question) *Host {
+	two := d.homes(q, d.able(q, (*Host).ReadsOnly))
 	answering := d.able(q, (*Host).Answers)
 	press := func(h *Host) float64 { return d.press(h, 0) }
 	fewest := func(h *Host) float64 {
@@ -729,14 +733,16 @@
 func (d *Dispatcher) learn(t *Trip, took time.Duration, fine bool) {
 	h, now := t.Host, d.door.Now()
 	unit := took.Seconds() / (t.Left + 300)
-	slow := unit > 4*d.typical[t.Stage].Or(unit)
+	slow := unit > 4*d.typical[h.Role].Or(unit)
 	if fine {
-		d.typical[t.Stage].Add(unit, 0.02)
-		d.lately[t.Stage].Add(unit, 0.05)
-		if now := d.lately[t.Stage].Value; d.free[t.Stage] == 0 || now < d.free[t.Stage] {
-			d.free[t.Stage] = now
+		d.typical[h.Role].Add(unit, 0.02)
+	}
+	if fine || t.Outcome == TimedOut {
+		d.lately[h.Role].Add(unit, 0.1)
+		if now := d.lately[h.Role].Value; d.free[h.Role] == 0 || now < d.free[h.Role] {
+			d.free[h.Role] = now
 		} else {
-			d.free[t.Stage] *= 1.0005
+			d.free[h.Role] *= 1.0005
 		}
 	}
 	// A trip that was cut short, by a client with little time, says nothing of its host.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -222,7 +222,7 @@
 func TestReaderLeansToTheRackWithFreerWriters(t *testing.T) {
 	d, _ := begin(t)
 	for i, h := range d.hosts[2:] {
-		h.Units = 100
+		h.Size = 100
 		h.Streams = 90 * (i % 2) // the writer and the mixed host of the second rack are full
 	}
 	if h := d.reader(ask(d)); h == nil || h.Rack != 0 {
--- a/brain/types.go
+++ b/brain/types.go
@@ -94,6 +94,7 @@
 	Role     Role
 	Memory   float64 // tokens
 	Units    float64
+	Size     float64 // Units against the mean of its role
 	Booted   time.Duration
 	Restart  bool // Booted is a start that the list told of
 	Standing Standing
