--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,8 +45,6 @@
 	average            float64       // of tokens left to read, as last refreshed; 0 in a fresh router
 	ahead              Mean          // seconds from the first trip of a question to its first token, lately
 	typical            [3]Mean       // seconds for each stage's unit of work
-	lately             [3]Mean       // the same, lately
-	free               [3]float64    // and its least, which slowly rises
 	streams, answering float64       // own streams, and the hosts that may have them
 	window             float64       // how many own questions may be out without a first token; 0 before the first list
 	unbegun            int           // how many are
@@ -576,25 +574,12 @@
 	return h.Streams == 0 || h.Tokens+q.Memory() <= h.Room
 }
 
-// cut is the share of the average under which a prompt is read in place. Where one pool has become
-// slower than the other, by what trips took lately, it moves work to the quicker one. Slowed writers
-// count twice, as a prompt read there also holds up the streams that run.
-func (d *Dispatcher) cut() float64 {
-	tilt := d.slowed(Reads) / d.slowed(Writes) / d.slowed(Writes)
-	return cutShare * d.average * min(max(tilt, 0.25), 4)
-}
-
-// slowed is how much longer trips to hosts of a role take lately than when these were free.
-func (d *Dispatcher) slowed(role Role) float64 {
-	return (d.lately[role].Or(0) + 1e-5) / (d.free[role] + 1e-5)
-}
-
 // inPlace finds the writer that should read a short question itself, by kept prefix against load.
 func (d *Dispatcher) inPlace(q *Question, roomy []*Host) *Host {
 	if !d.facts.Yes("familyInfo.localRead") {
 		return nil
 	}
-	cut := d.cut()
+	cut := cutShare * d.average
 	short := slices.DeleteFunc(slices.Clone(roomy), func(h *Host) bool {
 		return h.Role != Writes || q.Prompt-d.keeps(h, q) >= cut
 	})
@@ -737,14 +722,6 @@
 	if fine {
 		d.typical[h.Role].Add(unit, 0.02)
 	}
-	if fine || t.Outcome == TimedOut {
-		d.lately[h.Role].Add(unit, 0.1)
-		if now := d.lately[h.Role].Value; d.free[h.Role] == 0 || now < d.free[h.Role] {
-			d.free[h.Role] = now
-		} else {
-			d.free[h.Role] *= 1.0005
-		}
-	}
 	// A trip that was cut short, by a client with little time, says nothing of its host.
 	news := News{Host: h, Grade: t.Question.Grade.Index, Loaded: t.Ended, Util: h.Util, Queue: h.Queue}
 	if fine && !slow {
