--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,7 +52,6 @@
 	held               []*Question
 	served             Ring // questions let out of held
 	sweeping           bool
-	turned             map[uint64]time.Duration // when the first of a client's tries came that was declined
 }
 
 // New starts an instance from its settings and the seed for its chance.
@@ -61,7 +60,7 @@
 		"familyInfo.pinLimitUs", "familyInfo.kindRole", "requestClasses", "policyLimits.maxAttempts"); err != nil {
 		return nil, err
 	}
-	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed), own: Mix(seed, 1), turned: map[uint64]time.Duration{}}
+	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed), own: Mix(seed, 1)}
 	d.unread.Width, d.asked.Width, d.served.Width = refresh, refresh, 200*time.Millisecond
 	var err error
 	if d.grades, err = facts.Grades(); err != nil {
@@ -82,11 +81,6 @@
 	if n := d.asked.Sum(now); n > 0 {
 		d.average = d.unread.Sum(now) / n
 	}
-	for key, at := range d.turned {
-		if now-at > 4*refresh {
-			delete(d.turned, key)
-		}
-	}
 	d.door.Wake(refresh, d.refresh)
 }
 
@@ -145,12 +139,7 @@
 	now := d.door.Now()
 	q.Grade = d.grades[min(grade, len(d.grades)-1)]
 	q.Taken, q.Expiry = now, now+q.Left
-	first, known := d.turned[q.TryKey()]
-	if !known || now-first > d.facts.Span("policyLimits.maxRetryAfterUs")+q.Left {
-		first = now
-	}
-	q.Again = q.Again || first < now
-	q.Promised = first + q.Grade.Promise + time.Duration(q.Prompt/1000*float64(q.Grade.PromisePK))
+	q.Promised = now + q.Grade.Promise + time.Duration(q.Prompt/1000*float64(q.Grade.PromisePK))
 	if channel < len(d.channels) {
 		c := d.channels[channel]
 		c.Taken.Add(now, 1)
@@ -254,9 +243,6 @@
 	if d.facts.Yes("policyLimits.retryAfter") {
 		after = min(d.facts.Span("policyLimits.maxRetryAfterUs"), time.Second)
 	}
-	if _, known := d.turned[q.TryKey()]; !known {
-		d.turned[q.TryKey()] = q.Taken // its next try still counts from here
-	}
 	d.door.Decline(q, after)
 }
 
--- a/brain/types.go
+++ b/brain/types.go
@@ -218,9 +218,6 @@
 // Memory is what the question takes where it is answered, with a quarter of the longest answer.
 func (q *Question) Memory() float64 { return q.Prompt + q.Most/4 }
 
-// TryKey is the same for each try of a client at one question.
-func (q *Question) TryKey() uint64 { return Mix(q.Session, uint64(q.Prompt)) }
-
 // Trip is one send of a question to a host. Next takes its result on.
 type Trip struct {
 	Question *Question
