--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,6 +26,8 @@
 	memory    = 3 * time.Second        // a tenth of how long what a host was given counts
 	lasting   = 0.5                    // how much that counts beside what it holds now
 	gossip    = 0.0007                 // of the benefit, at most, for telling others of one trip
+	slowly    = 0.25                   // of a failure, that a late first token weighs against its host
+	answer    = 0.25                   // of the longest answer, that a question is taken to need
 	newsSize  = 8                      // bytes of what is told
 	tries     = 8                      // held questions in a row without room before the rest wait
 	impatient = 0.25                   // of the promised time: an oldest wait beyond it means overload
@@ -33,25 +35,27 @@
 
 // Dispatcher is one instance of the module.
 type Dispatcher struct {
-	facts              Facts
-	door               Door
-	rng                *PCG
-	grades             []*Grade
-	channels           []*Channel
-	own                uint64  // drawn at the start: orders the hosts differently in each dispatcher
-	hosts              []*Host // in that order, by which ties go: in one order all dispatchers would pick the same
-	unread             Ring    // tokens left to read, and of how many questions
-	asked              Ring
-	average            float64       // of tokens left to read, as last refreshed; 0 in a fresh router
-	ahead              Mean          // seconds from the first trip of a question to its first token, lately
-	typical            [3]Mean       // seconds for each stage's unit of work
-	streams, answering float64       // own streams, and the hosts that may have them
-	window             float64       // how many own questions may be out without a first token; 0 before the first list
-	unbegun            int           // how many are
-	paced              time.Duration // when the next may go out where the window is under one
-	held               []*Question
-	served             Ring // questions let out of held
-	sweeping           bool
+	facts     Facts
+	door      Door
+	rng       *PCG
+	grades    []*Grade
+	channels  []*Channel
+	own       uint64  // drawn at the start: orders the hosts differently in each dispatcher
+	hosts     []*Host // in that order, by which ties go: in one order all would pick the same
+	unread    Ring    // tokens left to read, and of how many questions
+	asked     Ring
+	average   float64       // of tokens left to read, as last refreshed; 0 in a fresh router
+	ahead     Mean          // seconds from the first trip of a question to its first token, lately
+	typical   [3]Mean       // seconds for each stage's unit of work
+	streams   float64       // own ones
+	answering float64       // hosts that may have them
+	window    float64       // how many own questions may be out without a first token
+	unbegun   int           // how many are
+	paced     time.Duration // when the next may go out where the window is under one
+	listeners int           // how many others hear of each trip, by what that costs
+	held      []*Question
+	served    Ring // questions let out of held
+	sweeping  bool
 }
 
 // New starts an instance from its settings and the seed for its chance.
@@ -67,6 +71,10 @@
 		return nil, err
 	}
 	d.channels = facts.Channels()
+	if facts.Yes("policyLimits.peers") {
+		dear := max(facts.Num("prices.peer", 0)*newsSize/256, gossip/8)
+		d.listeners = min(int(gossip/dear), int(facts.Num("siblings", 1))-1)
+	}
 	if facts.Text("discovery") == "subscribe" {
 		door.Watch(true)
 	}
@@ -105,22 +113,13 @@
 		}
 		if h.Kept == nil || l.Restart && l.Booted != h.Booted {
 			h.Kept = map[uint64]Kept{}
-			lasts := time.Duration(max(d.facts.Num("siblings", 1)/20/float64(1+d.listeners()), 1) * float64(evidence))
+			lasts := time.Duration(max(d.facts.Num("siblings", 1)/20/float64(1+d.listeners), 1) * float64(evidence))
 			h.Records = slices.Repeat([]Record{{Good: Ring{Width: lasts}, Bad: Ring{Width: lasts}}}, 1+len(d.grades))
 		}
 		h.Standing, h.Units, h.Booted, h.Restart = l.Standing, max(l.Units, 0.01), l.Booted, l.Restart
 	}
-	slices.SortFunc(d.hosts, func(a, b *Host) int { return cmp.Compare(Mix(d.own, uint64(a.ID)), Mix(d.own, uint64(b.ID))) })
-	var units, n [3]float64 // they compare hosts of one role only
-	for _, h := range d.hosts {
-		if h.Standing == Ready {
-			units[h.Role], n[h.Role] = units[h.Role]+h.Units, n[h.Role]+1
-		}
-	}
-	for _, h := range d.hosts {
-		h.Size = h.Units / (units[h.Role] + 0.01) * max(n[h.Role], 1)
-	}
-	d.answering = n[Writes] + n[Both]
+	Order(d.hosts, d.own)
+	d.answering = Compare(d.hosts)
 	if d.window == 0 && len(d.hosts) > 0 {
 		d.window = max(perHost*float64(len(d.hosts))/d.facts.Num("siblings", 1), 1)
 	}
@@ -138,7 +137,7 @@
 func (d *Dispatcher) Arrive(q *Question, grade, channel int) {
 	now := d.door.Now()
 	q.Grade = d.grades[min(grade, len(d.grades)-1)]
-	q.Taken, q.Expiry = now, now+q.Left
+	q.Taken, q.Expiry, q.Memory = now, now+q.Left, q.Prompt+answer*q.Most
 	q.Promised = now + q.Grade.Promise + time.Duration(q.Prompt/1000*float64(q.Grade.PromisePK))
 	if channel < len(d.channels) {
 		c := d.channels[channel]
@@ -235,7 +234,9 @@
 	}
 	q.Over = true
 	d.letGo(q)
-	if !d.mayDecline(q) {
+	g := q.Grade
+	anywhere := g.Effect == Idempotent || g.Effect == Deduplicated && g.Reach == Everywhere
+	if !anywhere && q.MayHaveRun() != nil { // trying again might do harm
 		d.door.Forfeit(q)
 		return
 	}
@@ -246,14 +247,6 @@
 	d.door.Decline(q, after)
 }
 
-// mayDecline tells whether trying again is harmless.
-func (d *Dispatcher) mayDecline(q *Question) bool {
-	if q.Grade.Effect == Idempotent || q.Grade.Effect == Deduplicated && q.Grade.Reach == Everywhere {
-		return true
-	}
-	return q.MayHaveRun() == nil
-}
-
 // letGo releases a state that waits for the question. Every end of a step comes through here (rule 5).
 func (d *Dispatcher) letGo(q *Question) {
 	if q.State != nil && q.Out() == nil {
@@ -317,12 +310,11 @@
 			n[i]++
 		}
 	}
-	i := 0
 	if n[0] == 0 {
-		i = 1
+		sum[0], n[0] = sum[1], n[1]
 	}
 	part := 0.8 * d.facts.Num("rules.tipMultiple", 1) * d.facts.Num("rules.coldFrom", 0)
-	return part * sum[i] / max(n[i], 1) * h.Units
+	return part * sum[0] / max(n[0], 1) * h.Units
 }
 
 // send makes a trip unless the gate bars it.
@@ -336,24 +328,16 @@
 	t.Kept = kept / max(h.Hits.Or(1), 0.01)
 	if stage != ToWrite {
 		t.Left = q.Prompt - kept
-		h.Unread += t.Left
-	}
-	h.Tokens += q.Memory()
-	h.Given.Add(now, t.Left/2/max(d.average, 300))
-	if stage == ToRead {
-		h.Reads++
-	} else {
-		h.Streams++
-		d.streams++
-		h.Given.Add(now, 1)
 	}
+	streams := t.Weigh(1)
+	d.streams += streams
+	h.Given.Add(now, streams+t.Left/2/max(d.average, 300))
 	if len(q.Trips) == 0 {
 		q.Routed = now
 	}
 	if !q.Unbegun {
-		q.Unbegun = true
+		q.Unbegun, q.LetOut = true, now
 		d.unbegun++
-		q.LetOut = now
 	}
 	h.Sent.Add(now, d.weight(q))
 	q.Trips = append(q.Trips, t)
@@ -402,11 +386,7 @@
 		h.Kept[q.Shared] = Kept{q.Prefix, now, h.Taken}
 	}
 	if len(h.Kept) > 4000 {
-		for key, k := range h.Kept {
-			if now-k.At >= keptFor {
-				delete(h.Kept, key)
-			}
-		}
+		h.Forget(now - keptFor)
 	}
 }
 
@@ -414,7 +394,7 @@
 // It is the worse of what trips of any grade say, and those of the question's own, as a host may fail one
 // grade and serve the rest.
 func (d *Dispatcher) chance(h *Host, q *Question) (well, badly float64) {
-	well, badly = 1, 0
+	well = 1
 	for _, i := range []int{0, 1 + q.Grade.Index} {
 		r, now := &h.Records[i], d.door.Now()
 		good, bad := 2+r.Good.Sum(now), 1+r.Bad.Sum(now)+r.Missed
@@ -440,17 +420,7 @@
 		if i >= len(n.Host.Records) {
 			return
 		}
-		r := &n.Host.Records[i]
-		switch now := d.door.Now(); n.Verdict {
-		case Well:
-			r.Good.Add(now, 1)
-			r.Missed = 0
-		case Slowly:
-			r.Bad.Add(now, 0.25)
-		case Badly, Unmet:
-			r.Bad.Add(now, 1)
-			r.Missed++
-		}
+		n.Host.Records[i].Take(d.door.Now(), n.Verdict, slowly)
 	}
 	// A host that can't be reached may be restarting, which the list tells seconds later: cold till then.
 	// A broken connection alone says nothing of that; taken so, a rash of resets shuts out the fleet.
@@ -463,7 +433,7 @@
 func (d *Dispatcher) share(n News) {
 	others := int(d.facts.Num("siblings", 1)) - 1
 	first := d.rng.Float() * float64(others)
-	for i := range d.listeners() {
+	for i := range d.listeners {
 		peer := (int(first) + i) % others
 		if peer >= int(d.facts.Num("slotNo", 0)) {
 			peer++
@@ -472,15 +442,6 @@
 	}
 }
 
-// listeners is how many others hear of each trip.
-func (d *Dispatcher) listeners() int {
-	if !d.facts.Yes("policyLimits.peers") {
-		return 0
-	}
-	dear := d.facts.Num("prices.peer", 0) * newsSize / 256
-	return int(min(gossip/max(dear, gossip/8), d.facts.Num("siblings", 1)-1))
-}
-
 // able lists the hosts of the given roles that the gate lets through: the trusted ones, or all if none
 // is. Of those more likely to fail than not, one at a time is drawn for: failing hosts look idle, and if
 // each had its own draw, one of many would be taken for nearly every question.
@@ -527,37 +488,39 @@
 	return n / h.Size * (1 + h.Util + h.Queue/10) * d.far(h)
 }
 
+// next is the press of one more stream.
+func (d *Dispatcher) next(h *Host) float64 { return d.press(h, 0) }
+
 // route takes the first step of a question: read in place, whole at a mixed host, or at a reader.
 // False: no room.
 func (d *Dispatcher) route(q *Question) bool {
 	answering := d.able(q, (*Host).Answers)
-	roomy := slices.DeleteFunc(slices.Clone(answering), func(h *Host) bool { return !hasRoom(h, q) })
-	free := q.Memory()
+	roomy := Only(answering, func(h *Host) bool { return hasRoom(h, q) })
+	free := -q.Memory // what is being read will need room to be answered
 	for _, h := range d.hosts {
 		if h.Role == Reads {
-			free += h.Tokens
+			free -= h.Tokens
+		} else if !d.barred(q, h) {
+			free += max(h.Room-h.Tokens, 0)
 		}
 	}
-	for _, h := range answering {
-		free -= max(h.Room-h.Tokens, 0)
-	}
-	if len(roomy) == 0 && len(answering) > 0 || free > 0 {
+	if len(roomy) == 0 && len(answering) > 0 || free < 0 {
 		return false
 	}
 	if h := d.inPlace(q, roomy); h != nil {
-		return d.send(q, h, Whole, d.answered(q))
+		return d.send(q, h, Whole, d.onward(q))
 	}
-	reader := d.reader(q)
+	reader := d.reader(q, answering)
 	if h := d.mixed(q, roomy, reader); h != nil {
-		return d.send(q, h, Whole, d.answered(q))
+		return d.send(q, h, Whole, d.onward(q))
 	}
-	return d.send(q, reader, ToRead, d.read(q))
+	return d.send(q, reader, ToRead, d.onward(q))
 }
 
 // hasRoom tells whether a host may take the question within what it is trusted with; an idle one always
 // may.
 func hasRoom(h *Host, q *Question) bool {
-	return h.Streams == 0 || h.Tokens+q.Memory() <= h.Room
+	return h.Streams == 0 || h.Tokens+q.Memory <= h.Room
 }
 
 // inPlace finds the writer that should read a short question itself, by kept prefix against load.
@@ -565,9 +528,8 @@
 	if !d.facts.Yes("familyInfo.localRead") {
 		return nil
 	}
-	cut := cutShare * d.average
-	short := slices.DeleteFunc(slices.Clone(roomy), func(h *Host) bool {
-		return h.Role != Writes || q.Prompt-d.keeps(h, q) >= cut
+	short := Only(roomy, func(h *Host) bool {
+		return h.Role == Writes && q.Prompt-d.keeps(h, q) < cutShare*d.average
 	})
 	return Least(short, func(h *Host) float64 { return d.press(h, 0) / (1 + d.keeps(h, q)) })
 }
@@ -576,15 +538,12 @@
 // press than the best writer and the reader together.
 func (d *Dispatcher) mixed(q *Question, roomy []*Host, reader *Host) *Host {
 	whole := func(h *Host) float64 { return d.press(h, q.Prompt-d.keeps(h, q)) }
-	var kinds [3][]*Host
-	for _, h := range roomy {
-		kinds[h.Role] = append(kinds[h.Role], h)
-	}
-	m, w := Least(d.homes(q, kinds[Both]), whole), Least(kinds[Writes], func(h *Host) float64 { return d.press(h, 0) })
+	m := Least(d.homes(q, Only(roomy, (*Host).Mixed)), whole)
+	w := Least(Only(roomy, func(h *Host) bool { return h.Role == Writes }), d.next)
 	if d.average == 0 && reader != nil || m == nil {
 		return nil
 	}
-	if w != nil && reader != nil && 2*whole(m) > d.press(w, 0)+d.press(reader, q.Prompt-d.keeps(reader, q)) {
+	if w != nil && reader != nil && 2*whole(m) > d.next(w)+d.press(reader, q.Prompt-d.keeps(reader, q)) {
 		return nil
 	}
 	return m
@@ -597,36 +556,21 @@
 	if key == 0 {
 		key = q.Session
 	}
-	slices.SortFunc(hosts, func(a, b *Host) int { return cmp.Compare(Mix(key, uint64(a.ID)), Mix(key, uint64(b.ID))) })
+	Order(hosts, key)
 	return hosts[:min(2, len(hosts))]
 }
 
 // reader hashes the question's beginning to two readers and takes the one with fewer own reads, by their
 // tokens. As a state best stays in its rack, the reader counts for less whose rack has a freer writer:
 // else one rack's writers jam while another's are idle.
-func (d *Dispatcher) reader(q *Question) *Host {
-	two := d.homes(q, d.able(q, (*Host).ReadsOnly))
-	answering := d.able(q, (*Host).Answers)
-	press := func(h *Host) float64 { return d.press(h, 0) }
-	fewest := func(h *Host) float64 {
-		other := func(o *Host) bool { return o.Rack != h.Rack }
-		near := Least(slices.DeleteFunc(slices.Clone(answering), other), press)
+func (d *Dispatcher) reader(q *Question, answering []*Host) *Host {
+	return Least(d.homes(q, d.able(q, (*Host).ReadsOnly)), func(h *Host) float64 {
+		near := Least(Only(answering, func(o *Host) bool { return o.Rack == h.Rack }), d.next)
 		if near == nil {
 			near = h // a rack without writers
 		}
-		return d.press(h, q.Prompt-d.keeps(h, q)) * press(near)
-	}
-	return Least(two, fewest)
-}
-
-// read takes the result of a trip to a reader.
-func (d *Dispatcher) read(q *Question) func(Result) {
-	return func(r Result) {
-		if r.Outcome == Read && d.write(q) {
-			return
-		}
-		d.again(q)
-	}
+		return d.press(h, q.Prompt-d.keeps(h, q)) * d.next(near)
+	})
 }
 
 // write picks the writer once the read has ended: fewest own streams, least reported load, near the
@@ -634,15 +578,15 @@
 func (d *Dispatcher) write(q *Question) bool {
 	h := Least(d.able(q, (*Host).Answers), func(h *Host) float64 {
 		if q.State != nil && h.Rack != q.State.Rack {
-			return d.press(h, 0) * (1 + 10*d.facts.Num("familyInfo.transferPrice", 0))
+			return d.next(h) * (1 + 10*d.facts.Num("familyInfo.transferPrice", 0))
 		}
-		return d.press(h, 0)
+		return d.next(h)
 	})
-	return d.send(q, h, ToWrite, d.answered(q))
+	return d.send(q, h, ToWrite, d.onward(q))
 }
 
-// answered takes the result of a trip that should have answered.
-func (d *Dispatcher) answered(q *Question) func(Result) {
+// onward takes the result of a trip: a state that waits goes to a writer, all else starts over.
+func (d *Dispatcher) onward(q *Question) func(Result) {
 	return func(r Result) {
 		if q.State != nil && d.write(q) {
 			return
@@ -654,7 +598,7 @@
 // tell takes note that a question that was out has its first token, or goes back among the held or is
 // over without one, and lets its time in flight widen or narrow the window. One window for the whole
 // fleet: over many hosts a dispatcher's own trips to any one of them are too few to tell a jam by.
-func (d *Dispatcher) tell(q *Question, full bool) {
+func (d *Dispatcher) tell(q *Question) {
 	if !q.Unbegun {
 		return
 	}
@@ -663,7 +607,7 @@
 	now := d.door.Now()
 	out := now - q.LetOut
 	x := min(float64(out)/float64(q.Promised-q.Taken), 1)
-	if full {
+	if t := q.Trips[len(q.Trips)-1]; t.Outcome == Full {
 		x = 1
 	}
 	if x > calm || len(d.held) > 0 {
@@ -677,8 +621,7 @@
 
 // again starts a question over, if a host may still take it, else gives it up at once.
 func (d *Dispatcher) again(q *Question) {
-	n := len(q.Trips)
-	d.tell(q, n > 0 && q.Trips[n-1].Outcome == Full)
+	d.tell(q)
 	d.letGo(q)
 	if !slices.ContainsFunc(d.hosts, func(h *Host) bool { return h.Answers() && !d.barred(q, h) }) {
 		d.giveUp(q)
@@ -694,7 +637,7 @@
 	}
 	t.Began = d.door.Now()
 	t.Question.State = nil
-	d.tell(t.Question, false)
+	d.tell(t.Question)
 	d.learn(t, took, true)
 	d.ahead.Add((t.Began - t.Question.Routed).Seconds(), 0.1)
 	d.serve()
@@ -708,22 +651,21 @@
 	if fine {
 		d.typical[h.Role].Add(unit, 0.02)
 	}
-	// A trip that was cut short, by a client with little time, says nothing of its host.
 	news := News{Host: h, Grade: t.Question.Grade.Index, Loaded: t.Ended, Util: h.Util, Queue: h.Queue}
-	if fine && !slow {
+	span := t.Question.Promised - t.Question.Taken
+	switch {
+	case t.Outcome == Unreached:
+		news.Verdict = Unmet
+	case fine && !slow:
 		news.Verdict = Well
-	} else if fine {
+	case fine:
 		news.Verdict = Slowly
-	} else if slow || t.Outcome != TimedOut || took > t.Question.Promised-t.Question.Taken {
+	case slow || t.Outcome != TimedOut || took > span: // one cut short by its client says nothing
 		news.Verdict = Badly
 	}
-	if t.Outcome == Unreached {
-		news.Verdict = Unmet
-	}
 	d.Heard(news)
 	d.share(news)
-	one := t.Question.Memory()
-	span := t.Question.Promised - t.Question.Taken
+	one := t.Question.Memory
 	// Only time tells of a full host; errors and resets speak through the posterior alone.
 	late := took > span/3 || now-t.Question.Taken > span*7/10
 	if (late && fine || t.Outcome == TimedOut) && now-h.Cut > min(took, 250*time.Millisecond) {
@@ -737,16 +679,7 @@
 func (d *Dispatcher) Ended(t *Trip, r Result) {
 	q, h, now := t.Question, t.Host, d.door.Now()
 	t.Ended, t.Outcome = true, r.Outcome
-	if t.Stage != ToWrite {
-		h.Unread -= t.Left
-	}
-	h.Tokens -= q.Memory()
-	if t.Stage == ToRead {
-		h.Reads--
-	} else {
-		h.Streams--
-		d.streams--
-	}
+	d.streams += t.Weigh(-1)
 	d.facts.Report(h, r.Load)
 	q.Over = q.Over || r.Over
 	switch r.Outcome {
@@ -777,7 +710,7 @@
 		}
 	}
 	if q.Over {
-		d.tell(q, false)
+		d.tell(q)
 		d.letGo(q)
 	} else {
 		t.Next(r)
@@ -791,7 +724,7 @@
 		return
 	}
 	q.Over = true
-	d.tell(q, false)
+	d.tell(q)
 	if q.Waiting {
 		d.drop(q)
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -111,10 +111,10 @@
 	d, out := begin(t)
 	q := ask(d)
 	trip := went(q, d.hosts[0], 0, d.door.Now())
-	trip.Ended, q.Over, d.hosts[0].Reads = false, true, 1
+	trip.Ended, q.Over, d.hosts[0].Tokens = false, true, q.Memory
 	d.Ended(trip, Result{Outcome: Read, Over: true})
-	if len(out.released) != 1 || d.hosts[0].Reads != 0 {
-		t.Errorf("released %d, reads %d", len(out.released), d.hosts[0].Reads)
+	if len(out.released) != 1 || d.hosts[0].Tokens != 0 {
+		t.Errorf("released %d, tokens %g", len(out.released), d.hosts[0].Tokens)
 	}
 }
 
@@ -193,7 +193,7 @@
 	d, out := begin(t)
 	q := ask(d)
 	trip := went(q, d.hosts[2], 0, d.door.Now())
-	trip.Ended, trip.Stage, trip.Next, q.State = false, ToWrite, d.answered(q), d.hosts[0]
+	trip.Ended, trip.Stage, trip.Next, q.State = false, ToWrite, d.onward(q), d.hosts[0]
 	d.Ended(trip, Result{Outcome: Full, Note: 1})
 	if len(out.sent) != 1 || out.sent[0].Stage != ToRead {
 		t.Errorf("sent %v", out.sent)
@@ -214,13 +214,13 @@
 		h.Size = 100
 		h.Streams = 90 * (i % 2) // the writer and the mixed host of the second rack are full
 	}
-	if h := d.reader(ask(d)); h == nil || h.Rack != 0 {
+	if h := d.reader(ask(d), d.hosts[2:]); h == nil || h.Rack != 0 {
 		t.Errorf("got %+v", h)
 	}
 	for _, h := range d.hosts[2:] {
 		h.Streams = 90 - h.Streams
 	}
-	if h := d.reader(ask(d)); h == nil || h.Rack != 1 {
+	if h := d.reader(ask(d), d.hosts[2:]); h == nil || h.Rack != 1 {
 		t.Errorf("got %+v", h)
 	}
 }
--- a/brain/help_test.go
+++ b/brain/help_test.go
@@ -63,7 +63,7 @@
 // ask makes a question of 2,000 tokens that was taken now.
 func ask(d *Dispatcher) *Question {
 	now := d.door.Now()
-	return &Question{ID: 1, Session: 7, Shared: 9, Prompt: 2000, Prefix: 1500, Most: 400, Grade: d.grades[0],
+	return &Question{ID: 1, Session: 7, Shared: 9, Prompt: 2000, Prefix: 1500, Most: 400, Memory: 2100, Grade: d.grades[0],
 		Taken: now, Left: 4 * time.Second, Promised: now + time.Second, Expiry: now + 4*time.Second}
 }
 
--- a/brain/types.go
+++ b/brain/types.go
@@ -1,6 +1,7 @@
 package brain
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -99,7 +100,6 @@
 	Restart  bool // Booted is a start that the list told of
 	Standing Standing
 
-	Reads   int     // own trips that are being read here
 	Streams int     // own questions that are or will be answered here
 	Tokens  float64 // own tokens held here
 	Unread  float64 // own tokens still to be read here
@@ -118,6 +118,50 @@
 
 func (h *Host) Answers() bool   { return h.Role != Reads }
 func (h *Host) ReadsOnly() bool { return h.Role == Reads }
+func (h *Host) Mixed() bool     { return h.Role == Both }
+
+// Only lists those of the hosts that are wanted.
+func Only(hosts []*Host, want func(*Host) bool) []*Host {
+	var found []*Host
+	for _, h := range hosts {
+		if want(h) {
+			found = append(found, h)
+		}
+	}
+	return found
+}
+
+// Compare sets each host's Size, as stated units compare hosts of one role only, and tells how many of
+// the ready ones answer.
+func Compare(hosts []*Host) (answering float64) {
+	var units, n [3]float64
+	for _, h := range hosts {
+		if h.Standing == Ready {
+			units[h.Role], n[h.Role] = units[h.Role]+h.Units, n[h.Role]+1
+		}
+	}
+	for _, h := range hosts {
+		h.Size = 1.0
+		if units[h.Role] > 0 {
+			h.Size = h.Units * n[h.Role] / units[h.Role]
+		}
+	}
+	return n[Writes] + n[Both]
+}
+
+// Order sorts hosts by a hash of their ids with a key.
+func Order(hosts []*Host, key uint64) {
+	slices.SortFunc(hosts, func(a, b *Host) int { return cmp.Compare(Mix(key, uint64(a.ID)), Mix(key, uint64(b.ID))) })
+}
+
+// Forget drops what was kept before a time.
+func (h *Host) Forget(before time.Duration) {
+	for key, k := range h.Kept {
+		if k.At < before {
+			delete(h.Kept, key)
+		}
+	}
+}
 
 // Least returns the host with the least cost.
 func Least(hosts []*Host, cost func(*Host) float64) *Host {
@@ -137,6 +181,20 @@
 	Missed    float64 // bad ones since the last good one
 }
 
+// Take counts a trip; one whose first token came slowly speaks with part of the weight of a failure.
+func (r *Record) Take(now time.Duration, v Verdict, part float64) {
+	switch v {
+	case Well:
+		r.Good.Add(now, 1)
+		r.Missed = 0
+	case Slowly:
+		r.Bad.Add(now, part)
+	case Badly, Unmet:
+		r.Bad.Add(now, 1)
+		r.Missed++
+	}
+}
+
 // News is what one dispatcher tells another of a trip of its own.
 type News struct {
 	Host        *Host
@@ -172,6 +230,7 @@
 	Prompt   float64
 	Prefix   float64 // how much of the prompt is the shared beginning
 	Most     float64 // tokens the answer may have
+	Memory   float64 // tokens it is taken to need where it is answered
 	Grade    *Grade
 	Again    bool // the client says it asked before
 	Resumed  bool // it goes on with a stream that broke
@@ -215,9 +274,6 @@
 	})
 }
 
-// Memory is what the question takes where it is answered, with a quarter of the longest answer.
-func (q *Question) Memory() float64 { return q.Prompt + q.Most/4 }
-
 // Trip is one send of a question to a host. Next takes its result on.
 type Trip struct {
 	Question *Question
@@ -233,6 +289,17 @@
 	Next     func(Result)
 }
 
+// Weigh adds to the host what the trip takes there, or takes it away again, and tells the change in streams.
+func (t *Trip) Weigh(sign float64) float64 {
+	t.Host.Unread += sign * t.Left
+	t.Host.Tokens += sign * t.Question.Memory
+	if t.Stage == ToRead {
+		return 0
+	}
+	t.Host.Streams += int(sign)
+	return sign
+}
+
 // Stage is what a trip asks of its host.
 type Stage int
 
