--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,7 +29,6 @@
 	slowly    = 0.25                   // of a failure, that a late first token weighs against its host
 	answer    = 0.25                   // of the longest answer, that a question is taken to need
 	newsSize  = 8                      // bytes of what is told
-	tries     = 8                      // held questions in a row without room before the rest wait
 	impatient = 0.25                   // of the promised time: an oldest wait beyond it means overload
 )
 
@@ -178,21 +177,12 @@
 	d.held = slices.Insert(d.held, i, q)
 }
 
-// serve lets out each held question for which there is room, and sheds what has to be.
+// serve lets out held questions, the first first, while there is room for them.
 func (d *Dispatcher) serve() {
 	now := d.door.Now()
-	stuck := 0
-	for i := 0; i < len(d.held) && stuck < tries; {
-		if float64(d.unbegun) >= max(d.window, 1) || now < d.paced {
-			break
-		}
-		if q := d.held[i]; d.route(q) {
-			d.drop(q)
-			d.served.Add(now, 1)
-		} else {
-			i++
-			stuck++
-		}
+	for len(d.held) > 0 && float64(d.unbegun) < max(d.window, 1) && now >= d.paced && d.route(d.held[0]) {
+		d.drop(d.held[0])
+		d.served.Add(now, 1)
 	}
 	if len(d.held) > 0 && !d.sweeping {
 		d.sweeping = true
