A common beginning is hashed to as many homes as its share of questions asks for

Cause: the commonest beginning has a quarter of all questions; its two readers, both in one rack, do ten times the mean, and the states jam that rack's link. Told from others: writers time out with a third of their slots in use and none waiting; other readers idle. Change: two homes, or more where a beginning's share of own questions would fill more readers than two. Also for unseen shared texts that many sessions open with. It reads a text anew at each further home.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,6 +43,7 @@
 	hosts     []*Host // in that order, by which ties go: in one order all would pick the same
 	unread    Ring    // tokens left to read, and of how many questions
 	asked     Ring
+	begins    Tally         // the same by shared beginning
 	average   float64       // of tokens left to read, as last refreshed; 0 in a fresh router
 	ahead     Mean          // seconds from the first trip of a question to its first token, lately
 	typical   [3]Mean       // seconds for each stage's unit of work
@@ -64,7 +65,7 @@
 		return nil, err
 	}
 	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed), own: Mix(seed, 1)}
-	d.unread.Width, d.asked.Width, d.served.Width = refresh, refresh, 200*time.Millisecond
+	d.unread.Width, d.begins.Width, d.asked.Width, d.served.Width = refresh, refresh, refresh, 200*time.Millisecond
 	var err error
 	if d.grades, err = facts.Grades(); err != nil {
 		return nil, err
@@ -88,6 +89,7 @@
 	if n := d.asked.Sum(now); n > 0 {
 		d.average = d.unread.Sum(now) / n
 	}
+	d.begins.Forget(now)
 	d.door.Wake(refresh, d.refresh)
 }
 
@@ -106,7 +108,10 @@
 			h.Role, h.Memory = d.facts.RoleOf(h.Kind), d.facts.MemoryOf(h.Kind)
 			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
 			h.Carried.Width = max(d.facts.Span("rules.tipAfterUs")*5/buckets, 1)
-			h.Given.Width = memory
+			h.Given.Width, h.Far = memory, 1
+			if h.Zone != int(d.facts.Num("zone", 0)) {
+				h.Far += 25 * d.facts.Num("prices.crossZone", 0)
+			}
 			h.Room = h.Memory / d.facts.Num("siblings", 1)
 			d.hosts = append(d.hosts, h)
 		}
@@ -421,14 +426,10 @@
 
 // share tells a few others of an own trip: at most what the price of messages allows.
 func (d *Dispatcher) share(n News) {
-	others := int(d.facts.Num("siblings", 1)) - 1
-	first := d.rng.Float() * float64(others)
+	others, own := int(d.facts.Num("siblings", 1))-1, int(d.facts.Num("slotNo", 0))
+	first := int(d.rng.Float() * float64(others))
 	for i := range d.listeners {
-		peer := (int(first) + i) % others
-		if peer >= int(d.facts.Num("slotNo", 0)) {
-			peer++
-		}
-		d.door.Tell(peer, n)
+		d.door.Tell((own+1+(first+i)%others)%(others+1), n)
 	}
 }
 
@@ -461,21 +462,13 @@
 	return all
 }
 
-// far is what it costs to use a host in another zone.
-func (d *Dispatcher) far(h *Host) float64 {
-	if h.Zone != int(d.facts.Num("zone", 0)) {
-		return 1 + 25*d.facts.Num("prices.crossZone", 0)
-	}
-	return 1
-}
-
 // press is how full a host looks for one more question, of which left tokens are to be read there: own
 // streams and own reading for its size, an average prompt weighing as half a stream, then what it last
 // reported.
 func (d *Dispatcher) press(h *Host, left float64) float64 {
 	n := float64(h.Streams) + 1 + (h.Unread+left)/2/max(d.average, 300) +
 		lasting*h.Given.Sum(d.door.Now())/(1+d.streams/max(d.answering, 1))
-	return n / h.Size * (1 + h.Util + h.Queue/10) * d.far(h)
+	return n / h.Size * (1 + h.Util + h.Queue/10) * h.Far
 }
 
 // next is the press of one more stream.
@@ -540,14 +533,17 @@
 }
 
 // homes are the two of the hosts to which the question's beginning is hashed, in every dispatcher alike:
-// they keep it, though no dispatcher sends it often enough to know.
+// they keep it, though no dispatcher sends it often enough to know. A beginning so common that two would
+// read more than their part, and one rack's link carry it, has as many as its share of questions asks for.
 func (d *Dispatcher) homes(q *Question, hosts []*Host) []*Host {
 	key := q.Shared
 	if key == 0 {
 		key = q.Session
 	}
 	Order(hosts, key)
-	return hosts[:min(2, len(hosts))]
+	share := d.begins.Sum(key, d.door.Now()) / (d.asked.Sum(d.door.Now()) + 30)
+	n := max(2, int(math.Ceil(share*float64(len(hosts)))))
+	return hosts[:min(n, len(hosts))]
 }
 
 // reader hashes the question's beginning to two readers and takes the one with fewer own reads, by their
@@ -696,6 +692,7 @@
 			left := max(q.Prompt-float64(r.Note), 0)
 			d.unread.Add(now, left)
 			d.asked.Add(now, 1)
+			d.begins.Add(q.Shared, now, 1)
 			q.Grade.Reading.Add(left, 0.02)
 		}
 	}
--- a/brain/ring.go
+++ b/brain/ring.go
@@ -53,3 +53,35 @@
 	}
 	return m.Value
 }
+
+// Tally keeps a ring for each key; Width is that of their buckets.
+type Tally struct {
+	Width time.Duration
+	rings map[uint64]*Ring
+}
+
+func (t *Tally) Add(key uint64, now time.Duration, amount float64) {
+	if t.rings == nil {
+		t.rings = map[uint64]*Ring{}
+	}
+	if t.rings[key] == nil {
+		t.rings[key] = &Ring{Width: t.Width}
+	}
+	t.rings[key].Add(now, amount)
+}
+
+func (t *Tally) Sum(key uint64, now time.Duration) float64 {
+	if r := t.rings[key]; r != nil {
+		return r.Sum(now)
+	}
+	return 0
+}
+
+// Forget drops the keys that have nothing left in their rings.
+func (t *Tally) Forget(now time.Duration) {
+	for key, r := range t.rings {
+		if r.Sum(now) == 0 {
+			delete(t.rings, key)
+		}
+	}
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -95,6 +95,7 @@
 	Role     Role
 	Memory   float64 // tokens
 	Units    float64
+	Far      float64 // how much dearer than a host in the own zone
 	Size     float64 // Units against the mean of its role
 	Booted   time.Duration
 	Restart  bool // Booted is a start that the list told of
