Each dispatcher leans to hosts of its own by an offset drawn once

Cause: with no own streams yet, every dispatcher takes the largest writer near the state. Told from others: no trouble has begun; readers are even; the loaded writers are the largest of their racks. Change: an exponential offset for each host, drawn once, stands beside the own streams, so that first choices spread. Also for lists that change and hosts that come back. In the small it is a stream more or less.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -108,7 +108,7 @@
 			h.Role, h.Memory = d.facts.RoleOf(h.Kind), d.facts.MemoryOf(h.Kind)
 			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
 			h.Carried.Width = max(d.facts.Span("rules.tipAfterUs")*5/buckets, 1)
-			h.Given.Width, h.Far = memory, 1
+			h.Given.Width, h.Far, h.Lean = memory, 1, -math.Log(d.rng.Float())
 			if h.Zone != int(d.facts.Num("zone", 0)) {
 				h.Far += 25 * d.facts.Num("prices.crossZone", 0)
 			}
@@ -466,7 +466,7 @@
 // streams and own reading for its size, an average prompt weighing as half a stream, then what it last
 // reported.
 func (d *Dispatcher) press(h *Host, left float64) float64 {
-	n := float64(h.Streams) + 1 + (h.Unread+left)/2/max(d.average, 300) +
+	n := float64(h.Streams) + 1 + h.Lean + (h.Unread+left)/2/max(d.average, 300) +
 		lasting*h.Given.Sum(d.door.Now())/(1+d.streams/max(d.answering, 1))
 	return n / h.Size * (1 + h.Util + h.Queue/10) * h.Far
 }
--- a/brain/types.go
+++ b/brain/types.go
@@ -96,6 +96,7 @@
 	Memory   float64 // tokens
 	Units    float64
 	Far      float64 // how much dearer than a host in the own zone
+	Lean     float64 // streams that a dispatcher imagines there, drawn once: each leans to other hosts
 	Size     float64 // Units against the mean of its role
 	Booted   time.Duration
 	Restart  bool // Booted is a start that the list told of
