A writer in another rack counts half as full again, whatever the price of moves

Links are narrow where the price is low too. It hurts where a rack has hardly any writers: then the states cross all the same.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,6 +27,7 @@
 	lasting   = 0.5                    // how much that counts beside what it holds now
 	gossip    = 0.0007                 // of the benefit, at most, for telling others of one trip
 	slowly    = 0.25                   // of a failure, that a late first token weighs against its host
+	crossing  = 1.5                    // how much fuller a writer counts whose rack the state would have to cross to
 	answer    = 0.25                   // of the longest answer, that a question is taken to need
 	newsSize  = 8                      // bytes of what is told
 	impatient = 0.25                   // of the promised time: an oldest wait beyond it means overload
@@ -564,7 +565,7 @@
 func (d *Dispatcher) write(q *Question) bool {
 	h := Least(d.able(q, (*Host).Answers), func(h *Host) float64 {
 		if q.State != nil && h.Rack != q.State.Rack {
-			return d.next(h) * (1 + 10*d.facts.Num("familyInfo.transferPrice", 0))
+			return d.next(h) * crossing
 		}
 		return d.next(h)
 	})
