Mixed hosts lose work where whole trips take longer lately than a read and a write

Change: whole questions count twice at mixed hosts, up to eight times by how much longer whole trips take than a read and a write would, by the dispatcher's own trips.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,7 +27,7 @@
 	lasting   = 0.5                    // how much that counts beside what it holds now
 	gossip    = 0.0007                 // of the benefit, at most, for telling others of one trip
 	slowly    = 0.25                   // of a failure, that a late first token weighs against its host
-	crossing  = 1.5                    // how much fuller a writer counts whose rack the state would have to cross to
+	crossing  = 1.5                    // how much fuller a writer in another rack than the state counts
 	answer    = 0.25                   // of the longest answer, that a question is taken to need
 	newsSize  = 8                      // bytes of what is told
 	impatient = 0.25                   // of the promised time: an oldest wait beyond it means overload
@@ -47,7 +47,7 @@
 	begins    Tally         // the same by shared beginning
 	average   float64       // of tokens left to read, as last refreshed; 0 in a fresh router
 	ahead     Mean          // seconds from the first trip of a question to its first token, lately
-	typical   [3]Mean       // seconds for each stage's unit of work
+	typical   [3]Mean       // seconds for a token left to read, at hosts of each role
 	streams   float64       // own ones
 	answering float64       // hosts that may have them
 	window    float64       // how many own questions may be out without a first token
@@ -66,7 +66,8 @@
 		return nil, err
 	}
 	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed), own: Mix(seed, 1)}
-	d.unread.Width, d.begins.Width, d.asked.Width, d.served.Width = refresh, refresh, refresh, 200*time.Millisecond
+	d.unread.Width, d.asked.Width, d.begins.Width = refresh, refresh, refresh
+	d.served.Width = 200 * time.Millisecond
 	var err error
 	if d.grades, err = facts.Grades(); err != nil {
 		return nil, err
@@ -352,9 +353,8 @@
 	return left * 3 / 4
 }
 
-// keeps is how much of the question's prompt the host should have kept, by the ageing table: what the
-// host has taken in since pushes old texts out, and reports of less than expected lower all that is
-// expected of it.
+// keeps is how much of the prompt the host should have kept, by the ageing table: what it has taken in
+// since pushes old texts out, and reports of less than expected lower all that is expected of it.
 func (d *Dispatcher) keeps(h *Host, q *Question) float64 {
 	kept := 0.0
 	for _, key := range []uint64{q.Session, q.Shared} {
@@ -367,8 +367,7 @@
 	return min(kept, q.Prompt) * h.Hits.Or(1)
 }
 
-// remember feeds the table with what a host has just read or fetched, and with the kept tokens that it
-// reported.
+// remember feeds the table with what a host has just read or fetched, and the kept tokens it reported.
 func (d *Dispatcher) remember(t *Trip, kept float64) {
 	h, q, now := t.Host, t.Question, d.door.Now()
 	if t.Kept > 0 {
@@ -386,9 +385,8 @@
 	}
 }
 
-// chance is the posterior of a host's success: how many trips went well and badly, a prior with them.
-// It is the worse of what trips of any grade say, and those of the question's own, as a host may fail one
-// grade and serve the rest.
+// chance is the posterior of a host's success: the worse of what trips of any grade say and those of the
+// question's own, as a host may fail one grade and serve the rest.
 func (d *Dispatcher) chance(h *Host, q *Question) (well, badly float64) {
 	well = 1
 	for _, i := range []int{0, 1 + q.Grade.Index} {
@@ -464,8 +462,8 @@
 }
 
 // press is how full a host looks for one more question, of which left tokens are to be read there: own
-// streams and own reading for its size, an average prompt weighing as half a stream, then what it last
-// reported.
+// streams and reading, an average prompt weighing as half a stream, then what it last reported. Over many
+// dispatchers these are nearly always nought: then what it was given lately tells, and a lean of its own.
 func (d *Dispatcher) press(h *Host, left float64) float64 {
 	n := float64(h.Streams) + 1 + h.Lean + (h.Unread+left)/2/max(d.average, 300) +
 		lasting*h.Given.Sum(d.door.Now())/(1+d.streams/max(d.answering, 1))
@@ -475,8 +473,7 @@
 // next is the press of one more stream.
 func (d *Dispatcher) next(h *Host) float64 { return d.press(h, 0) }
 
-// route takes the first step of a question: read in place, whole at a mixed host, or at a reader.
-// False: no room.
+// route takes the first step: read in place, whole at a mixed host, or at a reader. False: no room.
 func (d *Dispatcher) route(q *Question) bool {
 	answering := d.able(q, (*Host).Answers)
 	roomy := Only(answering, func(h *Host) bool { return hasRoom(h, q) })
@@ -501,8 +498,7 @@
 	return d.send(q, reader, ToRead, d.onward(q))
 }
 
-// hasRoom tells whether a host may take the question within what it is trusted with; an idle one always
-// may.
+// hasRoom tells whether a host may take the question within its room; an idle one always may.
 func hasRoom(h *Host, q *Question) bool {
 	return h.Streams == 0 || h.Tokens+q.Memory <= h.Room
 }
@@ -519,7 +515,8 @@
 }
 
 // mixed finds the mixed host that should take a question whole: its share is what it carries with less
-// press than the best writer and the reader together.
+// press than the best writer and the reader together. What is read there also holds up the answers that
+// run there, and so counts twice; more where whole trips take longer lately than a read and a write.
 func (d *Dispatcher) mixed(q *Question, roomy []*Host, reader *Host) *Host {
 	whole := func(h *Host) float64 { return d.press(h, q.Prompt-d.keeps(h, q)) }
 	m := Least(d.homes(q, Only(roomy, (*Host).Mixed)), whole)
@@ -527,7 +524,13 @@
 	if d.average == 0 && reader != nil || m == nil {
 		return nil
 	}
-	if w != nil && reader != nil && 2*whole(m) > d.next(w)+d.press(reader, q.Prompt-d.keeps(reader, q)) {
+	if w == nil || reader == nil {
+		return m
+	}
+	left := q.Prompt - d.keeps(reader, q) + 300
+	apart := left*d.typical[Reads].Or(0) + 300*d.typical[Writes].Or(0)
+	slower := min(max(left*d.typical[Both].Or(0)/max(apart, 1e-6), 1), 4)
+	if 2*slower*whole(m) > d.next(w)+d.press(reader, q.Prompt-d.keeps(reader, q)) {
 		return nil
 	}
 	return m
@@ -560,8 +563,7 @@
 	})
 }
 
-// write picks the writer once the read has ended: fewest own streams, least reported load, near the
-// state.
+// write picks the writer once the read has ended: fewest own streams, least reported load, near the state.
 func (d *Dispatcher) write(q *Question) bool {
 	h := Least(d.able(q, (*Host).Answers), func(h *Host) float64 {
 		if q.State != nil && h.Rack != q.State.Rack {
@@ -636,7 +638,7 @@
 	unit := took.Seconds() / (t.Left + 300)
 	slow := unit > 4*d.typical[h.Role].Or(unit)
 	if fine {
-		d.typical[h.Role].Add(unit, 0.02)
+		d.typical[h.Role].Add(unit, 0.05)
 	}
 	news := News{Host: h, Grade: t.Question.Grade.Index, Loaded: t.Ended, Util: h.Util, Queue: h.Queue}
 	span := t.Question.Promised - t.Question.Taken
@@ -713,9 +715,7 @@
 	}
 	q.Over = true
 	d.tell(q)
-	if q.Waiting {
-		d.drop(q)
-	}
+	d.drop(q)
 	if t := q.Out(); t != nil && t.Began == 0 && d.facts.Yes("policyLimits.cancelling") {
 		d.door.Cancel(t)
 	}
