--- a/brain/brain.go
+++ b/brain/brain.go
@@ -292,9 +292,8 @@
 	return q.Grade.Reading.Or(1000) + 100*q.Grade.Writing.Or(2)
 }
 
-// coldBudget is this dispatcher's part of what a cold host may be sent in a window. What warm hosts of
-// its role ended well over five windows is under their capacity, however hard they are pushed just now;
-// the share of it that a cold host has, times the multiple, is safe for all dispatchers together.
+// coldBudget is this dispatcher's part of what a cold host may be sent in a window. What warm hosts of its
+// role ended well over five windows is well under their capacity, however hard they are pushed just now.
 func (d *Dispatcher) coldBudget(h *Host) float64 {
 	var sum, n [2]float64 // of warm hosts, and of cold ones, which serve where none is warm
 	for _, o := range d.hosts {
@@ -310,7 +309,7 @@
 	if n[0] == 0 {
 		sum[0], n[0] = sum[1], n[1]
 	}
-	part := 0.8 * d.facts.Num("rules.tipMultiple", 1) * d.facts.Num("rules.coldFrom", 0)
+	part := 1.4 * d.facts.Num("rules.tipMultiple", 1) * d.facts.Num("rules.coldFrom", 0)
 	return part * sum[0] / max(n[0], 1) * h.Units
 }
 
@@ -503,13 +502,15 @@
 	return h.Streams == 0 || h.Tokens+q.Memory <= h.Room
 }
 
-// inPlace finds the writer that should read a short question itself, by kept prefix against load.
+// inPlace finds the writer that should read a short question itself, by kept prefix against load. While
+// a token takes longer at readers than at writers, the cut rises with that, up to fourfold.
 func (d *Dispatcher) inPlace(q *Question, roomy []*Host) *Host {
 	if !d.facts.Yes("familyInfo.localRead") {
 		return nil
 	}
+	tilt := min(max(d.typical[Reads].Or(0)/max(d.typical[Writes].Or(0), 1e-6), 1), 4)
 	short := Only(roomy, func(h *Host) bool {
-		return h.Role == Writes && q.Prompt-d.keeps(h, q) < cutShare*d.average
+		return h.Role == Writes && q.Prompt-d.keeps(h, q) < cutShare*tilt*d.average
 	})
 	return Least(short, func(h *Host) float64 { return d.press(h, 0) / (1 + d.keeps(h, q)) })
 }
