A beginning stays at its homes when one is doubted; a reported queue weighs twice

Cause: hosts were hashed among the trusted ones, so each dispatcher's doubts moved beginnings to other readers, which read them anew and slowed in turn. Told from others: kept tokens fall before any host restarts. Changes: homes are hashed among all ready hosts; where one is doubted the other serves. Queue weighs a fifth instead of a tenth.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,28 +35,26 @@
 
 // Dispatcher is one instance of the module.
 type Dispatcher struct {
-	facts     Facts
-	door      Door
-	rng       *PCG
-	grades    []*Grade
-	channels  []*Channel
-	own       uint64  // drawn at the start: orders the hosts differently in each dispatcher
-	hosts     []*Host // in that order, by which ties go: in one order all would pick the same
-	unread    Ring    // tokens left to read, and of how many questions
-	asked     Ring
-	begins    Tally         // the same by shared beginning
-	average   float64       // of tokens left to read, as last refreshed; 0 in a fresh router
-	ahead     Mean          // seconds from the first trip of a question to its first token, lately
-	typical   [3]Mean       // seconds for a token left to read, at hosts of each role
-	streams   float64       // own ones
-	answering float64       // hosts that may have them
-	window    float64       // how many own questions may be out without a first token
-	unbegun   int           // how many are
-	paced     time.Duration // when the next may go out where the window is under one
-	listeners int           // how many others hear of each trip, by what that costs
-	held      []*Question
-	served    Ring // questions let out of held
-	sweeping  bool
+	facts              Facts
+	door               Door
+	rng                *PCG
+	grades             []*Grade
+	channels           []*Channel
+	own                uint64        // drawn at the start: orders the hosts differently in each dispatcher
+	hosts              []*Host       // in that order, by which ties go: in one order all would pick the same
+	unread, asked      Ring          // tokens left to read, and of how many questions
+	begins             Tally         // the same by shared beginning
+	average            float64       // of tokens left to read, as last refreshed; 0 in a fresh router
+	ahead              Mean          // seconds from going out to a first token, lately
+	typical            [3]Mean       // seconds for a token left to read, at hosts of each role
+	streams, answering float64       // own streams, and how many hosts may have them
+	window             float64       // how many own questions may be out without a first token
+	unbegun            int           // how many are
+	paced              time.Duration // when the next may go out where the window is under one
+	listeners          int           // how many others hear of each trip, by what that costs
+	held               []*Question
+	served             Ring // questions let out of held
+	sweeping           bool
 }
 
 // New starts an instance from its settings and the seed for its chance.
@@ -237,7 +235,7 @@
 		d.door.Forfeit(q)
 		return
 	}
-	after := time.Duration(0)
+	var after time.Duration
 	if d.facts.Yes("policyLimits.retryAfter") {
 		after = min(d.facts.Span("policyLimits.maxRetryAfterUs"), time.Second)
 	}
@@ -328,9 +326,6 @@
 	streams := t.Weigh(1)
 	d.streams += streams
 	h.Given.Add(now, streams+t.Left/2/max(d.average, 300))
-	if len(q.Trips) == 0 {
-		q.Routed = now
-	}
 	if !q.Unbegun {
 		q.Unbegun, q.LetOut = true, now
 		d.unbegun++
@@ -454,10 +449,10 @@
 			trusted = append(trusted, h)
 		}
 	}
-	if len(trusted) > 0 {
-		return trusted
+	if len(trusted) == 0 {
+		return all
 	}
-	return all
+	return trusted
 }
 
 // press is how full a host looks for one more question, of which left tokens are to be read there: own
@@ -466,7 +461,7 @@
 func (d *Dispatcher) press(h *Host, left float64) float64 {
 	n := float64(h.Streams) + 1 + h.Lean + (h.Unread+left)/2/max(d.average, 300) +
 		lasting*h.Given.Sum(d.door.Now())/(1+d.streams/max(d.answering, 1))
-	return n / h.Size * (1 + h.Util + h.Queue/10) * h.Far
+	return n / h.Size * (1 + h.Util + h.Queue/5) * h.Far
 }
 
 // next is the press of one more stream.
@@ -520,7 +515,7 @@
 // run there, and so counts twice; more where whole trips take longer lately than a read and a write.
 func (d *Dispatcher) mixed(q *Question, roomy []*Host, reader *Host) *Host {
 	whole := func(h *Host) float64 { return d.press(h, q.Prompt-d.keeps(h, q)) }
-	m := Least(d.homes(q, Only(roomy, (*Host).Mixed)), whole)
+	m := Least(d.homes(q, Both, Only(roomy, (*Host).Mixed)), whole)
 	w := Least(Only(roomy, func(h *Host) bool { return h.Role == Writes }), d.next)
 	if d.average == 0 && reader != nil || m == nil {
 		return nil
@@ -540,22 +535,26 @@
 // homes are the two of the hosts to which the question's beginning is hashed, in every dispatcher alike:
 // they keep it, though no dispatcher sends it often enough to know. A beginning so common that two would
 // read more than their part, and one rack's link carry it, has as many as its share of questions asks for.
-func (d *Dispatcher) homes(q *Question, hosts []*Host) []*Host {
-	key := q.Shared
-	if key == 0 {
-		key = q.Session
-	}
-	Order(hosts, key)
+// Where one of them is doubted the other serves; only if both are, others read the text anew.
+func (d *Dispatcher) homes(q *Question, role Role, able []*Host) []*Host {
+	key := cmp.Or(q.Shared, q.Session)
+	all := Only(d.hosts, func(h *Host) bool { return h.Role == role && h.Standing == Ready })
 	share := d.begins.Sum(key, d.door.Now()) / (d.asked.Sum(d.door.Now()) + 30)
-	n := max(2, int(math.Ceil(share*float64(len(hosts)))))
-	return hosts[:min(n, len(hosts))]
+	n := max(2, int(math.Ceil(share*float64(len(all)))))
+	Order(all, key)
+	homes := Only(all[:min(n, len(all))], func(h *Host) bool { return slices.Contains(able, h) })
+	if len(homes) > 0 {
+		return homes
+	}
+	Order(able, key)
+	return able[:min(n, len(able))]
 }
 
 // reader hashes the question's beginning to two readers and takes the one with fewer own reads, by their
 // tokens. As a state best stays in its rack, the reader counts for less whose rack has a freer writer:
 // else one rack's writers jam while another's are idle.
 func (d *Dispatcher) reader(q *Question, answering []*Host) *Host {
-	return Least(d.homes(q, d.able(q, (*Host).ReadsOnly)), func(h *Host) float64 {
+	return Least(d.homes(q, Reads, d.able(q, (*Host).ReadsOnly)), func(h *Host) float64 {
 		near := Least(Only(answering, func(o *Host) bool { return o.Rack == h.Rack }), d.next)
 		if near == nil {
 			near = h // a rack without writers
@@ -629,7 +628,7 @@
 	t.Question.State = nil
 	d.tell(t.Question)
 	d.learn(t, took, true)
-	d.ahead.Add((t.Began - t.Question.Routed).Seconds(), 0.1)
+	d.ahead.Add((t.Began - t.Question.LetOut).Seconds(), 0.1)
 	d.serve()
 }
 
@@ -696,7 +695,7 @@
 			left := max(q.Prompt-float64(r.Note), 0)
 			d.unread.Add(now, left)
 			d.asked.Add(now, 1)
-			d.begins.Add(q.Shared, now, 1)
+			d.begins.Add(cmp.Or(q.Shared, q.Session), now, 1)
 			q.Grade.Reading.Add(left, 0.02)
 		}
 	}
--- a/brain/types.go
+++ b/brain/types.go
@@ -238,7 +238,6 @@
 	Resumed  bool // it goes on with a stream that broke
 	Left     time.Duration
 	Taken    time.Duration
-	Routed   time.Duration // when its first trip went out
 	LetOut   time.Duration // when it last went out from among the held
 	Unbegun  bool          // it is out without a first token
 	Over     bool
