--- a/brain/brain.go
+++ b/brain/brain.go
@@ -59,8 +59,7 @@
 
 // New starts an instance from its settings and the seed for its chance.
 func New(facts Facts, seed uint64, door Door) (*Dispatcher, error) {
-	if err := facts.Lacks("rules.tipMultiple", "rules.tipAfterUs", "rules.coldFrom", "rules.rampTimeUs",
-		"familyInfo.pinLimitUs", "familyInfo.kindRole", "requestClasses", "policyLimits.maxAttempts"); err != nil {
+	if err := facts.Sound(); err != nil {
 		return nil, err
 	}
 	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed), own: Mix(seed, 1)}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -200,11 +200,13 @@
 	}
 }
 
-func TestNewNamesAMissingSetting(t *testing.T) {
-	f := facts()
-	delete(f, "rules.coldFrom")
-	if _, err := New(f, 1, &door{}); err == nil || !strings.Contains(err.Error(), "rules.coldFrom") {
-		t.Errorf("got %v", err)
+func TestNewNamesASettingThatIsMissingOrSenseless(t *testing.T) {
+	for name, value := range map[string]any{"rules.coldFrom": nil, "siblings": 0.0, "requestClasses": 0.0} {
+		f := facts()
+		f[name] = value
+		if _, err := New(f, 1, &door{}); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: got %v", name, err)
+		}
 	}
 }
 
@@ -280,3 +282,188 @@
 		t.Errorf("let through %d of 1000", let)
 	}
 }
+
+func TestNewLeansEachDispatcherToHostsOfItsOwn(t *testing.T) {
+	first := map[uint32]int{}
+	for seed := range uint64(200) {
+		d, err := New(facts(), seed, &door{now: time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var lines []Listing
+		for i := range 4 {
+			lines = append(lines, Listing{Host: &Host{ID: uint32(i), Kind: 1}, Standing: Ready, Units: float64(1 + i%2)})
+		}
+		d.Listed(lines, true)
+		first[Least(d.hosts, d.next).ID]++
+	}
+	if len(first) != 4 || first[1]+first[3] < 120 || first[1] > 120 || first[3] > 120 {
+		t.Errorf("first choices of 200 dispatchers: %v", first)
+	}
+}
+
+func TestTrustedTellsByGradeOfQuestion(t *testing.T) {
+	d, _ := begin(t)
+	d.grades = append(d.grades, &Grade{Index: 1})
+	h, given := d.hosts[2], [2]int{}
+	h.Records = make([]Record, 3)
+	for i := range h.Records {
+		h.Records[i].Good.Width, h.Records[i].Bad.Width = time.Second, time.Second
+	}
+	for i := range 40 {
+		d.Heard(News{Host: h, Grade: i % 2, Verdict: []Verdict{Well, Badly}[i%2]})
+	}
+	for i := range 200 {
+		q := ask(d)
+		q.Grade = d.grades[i%2]
+		d.Heard(News{Host: h, Grade: 0, Verdict: Well})
+		if d.trusted(h, q) {
+			given[i%2]++
+		}
+	}
+	if given[0] < 90 || given[1] > 10 {
+		t.Errorf("trusted %v of 100 each", given)
+	}
+}
+
+func TestAbleDrawsForOneDoubtfulHostAtATime(t *testing.T) {
+	d, _ := begin(t)
+	for range 30 {
+		h := &Host{Kind: 1}
+		d.Listed([]Listing{{Host: h, Standing: Ready, Units: 1}}, false)
+		for range 4 {
+			d.Heard(News{Host: h, Verdict: Badly})
+		}
+	}
+	tried := 0
+	for range 500 {
+		if len(d.able(ask(d), (*Host).Answers)) > 4 {
+			tried++
+		}
+	}
+	if tried == 0 || tried > 150 {
+		t.Errorf("a doubtful host was among them %d times of 500", tried)
+	}
+}
+
+func TestHeardTakesAnUnmetHostAsCold(t *testing.T) {
+	d, _ := begin(t)
+	d.Heard(News{Host: d.hosts[2], Verdict: Unmet})
+	if !d.cold(d.hosts[2]) {
+		t.Error("the host counts as warm")
+	}
+}
+
+func TestShareTellsAFewOthersAndNeverItself(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		peers bool
+		price float64
+		most  int
+	}{{"not allowed", false, 0, 0}, {"free", true, 0, 8}, {"dear", true, 0.01, 2}} {
+		f := facts()
+		f["policyLimits.peers"], f["prices.peer"], f["siblings"], f["slotNo"] = c.peers, c.price, 50.0, 7.0
+		out := &door{}
+		d, err := New(f, 1, out)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.share(News{})
+		if len(out.told) != c.most || slices.Contains(out.told, 7) {
+			t.Errorf("%s: told %v", c.name, out.told)
+		}
+	}
+}
+
+func TestTellMovesTheWindowByTimeInFlight(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		out   time.Duration
+		full  bool
+		grows bool
+	}{
+		{"quick", 100 * time.Millisecond, false, true},
+		{"a client that left early", 300 * time.Millisecond, false, true},
+		{"late", 900 * time.Millisecond, false, false},
+		{"turned away as full", time.Millisecond, true, false},
+	} {
+		d, out := begin(t)
+		q := ask(d)
+		trip := went(q, d.hosts[2], TimedOut, out.now)
+		if c.full {
+			trip.Outcome = Full
+		}
+		q.Unbegun, q.LetOut, d.unbegun, d.held = true, out.now, 1, []*Question{ask(d)}
+		out.now += c.out
+		before := d.window
+		d.tell(q)
+		if (d.window > before) != c.grows || d.unbegun != 0 {
+			t.Errorf("%s: window %g -> %g, unbegun %d", c.name, before, d.window, d.unbegun)
+		}
+	}
+}
+
+func TestTellPacesWhereTheWindowIsUnderOne(t *testing.T) {
+	d, out := begin(t)
+	q := ask(d)
+	went(q, d.hosts[2], TimedOut, out.now)
+	q.Unbegun, q.LetOut, d.window = true, out.now, 0.5
+	out.now += 500 * time.Millisecond
+	d.tell(q)
+	if wait := d.paced - out.now; wait < 400*time.Millisecond || wait > 600*time.Millisecond {
+		t.Errorf("waits %v after half a second out", wait)
+	}
+}
+
+func TestHomesStayWhenOneIsDoubtedAndGrowWithShare(t *testing.T) {
+	d, out := begin(t)
+	for i := range 20 {
+		d.Listed([]Listing{{Host: &Host{ID: uint32(100 + i)}, Standing: Ready, Units: 1}}, false)
+	}
+	q, readers := ask(d), Only(d.hosts, (*Host).ReadsOnly)
+	two := slices.Clone(d.homes(q, Reads, slices.Clone(readers)))
+	without := slices.DeleteFunc(slices.Clone(readers), func(h *Host) bool { return h == two[0] })
+	if left := d.homes(q, Reads, without); len(two) != 2 || !slices.Equal(left, two[1:]) {
+		t.Errorf("homes %v, with one doubted %v", two, left)
+	}
+	d.asked.Add(out.now, 100)
+	d.begins.Add(q.Shared, out.now, 50)
+	if got := len(d.homes(q, Reads, readers)); got < 6 || got > 12 {
+		t.Errorf("a beginning of half the questions has %d homes of 22", got)
+	}
+}
+
+func TestLearnHearsNothingInATripCutShort(t *testing.T) {
+	for _, c := range []struct {
+		took time.Duration
+		bad  float64
+	}{{100 * time.Millisecond, 0}, {2 * time.Second, 1}} {
+		d, out := begin(t)
+		h := d.hosts[2]
+		d.typical[Writes].Add(0.001, 1)
+		d.learn(went(ask(d), h, TimedOut, out.now), c.took, false)
+		if got := h.Records[0].Bad.Sum(out.now); got != c.bad {
+			t.Errorf("after %v: %g against the host", c.took, got)
+		}
+	}
+}
+
+func TestMixedLosesWorkWhereWholeTripsAreSlower(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pace  float64
+		taken bool
+	}{{"as quick", 1e-4, true}, {"slower", 1e-2, false}} {
+		d, _ := begin(t)
+		d.average = 1000
+		for i, h := range d.hosts {
+			h.Lean, h.Streams = 0, []int{3, 3, 8, 8, 0, 0}[i]
+		}
+		for role, pace := range []float64{1e-4, 1e-4, c.pace} {
+			d.typical[role].Add(pace, 1)
+		}
+		if m := d.mixed(ask(d), d.hosts[2:], d.hosts[0]); (m != nil) != c.taken {
+			t.Errorf("%s: got %v", c.name, m)
+		}
+	}
+}
--- a/brain/facts.go
+++ b/brain/facts.go
@@ -41,6 +41,21 @@
 	return nil
 }
 
+// Sound names the first setting without which an instance can't start, or that makes no sense.
+func (f Facts) Sound() error {
+	if err := f.Lacks("rules.tipMultiple", "rules.tipAfterUs", "rules.coldFrom", "rules.rampTimeUs",
+		"familyInfo.pinLimitUs", "familyInfo.kindRole", "policyLimits.maxAttempts", "siblings"); err != nil {
+		return err
+	}
+	if f.Num("siblings", 0) < 1 {
+		return fmt.Errorf("setting siblings is %g, at least 1 dispatcher is needed", f.Num("siblings", 0))
+	}
+	if f.Num("requestClasses", 0) < 1 {
+		return fmt.Errorf("setting requestClasses is missing or states no service grade")
+	}
+	return nil
+}
+
 // Grades reads the service grades.
 func (f Facts) Grades() ([]*Grade, error) {
 	var grades []*Grade
--- a/brain/help_test.go
+++ b/brain/help_test.go
@@ -34,6 +34,7 @@
 
 func facts() Facts {
 	return Facts{
+		"siblings":          1.0,
 		"rules.tipMultiple": 2.5, "rules.tipAfterUs": 2e6, "rules.coldFrom": 0.3, "rules.rampTimeUs": 10e6,
 		"familyInfo.pinLimitUs": 300e3, "familyInfo.kindRole": 3.0, "familyInfo.localRead": true,
 		"familyInfo.kindRole.0": "read", "familyInfo.kindRole.1": "write", "familyInfo.kindRole.2": "both",
