--- a/brain/brain.go
+++ b/brain/brain.go
@@ -538,7 +538,7 @@
 func (d *Dispatcher) homes(q *Question, role Role, able []*Host) []*Host {
 	key := cmp.Or(q.Shared, q.Session)
 	all := Only(d.hosts, func(h *Host) bool { return h.Role == role && h.Standing == Ready })
-	share := d.begins.Sum(key, d.door.Now()) / (d.asked.Sum(d.door.Now()) + 30)
+	share := d.begins.Sum(key, d.door.Now()) / (d.asked.Sum(d.door.Now()) + 10)
 	n := max(2, int(math.Ceil(share*float64(len(all)))))
 	Order(all, key)
 	homes := Only(all[:min(n, len(all))], func(h *Host) bool { return slices.Contains(able, h) })
