--- a/brain/brain.go
+++ b/brain/brain.go
@@ -541,7 +541,7 @@
 	key := cmp.Or(q.Shared, q.Session)
 	all := Only(d.hosts, func(h *Host) bool { return h.Role == role && h.Standing == Ready })
 	share := d.begins.Sum(key, d.door.Now()) / (d.asked.Sum(d.door.Now()) + 10)
-	n := max(2, int(math.Ceil(share*float64(len(all)))))
+	n := max(2, int(2*share*float64(len(all))))
 	Order(all, key)
 	homes := Only(all[:min(n, len(all))], func(h *Host) bool { return slices.Contains(able, h) })
 	if len(homes) > 0 {
