Failures since a host's last good trip count four at most

Cause: failures that never fade add up without end where a dispatcher makes many trips, so that a host that is back is never tried. Told from others: 7 of 15 hosts did nothing after 0:10 while none had left the list.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -380,13 +380,13 @@
 	}
 }
 
-// chance is the posterior of a host's success: the worse of what trips of any grade say and those of the
-// question's own, as a host may fail one grade and serve the rest.
+// chance is the posterior of a host's success: the worse of what trips of any grade say and of the own, as
+// a host may fail one only. Failures since the last good trip stay, four at most: more would forget it.
 func (d *Dispatcher) chance(h *Host, q *Question) (well, badly float64) {
 	well = 1
 	for _, i := range []int{0, 1 + q.Grade.Index} {
 		r, now := &h.Records[i], d.door.Now()
-		good, bad := 2+r.Good.Sum(now), 1+r.Bad.Sum(now)+r.Missed
+		good, bad := 2+r.Good.Sum(now), 1+r.Bad.Sum(now)+min(r.Missed, 4)
 		if bad > 1 && bad*well >= badly*good {
 			well, badly = good, bad
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -485,3 +485,20 @@
 		}
 	}
 }
+
+func TestTrustedForgetsNoHostThatFailedForLong(t *testing.T) {
+	d, out := begin(t)
+	h, given := d.hosts[2], 0
+	for range 100 {
+		d.Heard(News{Host: h, Verdict: Badly})
+	}
+	out.now += time.Minute
+	for range 1000 {
+		if d.trusted(h, ask(d)) {
+			given++
+		}
+	}
+	if given < 20 || given > 300 {
+		t.Errorf("a minute after a hundred failures it got %d of 1000", given)
+	}
+}
