--- a/brain/brain.go
+++ b/brain/brain.go
@@ -2,9 +2,9 @@
 //
 // The host program makes a Dispatcher with New and calls it with what happens: Listed and ListFailed
 // for the list of hosts, Arrive for a question, Began and Ended for its trips, Left when its client has
-// gone. The module acts through the Door of door.go and through nothing else; types.go has what it is
-// handed. Each trip carries in Next what is to be done with its result. The ordinary path is that of
-// docs/design.md: inPlace, mixed, reader, then write.
+// gone, Heard for what another dispatcher tells. It acts through the Door of door.go alone; types.go has
+// what it is handed. Each trip carries in Next what is to be done with its result. The ordinary path is
+// that of docs/design.md: inPlace, mixed, reader, then write.
 package brain
 
 import (
@@ -176,7 +176,7 @@
 		d.giveUp(q)
 		return
 	}
-	q.Waiting, q.Density = true, d.density(q)
+	q.Density = d.density(q)
 	i, _ := slices.BinarySearchFunc(d.held, q, func(a, b *Question) int {
 		return cmp.Or(cmp.Compare(b.Density, a.Density), cmp.Compare(b.Taken, a.Taken), cmp.Compare(a.ID, b.ID))
 	})
@@ -197,7 +197,6 @@
 }
 
 func (d *Dispatcher) drop(q *Question) {
-	q.Waiting = false
 	d.held = slices.DeleteFunc(d.held, func(o *Question) bool { return o == q })
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -159,7 +159,6 @@
 	early, late := ask(d), ask(d)
 	early.ID, late.ID = 1, 2
 	d.held = []*Question{early, late}
-	early.Waiting, late.Waiting = true, true
 	out.now += 300 * time.Millisecond
 	d.shed()
 	if !slices.Equal(out.declined, []*Question{late}) {
--- a/brain/types.go
+++ b/brain/types.go
@@ -243,7 +243,6 @@
 	Over     bool
 	Surplus  bool    // beyond its channel's share
 	Density  float64 // benefit for its work
-	Waiting  bool    // among the held questions
 	Trips    []*Trip
 	State    *Host // where its read state waits
 	Promised time.Duration
