Read through: trust is computed once a host, what is left to read has one name

No change of what is decided. The posterior of each host was worked out twice for every choice; the prompt less what is kept stood five times, the gate's first two checks were one.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -253,13 +253,10 @@
 // barred is the gate of rules 1 to 4: every send passes it, and every choice of a host asks it first.
 func (d *Dispatcher) barred(q *Question, h *Host) bool {
 	now := d.door.Now()
-	if q.Over || q.Out() != nil || now >= q.Expiry ||
+	if q.Over || q.Out() != nil || now >= q.Expiry || h.Standing != Ready ||
 		len(q.Trips) >= int(d.facts.Num("policyLimits.maxAttempts", 1)) {
 		return true
 	}
-	if h.Standing != Ready {
-		return true
-	}
 	if t := q.MayHaveRun(); t != nil && h.Role != Reads {
 		g := q.Grade
 		if g.Effect == Unrepeatable {
@@ -361,6 +358,8 @@
 	return min(kept, q.Prompt) * h.Hits.Or(1)
 }
 
+func (d *Dispatcher) unkept(h *Host, q *Question) float64 { return q.Prompt - d.keeps(h, q) }
+
 // remember feeds the table with what a host has just read or fetched, and the kept tokens it reported.
 func (d *Dispatcher) remember(t *Trip, kept float64) {
 	h, q, now := t.Host, t.Question, d.door.Now()
@@ -395,7 +394,10 @@
 
 // trusted draws from that whether the host is given work.
 func (d *Dispatcher) trusted(h *Host, q *Question) bool {
-	well, badly := d.chance(h, q)
+	return d.drawn(d.chance(h, q))
+}
+
+func (d *Dispatcher) drawn(well, badly float64) bool {
 	return badly == 0 || d.rng.Beta(well, badly) > believe
 }
 
@@ -440,7 +442,7 @@
 			continue
 		} else if badly > well {
 			doubtful = append(doubtful, h)
-		} else if d.trusted(h, q) {
+		} else if d.drawn(well, badly) {
 			trusted = append(trusted, h)
 		}
 	}
@@ -505,16 +507,16 @@
 	}
 	tilt := min(max(d.typical[Reads].Or(0)/max(d.typical[Writes].Or(0), 1e-6), 1), 4)
 	short := Only(roomy, func(h *Host) bool {
-		return h.Role == Writes && q.Prompt-d.keeps(h, q) < cutShare*tilt*d.average
+		return h.Role == Writes && d.unkept(h, q) < cutShare*tilt*d.average
 	})
-	return Least(short, func(h *Host) float64 { return d.press(h, 0) / (1 + d.keeps(h, q)) })
+	return Least(short, func(h *Host) float64 { return d.next(h) / (1 + d.keeps(h, q)) })
 }
 
 // mixed finds the mixed host that should take a question whole: its share is what it carries with less
 // press than the best writer and the reader together. What is read there also holds up the answers that
 // run there, and so counts twice; more where whole trips take longer lately than a read and a write.
 func (d *Dispatcher) mixed(q *Question, roomy []*Host, reader *Host) *Host {
-	whole := func(h *Host) float64 { return d.press(h, q.Prompt-d.keeps(h, q)) }
+	whole := func(h *Host) float64 { return d.press(h, d.unkept(h, q)) }
 	m := Least(d.homes(q, Both, Only(roomy, (*Host).Mixed)), whole)
 	w := Least(Only(roomy, func(h *Host) bool { return h.Role == Writes }), d.next)
 	if d.average == 0 && reader != nil || m == nil {
@@ -523,10 +525,10 @@
 	if w == nil || reader == nil {
 		return m
 	}
-	left := q.Prompt - d.keeps(reader, q) + 300
-	apart := left*d.typical[Reads].Or(0) + 300*d.typical[Writes].Or(0)
-	slower := min(max(left*d.typical[Both].Or(0)/max(apart, 1e-6), 1), 4)
-	if 2*slower*whole(m) > d.next(w)+d.press(reader, q.Prompt-d.keeps(reader, q)) {
+	unkept := d.unkept(reader, q)
+	apart := (unkept+300)*d.typical[Reads].Or(0) + 300*d.typical[Writes].Or(0)
+	slower := min(max((unkept+300)*d.typical[Both].Or(0)/max(apart, 1e-6), 1), 4)
+	if 2*slower*whole(m) > d.next(w)+d.press(reader, unkept) {
 		return nil
 	}
 	return m
@@ -559,7 +561,7 @@
 		if near == nil {
 			near = h // a rack without writers
 		}
-		return d.press(h, q.Prompt-d.keeps(h, q)) * d.next(near)
+		return d.press(h, d.unkept(h, q)) * d.next(near)
 	})
 }
 
