--- a/cmd/benchlink/instance.go
+++ b/cmd/benchlink/instance.go
@@ -1,13 +1,13 @@
 package main
 
 import (
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"strconv"
 	"time"
 
 	"sloetrestle/brain"
+	"sloetrestle/internal/news"
 	"sloetrestle/internal/wire"
 )
 
@@ -117,7 +117,7 @@
 			in.forget(q)
 		}
 	case wire.Datagram:
-		if n, err := in.heard(e.Span(7)); err != nil {
+		if n, err := news.Decode(e.Span(7), in.hosts); err != nil {
 			in.Note(fmt.Sprintf("message of %d dropped: %v", e.U32(3), err))
 		} else if n.Host != nil {
 			in.module.Heard(n)
@@ -190,32 +190,6 @@
 
 func (in *instance) Watch(on bool) { in.reply.Tail(in.who, on) }
 
-func (in *instance) Tell(peer int, n brain.News) { in.reply.Post(in.who, uint32(peer), encode(n)) }
-
-// encode writes news of a trip for the wire: host, grade, verdict with a bit for a load report, the report.
-func encode(n brain.News) []byte {
-	loaded := byte(0)
-	if n.Loaded {
-		loaded = 1
-	}
-	raw := binary.BigEndian.AppendUint32(nil, n.Host.ID)
-	return append(raw, byte(n.Grade), byte(n.Verdict)<<1|loaded, inByte(n.Util*utilUnits), inByte(n.Queue))
-}
-
-// utilUnits is how many units of the wire a share of one has.
-const utilUnits = 200
-
-func inByte(value float64) byte { return byte(min(max(value, 0), 255)) }
-
-// heard reads what encode wrote; a host that is not on the own list stays nil.
-func (in *instance) heard(raw []byte) (brain.News, error) {
-	if len(raw) != 8 || raw[5]>>1 > byte(brain.Unmet) {
-		return brain.News{}, fmt.Errorf("%d bytes are no news of a trip: %x", len(raw), raw[:min(len(raw), 16)])
-	}
-	return brain.News{
-		Host: in.hosts[binary.BigEndian.Uint32(raw)], Grade: int(raw[4]), Verdict: brain.Verdict(raw[5] >> 1),
-		Loaded: raw[5]&1 == 1, Util: float64(raw[6]) / utilUnits, Queue: float64(raw[7]),
-	}, nil
-}
+func (in *instance) Tell(peer int, n brain.News) { in.reply.Post(in.who, uint32(peer), news.Encode(n)) }
 
 func (in *instance) Note(text string) { in.reply.NoteDown(in.who, text) }
--- /dev/null
+++ b/internal/boxlist/follow.go
@@ -0,0 +1,180 @@
+package boxlist
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	silence  = 5 * time.Second        // without a beat for so long, the connection is taken for dead
+	again    = 200 * time.Millisecond // first wait before the next try, doubled up to the next value
+	againMax = 3 * time.Second
+	maxPush  = 16 << 20 // bytes of one push
+)
+
+// Follower keeps a connection to the list and hands on what it says.
+type Follower struct {
+	Address string // host:port of the list
+	Name    string // of this dispatcher
+	Keep    string // folder for the last list; empty: none is kept
+	Client  *http.Client
+	Log     *slog.Logger
+	Listed  func(lines []Box, whole bool)
+
+	table Table
+	heard atomic.Int64 // when the list was last heard, as time since the epoch
+	gaps  atomic.Int64
+}
+
+// Age is how long ago the list was last heard; false: not at all since the start.
+func (f *Follower) Age() (time.Duration, bool) {
+	at := f.heard.Load()
+	return time.Since(time.Unix(0, at)), at != 0
+}
+
+// Gaps counts how often the whole list had to be asked for.
+func (f *Follower) Gaps() int64 { return f.gaps.Load() }
+
+// kept is the file of the last list.
+type kept struct {
+	SavedUnixMs int64 `json:"saved_unix_ms"`
+	Push        Push  `json:"push"`
+}
+
+func (f *Follower) file() string { return filepath.Join(f.Keep, "boxlist-"+f.Name+".json") }
+
+// Restore reads the last list from disk, and hands it on. A missing file is no error.
+func (f *Follower) Restore() error {
+	if f.Keep == "" {
+		return nil
+	}
+	raw, err := os.ReadFile(f.file())
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var k kept
+	if err := json.Unmarshal(raw, &k); err != nil {
+		return fmt.Errorf("%s: the kept list can't be read: %w", f.file(), err)
+	}
+	k.Push.Whole = true
+	away := max(time.Now().UnixMilli()-k.SavedUnixMs, 0)
+	for i := range k.Push.Boxes {
+		if k.Push.Boxes[i].UpMs >= 0 {
+			k.Push.Boxes[i].UpMs += away
+		}
+	}
+	lines, refused, err := f.table.Apply(k.Push)
+	if err != nil {
+		return err
+	}
+	// Its version is of an earlier process: the list may have begun anew, so the whole list is asked for.
+	f.table.Version = 0
+	f.Listed(lines, true)
+	return refused
+}
+
+// save writes the list beside the old one and puts it in its place, so that a kill leaves one or the other.
+func (f *Follower) save() error {
+	if f.Keep == "" {
+		return nil
+	}
+	raw, err := json.Marshal(kept{time.Now().UnixMilli(), Push{Version: f.table.Version, Whole: true, Boxes: f.table.Whole()}})
+	if err != nil {
+		return err
+	}
+	tmp := f.file() + ".new"
+	if err := os.WriteFile(tmp, raw, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(tmp, f.file())
+}
+
+// Follow stays connected until the context ends.
+func (f *Follower) Follow(ctx context.Context) error {
+	wait := again
+	for {
+		got, err := f.once(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, ErrGap) {
+			f.gaps.Add(1)
+			f.table.Version = 0
+		}
+		f.Log.Warn("box list lost", "list", f.Address, "error", err)
+		if got {
+			wait = again
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, againMax)
+	}
+}
+
+func (f *Follower) once(ctx context.Context) (got bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	at := fmt.Sprintf("http://%s/v1/boxes/watch?have=%d&dispatcher=%s", f.Address, f.table.Version, url.QueryEscape(f.Name))
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, at, nil)
+	if err != nil {
+		return false, err
+	}
+	quiet := time.AfterFunc(silence, func() { cancel(fmt.Errorf("nothing heard for %v", silence)) })
+	defer quiet.Stop()
+	resp, err := f.Client.Do(r)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return false, fmt.Errorf("the list answered %s", resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, 64<<10), maxPush)
+	for lines.Scan() {
+		quiet.Reset(silence)
+		var p Push
+		if err := json.Unmarshal(lines.Bytes(), &p); err != nil {
+			return got, fmt.Errorf("a push can't be read: %w", err)
+		}
+		changed, refused, err := f.table.Apply(p)
+		if err != nil {
+			return got, err
+		}
+		got = true
+		f.heard.Store(time.Now().UnixNano())
+		if refused != nil {
+			f.Log.Warn("lines of the box list refused", "error", refused)
+		}
+		if len(changed) == 0 && !p.Whole {
+			continue
+		}
+		f.Listed(changed, p.Whole)
+		if err := f.save(); err != nil {
+			f.Log.Warn("the box list could not be kept", "error", err)
+		}
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		return got, cause
+	}
+	if err := lines.Err(); err != nil {
+		return got, err
+	}
+	return got, errors.New("the list closed the connection")
+}
--- /dev/null
+++ b/internal/boxlist/table.go
@@ -0,0 +1,105 @@
+// Package boxlist keeps a dispatcher's list of boxes: Table applies pushed changes without I/O and notices gaps,
+// Follow keeps a connection to the list and asks for the whole list after one, and the last list stays on disk
+// for the next start. It knows only what the list says and never asks a box; begin with Table.
+package boxlist
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Standings, as the list writes them.
+const (
+	Ready    = "ready"
+	Draining = "draining"
+	Gone     = "gone"
+)
+
+// Box is one line of the list.
+type Box struct {
+	Name     string  `json:"name"`
+	Address  string  `json:"address"` // host:port
+	Kind     string  `json:"kind"`
+	Zone     string  `json:"zone"`
+	Rack     string  `json:"rack"`
+	Standing string  `json:"standing"`
+	Units    float64 `json:"units"`
+	Start    uint64  `json:"start"` // tells one start of its process from another
+	UpMs     int64   `json:"up_ms"` // how long it had been up when this was sent; negative: since long ago
+}
+
+// Push is what the list sends: a whole list, or the changes from version Base to Version; a beat has none.
+type Push struct {
+	Version uint64 `json:"version"`
+	Base    uint64 `json:"base"`
+	Whole   bool   `json:"whole,omitempty"`
+	Boxes   []Box  `json:"boxes,omitempty"`
+}
+
+// ErrGap says that changes were missed, so that the whole list has to be asked for.
+var ErrGap = errors.New("changes of the box list were missed")
+
+// Table is the list as last heard.
+type Table struct {
+	Version uint64
+	boxes   map[string]Box
+}
+
+// Apply takes a push and returns the lines that changed, in the order of their names. Lines without sense are
+// left out and named; the rest of the push counts.
+func (t *Table) Apply(p Push) (changed []Box, refused error, err error) {
+	if !p.Whole && p.Base != t.Version {
+		return nil, nil, fmt.Errorf("%w: have %d, got changes from %d", ErrGap, t.Version, p.Base)
+	}
+	var faults []error
+	next := map[string]Box{}
+	for _, b := range p.Boxes {
+		if fault := b.check(); fault != nil {
+			faults = append(faults, fault)
+			continue
+		}
+		next[b.Name] = b
+	}
+	if p.Whole || t.boxes == nil {
+		t.boxes = map[string]Box{}
+	}
+	for name, b := range next {
+		changed = append(changed, b)
+		if b.Standing == Gone {
+			delete(t.boxes, name)
+		} else {
+			t.boxes[name] = b
+		}
+	}
+	t.Version = p.Version
+	sortByName(changed)
+	return changed, errors.Join(faults...), nil
+}
+
+// Whole lists all boxes by name.
+func (t *Table) Whole() []Box {
+	all := make([]Box, 0, len(t.boxes))
+	for _, b := range t.boxes {
+		all = append(all, b)
+	}
+	sortByName(all)
+	return all
+}
+
+func sortByName(boxes []Box) {
+	slices.SortFunc(boxes, func(a, b Box) int { return strings.Compare(a.Name, b.Name) })
+}
+
+func (b Box) check() error {
+	switch {
+	case b.Name == "":
+		return errors.New("a box without a name")
+	case b.Standing != Ready && b.Standing != Draining && b.Standing != Gone:
+		return fmt.Errorf("box %s: standing %q is unknown", b.Name, b.Standing)
+	case b.Standing != Gone && b.Address == "":
+		return fmt.Errorf("box %s: no address", b.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/loop.go
@@ -0,0 +1,491 @@
+// Package dispatch hosts one brain.Dispatcher: a Loop is the one goroutine that owns the module, hands it what
+// happens and carries out what it decides; trips, clients and siblings are goroutines that post closures to
+// it. It decides nothing about questions itself, and what it says of a trip is only what the socket proved. Begin
+// with Loop, then Serve.
+package dispatch
+
+import (
+	"cmp"
+	"container/heap"
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/boxlist"
+	"sloetrestle/internal/kserve"
+)
+
+// Carrier takes trips and messages out. Its methods are called by the loop and must not wait.
+type Carrier interface {
+	Carry(f *Flight)
+	Release(b *Box, key string)
+	Tell(peer int, n brain.News)
+}
+
+// Places turns the list's names into the module's numbers.
+type Places struct {
+	Zone, Kind func(name string) int
+}
+
+// Box is one model host as the program knows it: the module's host and where it listens.
+type Box struct {
+	Name    string
+	Address string
+	Host    *brain.Host
+	Start   uint64
+	Drained chan struct{} // closed when the list says that it is gone
+}
+
+// Asked is one question between its client and the module.
+type Asked struct {
+	Question *brain.Question
+	Ask      kserve.Ask
+	Grade    string
+	Channel  string
+	began    chan *Flight      // the trip whose stream goes to the client
+	final    chan kserve.Final // the one final answer
+	answered bool
+	left     bool
+	flight   *Flight // the trip that is out
+	waiting  map[*Box]bool
+	from     time.Duration
+}
+
+// Key names the question at boxes.
+func (l *Loop) Key(a *Asked) string { return fmt.Sprintf("%s/%d", l.Epoch, a.Question.ID) }
+
+// Flight is one trip on its way.
+type Flight struct {
+	Trip   *brain.Trip
+	Asked  *Asked
+	Box    *Box
+	State  *Box // where the read state waits, for a write
+	Wait   time.Duration
+	tokens chan []byte
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	late   bool // its wait is over
+}
+
+// wake is a timer of the module or the loop.
+type wake struct {
+	at    time.Duration
+	order uint64
+	do    func()
+}
+
+type wakes []*wake
+
+func (w wakes) Len() int { return len(w) }
+func (w wakes) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(w[i].at, w[j].at), cmp.Compare(w[i].order, w[j].order)) < 0
+}
+func (w wakes) Swap(i, j int) { w[i], w[j] = w[j], w[i] }
+func (w *wakes) Push(x any)   { *w = append(*w, x.(*wake)) }
+func (w *wakes) Pop() any {
+	old := *w
+	last := old[len(old)-1]
+	*w = old[:len(old)-1]
+	return last
+}
+
+// Loop owns the module.
+type Loop struct {
+	Epoch string // this dispatcher's name and start
+	Log   *slog.Logger
+
+	module  *brain.Dispatcher
+	carrier Carrier
+	places  Places
+	since   func() time.Duration
+	life    context.Context // of the process: flights end with it
+
+	mu     sync.Mutex
+	queue  []func()
+	closed bool
+	bell   chan struct{}
+	ended  chan struct{}
+
+	// Owned by the loop's goroutine.
+	now    time.Duration
+	wakes  wakes
+	order  uint64
+	asked  map[*brain.Question]*Asked
+	lastID uint64
+	boxes  map[string]*Box
+	byHost map[*brain.Host]*Box
+	hosts  map[uint32]*brain.Host
+	starts map[uint64]time.Duration
+	Tally  Tally
+}
+
+// Tally counts what a loop has seen; it is read by the loop's goroutine only.
+type Tally struct {
+	Taken, Satisfied, Declined, Forfeited, Left, Overdue, Trips int64
+	Outcomes                                                    [brain.Moot + 1]int64
+}
+
+// NewLoop makes a loop and its module. since is the clock, a span since the start.
+func NewLoop(life context.Context, facts brain.Facts, seed uint64, places Places, carrier Carrier, since func() time.Duration, epoch string, log *slog.Logger) (*Loop, error) {
+	l := &Loop{
+		Epoch: epoch, Log: log, carrier: carrier, places: places, since: since, life: life, bell: make(chan struct{}, 1), ended: make(chan struct{}),
+		asked: map[*brain.Question]*Asked{}, boxes: map[string]*Box{}, byHost: map[*brain.Host]*Box{},
+		hosts: map[uint32]*brain.Host{}, starts: map[uint64]time.Duration{}, now: since(),
+	}
+	module, err := brain.New(facts, seed, l)
+	l.module = module
+	return l, err
+}
+
+// Post hands the loop something to do; false if it has ended.
+func (l *Loop) Post(do func()) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return false
+	}
+	l.queue = append(l.queue, do)
+	select {
+	case l.bell <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// Call posts and waits until it is done.
+func (l *Loop) Call(ctx context.Context, do func()) bool {
+	done := make(chan struct{})
+	if !l.Post(func() { do(); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-l.ended:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// Run works until the context ends.
+func (l *Loop) Run(ctx context.Context) error {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	defer func() {
+		l.mu.Lock()
+		l.closed = true
+		l.mu.Unlock()
+		close(l.ended)
+	}()
+	for {
+		l.mu.Lock()
+		work := l.queue
+		l.queue = nil
+		l.mu.Unlock()
+		for _, do := range work {
+			l.Do(do)
+		}
+		l.Due()
+		if len(work) > 0 {
+			select {
+			case <-ctx.Done():
+				return nil
+			default:
+				continue
+			}
+		}
+		sleep := time.Hour
+		if len(l.wakes) > 0 {
+			sleep = max(l.wakes[0].at-l.since(), 0)
+		}
+		timer.Reset(sleep)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.bell:
+		case <-timer.C:
+		}
+	}
+}
+
+// Do runs one thing at the present time. Only the loop's goroutine, and tests without one, call it.
+func (l *Loop) Do(do func()) {
+	l.now = l.since()
+	do()
+}
+
+// Due runs the timers whose time has come.
+func (l *Loop) Due() {
+	for now := l.since(); len(l.wakes) > 0 && l.wakes[0].at <= now; {
+		w := heap.Pop(&l.wakes).(*wake)
+		l.Do(w.do)
+	}
+}
+
+// HostID is a box's number, alike at all dispatchers.
+func HostID(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// Listed takes lines of the box list.
+func (l *Loop) Listed(lines []boxlist.Box, whole bool) {
+	var out []brain.Listing
+	for _, line := range lines {
+		b := l.boxes[line.Name]
+		if b == nil {
+			if line.Standing == boxlist.Gone {
+				continue
+			}
+			id := HostID(line.Name)
+			kind := l.places.Kind(line.Kind)
+			if l.hosts[id] != nil || kind < 0 {
+				l.Log.Warn("box left out", "box", line.Name, "kind", line.Kind, "id", id, "why", "unknown kind, or another box has its number")
+				continue
+			}
+			b = &Box{Name: line.Name, Drained: make(chan struct{})}
+			b.Host = &brain.Host{ID: id, Kind: kind, Zone: max(l.places.Zone(line.Zone), 0), Rack: int(HostID(line.Rack))}
+			l.boxes[line.Name], l.byHost[b.Host], l.hosts[id] = b, b, b.Host
+		}
+		out = append(out, l.listing(b, line))
+	}
+	if whole {
+		for _, b := range l.boxes {
+			if !containsName(lines, b.Name) {
+				b.retire()
+			}
+		}
+	}
+	l.module.Listed(out, whole)
+}
+
+func containsName(lines []boxlist.Box, name string) bool {
+	for _, line := range lines {
+		if line.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Box) retire() {
+	select {
+	case <-b.Drained:
+	default:
+		close(b.Drained)
+	}
+}
+
+func (l *Loop) listing(b *Box, line boxlist.Box) brain.Listing {
+	standing := map[string]brain.Standing{boxlist.Ready: brain.Ready, boxlist.Draining: brain.Draining, boxlist.Gone: brain.Gone}[line.Standing]
+	if standing == brain.Gone {
+		b.retire()
+	} else {
+		select {
+		case <-b.Drained:
+			b.Drained = make(chan struct{}) // it came back under its name
+		default:
+		}
+		b.Address = line.Address
+	}
+	b.Start = line.Start
+	// A start has one time, however often the list repeats it with another age: the module would else see
+	// a new start each time, and forget what it knows of the box.
+	booted, known := l.starts[line.Start]
+	if !known {
+		booted = l.now - time.Duration(line.UpMs)*time.Millisecond
+		if line.UpMs >= 0 {
+			l.starts[line.Start] = booted
+		}
+	}
+	return brain.Listing{Host: b.Host, Standing: standing, Units: max(line.Units, 0.01), Booted: booted, Restart: line.UpMs >= 0}
+}
+
+// Arrive takes a question, which has left for its answer.
+func (l *Loop) Arrive(a *Asked, grade, channel int, left time.Duration) {
+	l.lastID++
+	a.began, a.final, a.waiting = make(chan *Flight, 1), make(chan kserve.Final, 1), map[*Box]bool{}
+	a.from = l.now
+	k := a.Ask
+	a.Question = &brain.Question{
+		ID: l.lastID, Session: Number(k.Session), Shared: Number(k.Shared), Prompt: float64(k.Tokens), Prefix: float64(k.Prefix),
+		Most: float64(k.Most), Again: k.Again, Resumed: k.Resumed, Left: left,
+	}
+	l.asked[a.Question] = a
+	l.Tally.Taken++
+	// The module answers every question in its time; if ever it did not, its client must not be left hanging.
+	l.Wake(left+overdue, func() {
+		begun := a.flight != nil && a.flight.Trip.Began > 0
+		if !a.answered && !a.left && !begun {
+			l.Tally.Overdue++
+			l.Log.Error("question overdue", "question", a.Question.ID)
+			l.answer(a, kserve.Final{Final: kserve.Forfeited, Error: "no answer came in time"})
+			l.module.Left(a.Question)
+			l.forget(a)
+		}
+	})
+	l.module.Arrive(a.Question, grade, channel)
+	l.forget(a)
+}
+
+// overdue is how long after its time a question without an answer is given up on.
+const overdue = 5 * time.Millisecond
+
+// Number hashes a name for the module; 0 is none.
+func Number(name string) uint64 {
+	if name == "" {
+		return 0
+	}
+	return max(xxhash.Sum64String(name), 1)
+}
+
+// answer gives the one final answer. It is the only place that does (rule 1).
+func (l *Loop) answer(a *Asked, f kserve.Final) {
+	if a.answered {
+		return
+	}
+	a.answered = true
+	f.Trips = len(a.Question.Trips)
+	switch f.Final {
+	case kserve.Satisfied:
+		l.Tally.Satisfied++
+	case kserve.Declined:
+		l.Tally.Declined++
+	default:
+		l.Tally.Forfeited++
+	}
+	l.Log.Debug("question over", "question", a.Question.ID, "id", a.Ask.ID, "grade", a.Grade, "final", f.Final,
+		"trips", f.Trips, "took", l.now-a.from, "error", f.Error)
+	a.final <- f
+}
+
+// forget drops a question that is over and has no trip out.
+func (l *Loop) forget(a *Asked) {
+	if a.Question.Over && a.Question.Out() == nil {
+		delete(l.asked, a.Question)
+	}
+}
+
+// Began takes word of a trip's first token.
+func (l *Loop) Began(f *Flight) {
+	if f.late || f.Trip.Ended || f.Trip.Began > 0 {
+		return // its time was up first: the trip ends as timed out
+	}
+	a := f.Asked
+	clear(a.waiting)
+	if a.left || a.answered {
+		f.cancel(errLeft) // a stream that nobody reads ends
+	} else {
+		a.began <- f
+	}
+	l.module.Began(f.Trip, l.now-f.Trip.Sent)
+	l.forget(a)
+}
+
+// Ended takes the end of a trip.
+func (l *Loop) Ended(f *Flight, r brain.Result) {
+	t, a := f.Trip, f.Asked
+	if t.Ended {
+		return
+	}
+	a.flight = nil
+	r.Took = l.now - t.Sent
+	l.Tally.Outcomes[r.Outcome]++
+	switch {
+	case r.Outcome == brain.Read:
+		a.waiting[f.Box] = true
+	case t.Stage == brain.ToRead && r.Outcome != brain.Unreached && r.Outcome != brain.Full:
+		// The read may have ended at the box just as it was given up on here: its state must not stay there.
+		l.carrier.Release(f.Box, l.Key(a))
+	case r.Outcome == brain.Full && r.Note == 1 && f.State != nil:
+		// The reader could not give the state just now; it may hold it all the same.
+		l.carrier.Release(f.State, l.Key(a))
+		delete(a.waiting, f.State)
+	}
+	r.Over = a.answered || a.left || r.Outcome == brain.Answered || t.Began > 0
+	if r.Outcome == brain.Answered {
+		l.answer(a, kserve.Final{Final: kserve.Satisfied})
+	} else if t.Began > 0 && !a.left {
+		l.answer(a, kserve.Final{Final: kserve.Forfeited, Error: "the stream broke at its box"})
+	}
+	l.module.Ended(t, r)
+	l.forget(a)
+}
+
+// Left takes word that a client has gone.
+func (l *Loop) Left(a *Asked) {
+	if a.answered || a.left {
+		return
+	}
+	a.left = true
+	l.Tally.Left++
+	if a.flight != nil && a.flight.Trip.Began > 0 {
+		a.flight.cancel(errLeft)
+	}
+	l.module.Left(a.Question)
+	l.forget(a)
+}
+
+// Heard takes a sibling's news.
+func (l *Loop) Heard(n brain.News) { l.module.Heard(n) }
+
+// Now, Send and the rest are the module's door.
+func (l *Loop) Now() time.Duration { return l.now }
+
+func (l *Loop) Send(t *brain.Trip, wait time.Duration) {
+	a := l.asked[t.Question]
+	f := &Flight{Trip: t, Asked: a, Box: l.byHost[t.Host], Wait: wait, tokens: make(chan []byte, tokenRoom)}
+	if t.Stage == brain.ToWrite {
+		f.State = l.byHost[t.Question.State]
+	}
+	f.ctx, f.cancel = context.WithCancelCause(l.life)
+	a.flight = f
+	l.Tally.Trips++
+	l.Wake(wait, func() {
+		if !t.Ended && t.Began == 0 {
+			f.late = true
+			f.cancel(errLate)
+		}
+	})
+	l.carrier.Carry(f)
+}
+
+// tokenRoom is how many pieces of an answer wait for a client that reads slowly; then its box has to wait.
+const tokenRoom = 64
+
+func (l *Loop) Cancel(t *brain.Trip) {
+	if f := l.asked[t.Question].flight; f != nil && f.Trip == t {
+		f.cancel(errLeft)
+	}
+}
+
+func (l *Loop) Release(q *brain.Question) {
+	a := l.asked[q]
+	for b := range a.waiting {
+		l.carrier.Release(b, l.Key(a))
+	}
+	clear(a.waiting)
+}
+
+func (l *Loop) Decline(q *brain.Question, after time.Duration) {
+	l.answer(l.asked[q], kserve.Final{Final: kserve.Declined, Error: "not taken on: too much is asked just now", Harmless: true, AfterMs: after.Milliseconds()})
+}
+
+func (l *Loop) Forfeit(q *brain.Question) {
+	l.answer(l.asked[q], kserve.Final{Final: kserve.Forfeited, Error: "given up on; it may have run"})
+}
+
+func (l *Loop) Move(q *brain.Question) {}
+
+func (l *Loop) Wake(after time.Duration, do func()) {
+	l.order++
+	heap.Push(&l.wakes, &wake{l.now + max(after, 0), l.order, do})
+}
+
+func (l *Loop) Watch(bool) {} // this list pushes unasked
+
+func (l *Loop) Tell(peer int, n brain.News) { l.carrier.Tell(peer, n) }
+
+func (l *Loop) Note(text string) { l.Log.Info(text) }
--- /dev/null
+++ b/internal/dispatch/serve.go
@@ -0,0 +1,202 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/boxlist"
+	"sloetrestle/internal/setup"
+)
+
+// Version is the program's.
+const Version = "0.2.0"
+
+// headerTime is how long a client may take over its request's head, and idleTime how long a connection may rest.
+const (
+	headerTime = 5 * time.Second
+	idleTime   = 60 * time.Second
+	headerMost = 64 << 10
+)
+
+// Serve runs one dispatcher until the context ends; then it declines what is new, lets what it holds end, and
+// returns. Listening is told to started, with the address.
+func Serve(ctx context.Context, d setup.Dispatcher, log *slog.Logger, started func(addr net.Addr)) error {
+	var seed [16]byte
+	rand.Read(seed[:])
+	epoch := fmt.Sprintf("%s.%x", d.Place.Name, seed[8:14])
+	chance := d.Place.Seed
+	if chance == 0 {
+		chance = binary.BigEndian.Uint64(seed[:])
+	}
+	began := time.Now()
+	since := func() time.Duration { return time.Since(began) }
+
+	// Trips outlive the wish to stop: they end with life, after the last question.
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	var flights, group errgroup.Group
+	trips := NewTrips(life, &flights, d.Limits.BoxConns)
+	trips.Model, trips.Dial, trips.Stall = d.Model, d.Limits.Dial.D(), d.Limits.Stall.D()
+	loop, err := NewLoop(life, d.Facts(), chance, Places{d.ZoneNumber, d.KindNumber}, trips, since, epoch, log)
+	if err != nil {
+		return err
+	}
+	trips.loop = loop
+	listener, err := net.Listen("tcp", d.Place.Listen)
+	if err != nil {
+		return fmt.Errorf("dispatcher.listen: %w", err)
+	}
+	defer listener.Close()
+	if d.Limits.Siblings {
+		if trips.Peers, err = ListenPeers(d.Place.Number, d.Place.News, d.Place.Peers); err != nil {
+			return err
+		}
+		group.Go(func() error { return trips.Peers.Listen(life, loop) })
+	}
+	list := &boxlist.Follower{
+		Address: d.Place.Boxes, Name: d.Place.Name, Keep: d.Place.Keep, Log: log, Client: &http.Client{Transport: &http.Transport{}},
+		Listed: func(lines []boxlist.Box, whole bool) { loop.Post(func() { loop.Listed(lines, whole) }) },
+	}
+	if err := list.Restore(); err != nil {
+		log.Warn("the kept list is left out", "error", err)
+	}
+	group.Go(func() error { return loop.Run(life) })
+	group.Go(func() error { return list.Follow(life) })
+
+	server := &Server{Terms: d.Terms, Place: d.Place, Loop: loop, Log: log}
+	server.State = func() map[string]any { return state(ctx, loop, list, trips, server, since()) }
+	server.Ready = func() bool {
+		ready := false
+		loop.Call(ctx, func() { ready = loop.answers() })
+		return ready
+	}
+	web := &http.Server{
+		Handler: server.Handler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerMost,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	failed := make(chan error, 1)
+	group.Go(func() error {
+		if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+		return nil
+	})
+	log.Info("serving", "listen", listener.Addr().String(), "epoch", epoch, "boxes", d.Place.Boxes)
+	if started != nil {
+		started(listener.Addr())
+	}
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	server.stopping.Store(true)
+	log.Info("stopping: new questions are declined", "open", server.open.Load())
+	if server.drain(d.Place.Stop.D()) {
+		log.Info("every question has its answer")
+	} else {
+		log.Warn("questions are cut off", "open", server.open.Load())
+	}
+	loop.Call(life, loop.forfeitAll)
+	shut, cancel := context.WithTimeout(life, time.Second)
+	web.Shutdown(shut)
+	cancel()
+	web.Close()
+	trips.settle(time.Second)
+	end()
+	flights.Wait()
+	group.Wait()
+	trips.Close()
+	list.Client.CloseIdleConnections()
+	return err
+}
+
+// drain waits for open questions to end. It goes on listening for a little while at the least, so that clients
+// that a front still sends here get an answer.
+func (s *Server) drain(most time.Duration) bool {
+	const step, least = 10 * time.Millisecond, 300 * time.Millisecond
+	for waited := time.Duration(0); waited < most; waited += step {
+		if waited >= least && s.open.Load() == 0 {
+			return true
+		}
+		time.Sleep(step)
+	}
+	return s.open.Load() == 0
+}
+
+// settle waits until the boxes were told of all releases, or for so long.
+func (c *Trips) settle(most time.Duration) {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		c.mu.Lock()
+		left := len(c.releases)
+		c.mu.Unlock()
+		if left == 0 {
+			return
+		}
+	}
+}
+
+// answers tells whether a box that answers is ready.
+func (l *Loop) answers() bool {
+	for _, b := range l.boxes {
+		if b.Host.Standing == brain.Ready && b.Host.Kept != nil && b.Host.Answers() {
+			return true
+		}
+	}
+	return false
+}
+
+// forfeitAll ends what is left when the time to stop is over.
+func (l *Loop) forfeitAll() {
+	for q, a := range l.asked {
+		if !a.answered && !a.left {
+			l.Forfeit(q)
+			l.module.Left(q)
+		}
+		if a.flight != nil {
+			a.flight.cancel(errLeft)
+		}
+		l.forget(a)
+	}
+}
+
+// state is what operators see of a dispatcher.
+func state(ctx context.Context, l *Loop, list *boxlist.Follower, trips *Trips, s *Server, up time.Duration) map[string]any {
+	age, heard := list.Age()
+	out := map[string]any{
+		"dispatcher": l.Epoch, "up_s": up.Seconds(), "open": s.open.Load(), "stopping": s.stopping.Load(), "list_heard": heard,
+		"list_age_s": age.Seconds(), "list_gaps": list.Gaps(), "releases_refused": trips.Refused.Load(),
+	}
+	if trips.Peers != nil {
+		out["messages_dropped"] = trips.Peers.Dropped.Load()
+	}
+	l.Call(ctx, func() {
+		t := l.Tally
+		out["taken"], out["satisfied"], out["declined"], out["forfeited"] = t.Taken, t.Satisfied, t.Declined, t.Forfeited
+		out["left"], out["overdue"], out["trips"], out["held_timers"] = t.Left, t.Overdue, t.Trips, len(l.wakes)
+		outcomes := map[string]int64{}
+		for i, n := range t.Outcomes {
+			outcomes[outcomeWords[i]] = n
+		}
+		out["outcomes"] = outcomes
+		var boxes []map[string]any
+		for _, b := range l.boxes {
+			h := b.Host
+			boxes = append(boxes, map[string]any{"name": b.Name, "address": b.Address, "standing": [...]string{"draining", "ready", "gone"}[h.Standing],
+				"role": [...]string{"reader", "writer", "mixed"}[h.Role], "streams": h.Streams, "tokens": h.Tokens, "util": h.Util, "queue": h.Queue})
+		}
+		out["boxes"] = boxes
+	})
+	return out
+}
+
+var outcomeWords = [...]string{"answered", "read", "failed", "full", "timed_out", "unreached", "broken", "cancelled", "moot"}
--- /dev/null
+++ b/internal/kserve/errand.go
@@ -0,0 +1,139 @@
+package kserve
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// Stages of a trip.
+const (
+	StageRead  = "read"  // read the prompt, keep the state
+	StageWrite = "write" // fetch a waiting state and answer
+	StageWhole = "whole" // read and answer in one place
+)
+
+// Errand is what a trip asks of a box: the parameters of its generate or generate_stream.
+type Errand struct {
+	Stage    string `json:"stage"`
+	From     string `json:"dispatcher"` // its name and start, so that states of a killed one are told apart
+	Question uint64 `json:"question"`
+	Trip     int    `json:"trip"`
+	Mark     string `json:"mark,omitempty"` // by which a repeat of a deduplicated question is known
+	Grade    string `json:"grade"`
+	Channel  string `json:"channel,omitempty"`
+	Session  uint64 `json:"session,omitempty"`
+	Shared   uint64 `json:"shared,omitempty"`
+	Tokens   int    `json:"prompt_tokens"`
+	Prefix   int    `json:"shared_tokens,omitempty"`
+	Most     int    `json:"max_tokens"`
+	WaitUs   int64  `json:"timeout,omitempty"`
+	State    string `json:"state,omitempty"` // address of the reader at which the state waits
+}
+
+// Key names the question at a box: ids are a dispatcher's own.
+func (e Errand) Key() string { return fmt.Sprintf("%s/%d", e.From, e.Question) }
+
+// Outcomes that a box states.
+const (
+	OutcomeRead     = "read"
+	OutcomeAnswered = "answered"
+	OutcomeFull     = "full"     // nothing has run: no slot and no place in the queue, or it drains
+	OutcomeNoState  = "no_state" // nothing has run: no state could be fetched
+	OutcomeFailed   = "failed"
+)
+
+// Told is what a box says at the end of a trip: the load report's values stand in the order of report.fields.
+type Told struct {
+	Outcome string    `json:"outcome"`
+	Error   string    `json:"error,omitempty"`
+	Kept    int       `json:"kept_tokens"`
+	Load    []float64 `json:"load,omitempty"`
+}
+
+// Token is one event of a stream: a piece of the answer, or its end.
+type Token struct {
+	Model string `json:"model_name,omitempty"`
+	Text  string `json:"text_output"`
+}
+
+type errandBody struct {
+	ID         string `json:"id,omitempty"`
+	Text       string `json:"text_input"`
+	Parameters Errand `json:"parameters"`
+}
+
+// NewErrand makes the request of a trip to a box at base, such as http://127.0.0.1:8200.
+func NewErrand(ctx context.Context, base, model, text string, e Errand) (*http.Request, error) {
+	raw, err := json.Marshal(errandBody{e.Mark, text, e})
+	if err != nil {
+		return nil, err
+	}
+	way := "/generate_stream"
+	if e.Stage == StageRead {
+		way = "/generate"
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v2/models/"+model+way, bytes.NewReader(raw))
+	if err != nil {
+		return nil, err
+	}
+	// The transport sends a POST anew by itself only where not a byte of it was written: a trip reaches one box once.
+	r.Header.Set("Content-Type", "application/json")
+	return r, nil
+}
+
+// ReadErrand decodes a trip's request at a box; the size of the body is bounded by its reader.
+func ReadErrand(body io.Reader) (Errand, string, error) {
+	var b errandBody
+	if err := decode(body, &b); err != nil {
+		return Errand{}, "", err
+	}
+	e := b.Parameters
+	if e.Stage != StageRead && e.Stage != StageWrite && e.Stage != StageWhole {
+		return e, "", bad("parameters.stage", "must be read, write or whole, not %q", e.Stage)
+	}
+	if e.From == "" {
+		return e, "", bad("parameters.dispatcher", "is missing")
+	}
+	if e.Tokens < 0 || e.Prefix < 0 || e.Most < 0 {
+		return e, "", bad("parameters", "has a negative size")
+	}
+	return e, b.Text, nil
+}
+
+// Keys are the questions whose states and places a box lets go of, or one that a writer fetches.
+type Keys struct {
+	Keys []string `json:"keys"`
+}
+
+// NewRelease makes the request that lets go of states.
+func NewRelease(ctx context.Context, base, model string, keys []string) (*http.Request, error) {
+	return keysRequest(ctx, base+"/v2/models/"+model+"/release", keys)
+}
+
+// NewFetch makes the request by which a writer takes a state from its reader.
+func NewFetch(ctx context.Context, base, model, key string) (*http.Request, error) {
+	return keysRequest(ctx, base+"/v2/models/"+model+"/state", []string{key})
+}
+
+func keysRequest(ctx context.Context, to string, keys []string) (*http.Request, error) {
+	raw, err := json.Marshal(Keys{keys})
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, to, bytes.NewReader(raw))
+	if err == nil {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	return r, err
+}
+
+// ReadKeys decodes the body of both.
+func ReadKeys(body io.Reader) ([]string, error) {
+	var k Keys
+	err := decode(body, &k)
+	return k.Keys, err
+}
--- /dev/null
+++ b/internal/kserve/kserve.go
@@ -0,0 +1,262 @@
+// Package kserve has the messages of the KServe v2 inference protocol (REST, with the generate extension and
+// its server-sent events) as clients speak them to a dispatcher and dispatchers to boxes. It decodes strictly
+// enough to name the field that is wrong, and bounds what it reads. It decides nothing and holds no state:
+// begin with Ask, what a client wants, and Errand, what a trip asks of a box.
+package kserve
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"time"
+)
+
+// Fault is a request that can't be taken, with the status that says so.
+type Fault struct {
+	Status int
+	Field  string
+	Text   string
+}
+
+func (f *Fault) Error() string {
+	if f.Field == "" {
+		return f.Text
+	}
+	return f.Field + ": " + f.Text
+}
+
+func bad(field, format string, args ...any) *Fault {
+	return &Fault{http.StatusBadRequest, field, fmt.Sprintf(format, args...)}
+}
+
+// Params are a request's parameters: strings, numbers and truth values by name.
+type Params map[string]any
+
+func (p Params) text(name string) (string, error) {
+	switch v := p[name].(type) {
+	case nil:
+		return "", nil
+	case string:
+		if len(v) > 512 {
+			return "", bad("parameters."+name, "is longer than 512 bytes")
+		}
+		return v, nil
+	case float64:
+		return fmt.Sprintf("%.0f", v), nil
+	}
+	return "", bad("parameters."+name, "must be a string")
+}
+
+func (p Params) count(name string, most float64) (int, error) {
+	switch v := p[name].(type) {
+	case nil:
+		return 0, nil
+	case float64:
+		if v != math.Trunc(v) || v < 0 || v > most {
+			return 0, bad("parameters."+name, "must be a whole number from 0 to %.0f, not %v", most, v)
+		}
+		return int(v), nil
+	}
+	return 0, bad("parameters."+name, "must be a number")
+}
+
+func (p Params) yes(name string) (bool, error) {
+	switch v := p[name].(type) {
+	case nil:
+		return false, nil
+	case bool:
+		return v, nil
+	}
+	return false, bad("parameters."+name, "must be true or false")
+}
+
+// Tensor is one input or output of an inference.
+type Tensor struct {
+	Name     string          `json:"name"`
+	Shape    []int64         `json:"shape"`
+	Datatype string          `json:"datatype"`
+	Data     json.RawMessage `json:"data"`
+}
+
+// Inference is the body of infer; Output its answer.
+type Inference struct {
+	ID         string   `json:"id,omitempty"`
+	Parameters Params   `json:"parameters,omitempty"`
+	Inputs     []Tensor `json:"inputs"`
+}
+
+// Output is the answer of infer.
+type Output struct {
+	Model      string   `json:"model_name"`
+	Version    string   `json:"model_version,omitempty"`
+	ID         string   `json:"id,omitempty"`
+	Parameters Params   `json:"parameters,omitempty"`
+	Outputs    []Tensor `json:"outputs"`
+}
+
+// Prompt is the body of generate and generate_stream.
+type Prompt struct {
+	ID         string `json:"id,omitempty"`
+	Text       string `json:"text_input"`
+	Parameters Params `json:"parameters,omitempty"`
+}
+
+// Ask is what a client wants. What it left out is zero; Tokens and Shared then come from Text.
+type Ask struct {
+	ID      string
+	Text    string
+	Session string
+	Shared  string
+	Grade   string
+	Channel string
+	Tokens  int // of the prompt
+	Prefix  int // of them, how many are the shared beginning
+	Most    int // of the answer
+	Left    time.Duration
+	Again   bool
+	Resumed bool
+}
+
+// MostTokens is the largest prompt or answer that is taken for meant.
+const MostTokens = 10_000_000
+
+// ReadPrompt decodes the body of generate and generate_stream.
+func ReadPrompt(body io.Reader) (Ask, error) {
+	var p Prompt
+	if err := decode(body, &p); err != nil {
+		return Ask{}, err
+	}
+	return p.Parameters.ask(p.ID, p.Text)
+}
+
+// ReadInference decodes the body of infer: its first BYTES input is the prompt.
+func ReadInference(body io.Reader) (Ask, error) {
+	var in Inference
+	if err := decode(body, &in); err != nil {
+		return Ask{}, err
+	}
+	if len(in.Inputs) == 0 {
+		return Ask{}, bad("inputs", "is missing or empty")
+	}
+	t := in.Inputs[0]
+	if t.Datatype != "BYTES" {
+		return Ask{}, bad("inputs.0.datatype", "must be BYTES, not %q", t.Datatype)
+	}
+	size := int64(1)
+	for _, n := range t.Shape {
+		if n < 0 {
+			return Ask{}, bad("inputs.0.shape", "has the negative size %d", n)
+		}
+		size *= n
+	}
+	var texts []string
+	if err := json.Unmarshal(t.Data, &texts); err != nil || len(texts) != 1 || size != 1 {
+		return Ask{}, bad("inputs.0.data", "must hold one string, and shape [1]")
+	}
+	return in.Parameters.ask(in.ID, texts[0])
+}
+
+func decode(body io.Reader, into any) error {
+	err := json.NewDecoder(body).Decode(into)
+	var large *http.MaxBytesError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &large):
+		return &Fault{http.StatusRequestEntityTooLarge, "", fmt.Sprintf("the body is longer than %d bytes", large.Limit)}
+	case errors.As(err, &kind):
+		return bad(kind.Field, "must not be a %s", kind.Value)
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return bad("", "the body ends before its JSON does")
+	}
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return bad("", "the body is no JSON at byte %d: %v", syntax.Offset, err)
+	}
+	return &Fault{http.StatusRequestTimeout, "", "the body did not arrive: " + err.Error()}
+}
+
+func (p Params) ask(id, text string) (a Ask, err error) {
+	a.ID, a.Text = id, text
+	if len(id) > 512 {
+		return a, bad("id", "is longer than 512 bytes")
+	}
+	for name, to := range map[string]*string{"session": &a.Session, "shared": &a.Shared, "grade": &a.Grade, "channel": &a.Channel} {
+		if *to, err = p.text(name); err != nil {
+			return a, err
+		}
+	}
+	for name, to := range map[string]*int{"prompt_tokens": &a.Tokens, "shared_tokens": &a.Prefix, "max_tokens": &a.Most} {
+		if *to, err = p.count(name, MostTokens); err != nil {
+			return a, err
+		}
+	}
+	for name, to := range map[string]*bool{"again": &a.Again, "resumed": &a.Resumed} {
+		if *to, err = p.yes(name); err != nil {
+			return a, err
+		}
+	}
+	left, err := p.count("timeout", 3.6e9)
+	a.Left = time.Duration(left) * time.Microsecond
+	if err == nil && a.Text == "" && a.Tokens == 0 {
+		err = bad("text_input", "is empty, and parameters.prompt_tokens is not given")
+	}
+	return a, err
+}
+
+// The three final answers.
+const (
+	Satisfied = "satisfied"
+	Declined  = "declined"
+	Forfeited = "forfeited"
+)
+
+// Final is a question's final answer in a form that a program can read. Harmless says that asking again does
+// no harm; without it nothing is promised.
+type Final struct {
+	Final    string `json:"final"`
+	Error    string `json:"error,omitempty"`
+	Harmless bool   `json:"harmless"`
+	AfterMs  int64  `json:"retry_after_ms,omitempty"`
+	Trips    int    `json:"trips"`
+}
+
+// Status is the HTTP status of a final answer before any token was sent.
+func (f Final) Status() int {
+	switch f.Final {
+	case Satisfied:
+		return http.StatusOK
+	case Declined:
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// WriteFinal answers with no token sent: Retry-After is in whole seconds, as HTTP has it, rounded up.
+func WriteFinal(w http.ResponseWriter, f Final) {
+	if f.AfterMs > 0 {
+		w.Header().Set("Retry-After", fmt.Sprint((f.AfterMs+999)/1000))
+	}
+	WriteJSON(w, f.Status(), f)
+}
+
+// WriteJSON answers with one value.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
+
+// WriteFault answers a request that was not taken.
+func WriteFault(w http.ResponseWriter, err error) {
+	status := http.StatusInternalServerError
+	var f *Fault
+	if errors.As(err, &f) {
+		status = f.Status
+	}
+	WriteJSON(w, status, map[string]string{"error": err.Error()})
+}
--- /dev/null
+++ b/internal/setup/facts.go
@@ -0,0 +1,78 @@
+package setup
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"sloetrestle/brain"
+)
+
+// The module's words for ours.
+var (
+	effects = map[string]string{"idempotent": "repeatable", "deduplicated": "by_key", "unrepeatable": "once"}
+	reaches = map[string]string{"all": "all", "zone": "zone", "rack": "cell"}
+	roles   = map[string]string{"reader": "read", "writer": "write", "mixed": "both"}
+)
+
+// Facts gives the module its plain map: the one table from the operators' keys to the module's names.
+func (d *Dispatcher) Facts() brain.Facts {
+	us := func(s Span) float64 { return float64(time.Duration(s).Microseconds()) }
+	f := brain.Facts{
+		"siblings": float64(d.Place.Siblings), "slotNo": float64(d.Place.Number),
+		"zone": float64(d.ZoneNumber(d.Place.Zone)), "discovery": "automatic", "overShareWorth": d.Limits.OverShare,
+		"prices.peer": d.Limits.NewsPrice, "prices.crossZone": d.Limits.ZonePrice,
+
+		"rules.answerSlackUs": us(d.Rules.Slack), "rules.drainGraceUs": us(d.Rules.DrainGrace),
+		"rules.tipMultiple": d.Rules.ColdMultiple, "rules.tipAfterUs": us(d.Rules.ColdWindow),
+		"rules.coldFrom": d.Rules.ColdShare, "rules.rampTimeUs": us(d.Rules.ColdRamp),
+		"familyInfo.pinLimitUs": us(d.Rules.Pin), "familyInfo.localRead": d.Limits.LocalRead,
+
+		"policyLimits.maxAttempts": float64(d.Limits.Trips), "policyLimits.dialTimeoutUs": us(d.Limits.Dial),
+		"policyLimits.maxOpen": float64(d.Limits.Open), "policyLimits.cancelling": d.Limits.Cancel,
+		"policyLimits.peers": d.Limits.Siblings, "policyLimits.retryAfter": d.Limits.RetryAfter > 0,
+		"policyLimits.maxRetryAfterUs": us(d.Limits.RetryAfter),
+
+		"requestClasses": float64(len(d.Grades)), "tenants": float64(len(d.Channels)),
+		"familyInfo.kindRole": float64(len(d.Kinds)), "report.fields": float64(len(d.Report)),
+	}
+	if d.Limits.ByWork {
+		f["valueBy"] = "work"
+	}
+	for i, g := range d.Grades {
+		at := fmt.Sprintf("requestClasses.%d.", i)
+		f[at+"name"], f[at+"effect"], f[at+"group"] = g.Name, effects[g.Effect], reaches[g.Reach]
+		f[at+"windowUs"], f[at+"aimUs"], f[at+"giveUpUs"] = us(g.Window), us(g.Promised), us(g.Expiry)
+		f[at+"worth"], f[at+"lateWorth"], f[at+"stream"] = g.Benefit, g.Late, true
+		f[fmt.Sprintf("familyInfo.aimUsPer1000PromptTokens.%d", i)] = us(g.PerK)
+		f[fmt.Sprintf("familyInfo.tokenAimUs.%d", i)] = us(g.TokenTime)
+	}
+	for i, c := range d.Channels {
+		f[fmt.Sprintf("tenants.%d.name", i)], f[fmt.Sprintf("tenants.%d.fraction", i)] = c.Name, c.Share
+		f[fmt.Sprintf("tenants.%d.quotaPerS", i)] = c.PerS
+	}
+	for i, k := range d.Kinds {
+		f[fmt.Sprintf("familyInfo.kindRole.%d", i)] = roles[k.Role]
+		f[fmt.Sprintf("familyInfo.tokensByKind.%d", i)] = float64(k.Memory)
+	}
+	for i, r := range d.Report {
+		f[fmt.Sprintf("report.fields.%d", i)] = r
+	}
+	return f
+}
+
+// ZoneNumber is the index of a zone, KindNumber of a kind, GradeNumber of a grade and ChannelNumber of a
+// channel; -1 where it is not stated.
+func (t *Terms) ZoneNumber(name string) int { return slices.Index(t.Zones, name) }
+
+func (t *Terms) KindNumber(name string) int {
+	return slices.IndexFunc(t.Kinds, func(k Kind) bool { return k.Name == name })
+}
+
+func (t *Terms) GradeNumber(name string) int {
+	return slices.IndexFunc(t.Grades, func(g Grade) bool { return g.Name == name })
+}
+
+func (t *Terms) ChannelNumber(name string) int {
+	return slices.IndexFunc(t.Channels, func(c Channel) bool { return c.Name == name })
+}
--- /dev/null
+++ b/internal/setup/setup.go
@@ -0,0 +1,342 @@
+// Package setup has the TOML form of a dispatcher's settings and of the terms that a deployment states, in the
+// operators' words. Load checks them and names file, line and key of what is wrong; Facts turns them into the
+// plain map that the decision module reads. It decides nothing: what a key means is the module's or the
+// program's business. Begin with Dispatcher.
+package setup
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Span is a length of time, written "250ms" or "4s".
+type Span time.Duration
+
+func (s *Span) UnmarshalText(raw []byte) error {
+	d, err := time.ParseDuration(string(raw))
+	if err != nil || d < 0 {
+		return fmt.Errorf("%q is no length of time such as 250ms or 4s", raw)
+	}
+	*s = Span(d)
+	return nil
+}
+
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+func (s Span) D() time.Duration { return time.Duration(s) }
+
+// Grade is a service grade as a deployment states it.
+type Grade struct {
+	Name      string  `toml:"name"`
+	Effect    string  `toml:"effect"`           // idempotent, deduplicated or unrepeatable
+	Reach     string  `toml:"reach,omitempty"`  // of deduplication: all, zone or rack
+	Window    Span    `toml:"window,omitempty"` // of deduplication
+	Promised  Span    `toml:"promised"`         // to the first token
+	PerK      Span    `toml:"promised_per_1000,omitempty"`
+	Expiry    Span    `toml:"expiry"`
+	Benefit   float64 `toml:"benefit"`
+	Late      float64 `toml:"late_benefit,omitempty"` // part of it that a late answer earns
+	TokenTime Span    `toml:"token_time,omitempty"`   // promised between tokens
+	Most      int     `toml:"max_tokens"`             // where a question does not say
+}
+
+// Channel is a tenant with its share.
+type Channel struct {
+	Name  string  `toml:"name"`
+	Share float64 `toml:"share"`              // of the service
+	PerS  float64 `toml:"questions_a_second"` // over all dispatchers, within its share
+}
+
+// Kind is a kind of box.
+type Kind struct {
+	Name   string `toml:"name"`
+	Role   string `toml:"role"`   // reader, writer or mixed
+	Memory int    `toml:"memory"` // tokens
+}
+
+// Rules are the figures of the five rules.
+type Rules struct {
+	Slack        Span    `toml:"answer_slack"`
+	DrainGrace   Span    `toml:"drain_grace"`
+	ColdMultiple float64 `toml:"cold_multiple"`
+	ColdWindow   Span    `toml:"cold_window"`
+	ColdShare    float64 `toml:"cold_share"`
+	ColdRamp     Span    `toml:"cold_ramp"`
+	Pin          Span    `toml:"pin_limit"`
+}
+
+// Limits are what a deployment allows.
+type Limits struct {
+	Trips      int     `toml:"trips"`
+	Dial       Span    `toml:"dial"`
+	Open       int     `toml:"open_questions"`
+	BoxConns   int     `toml:"connections_a_box"`
+	Stall      Span    `toml:"stall"`       // a running answer without a token for so long is taken for broken
+	RetryAfter Span    `toml:"retry_after"` // the longest that clients heed; 0: they are told nothing
+	Cancel     bool    `toml:"cancel"`
+	Siblings   bool    `toml:"sibling_news"`
+	NewsPrice  float64 `toml:"news_price"`
+	ZonePrice  float64 `toml:"zone_price"`
+	OverShare  float64 `toml:"over_share_benefit"`
+	ByWork     bool    `toml:"benefit_by_work"`
+	LocalRead  bool    `toml:"writers_read"`
+}
+
+// Terms are what a deployment states, alike for all its dispatchers.
+type Terms struct {
+	Model    string    `toml:"model"`
+	Zones    []string  `toml:"zones"`
+	Report   []string  `toml:"report"` // the values of a load report, in order
+	Grades   []Grade   `toml:"grade"`
+	Channels []Channel `toml:"channel,omitempty"`
+	Kinds    []Kind    `toml:"kind"`
+	Rules    Rules     `toml:"rules"`
+	Limits   Limits    `toml:"limits"`
+}
+
+// DefaultTerms are the embedded defaults; a file changes what it names.
+func DefaultTerms() Terms {
+	return Terms{
+		Model: "lodge", Zones: []string{"here"}, Report: []string{"util", "queue", "x0"},
+		Rules: Rules{
+			Slack: Span(8 * time.Millisecond), DrainGrace: Span(time.Second), ColdMultiple: 2.5,
+			ColdWindow: Span(2 * time.Second), ColdShare: 0.3, ColdRamp: Span(12 * time.Second), Pin: Span(500 * time.Millisecond),
+		},
+		Limits: Limits{
+			Trips: 4, Dial: Span(250 * time.Millisecond), Open: 20000, BoxConns: 512, Stall: Span(20 * time.Second), RetryAfter: Span(500 * time.Millisecond),
+			Cancel: true, OverShare: 0.1, ByWork: true, LocalRead: true,
+		},
+	}
+}
+
+// Place is where a dispatcher stands in its fleet and where it listens.
+type Place struct {
+	Name     string   `toml:"name"`
+	Number   int      `toml:"number"`
+	Siblings int      `toml:"siblings"` // dispatchers, itself among them
+	Zone     string   `toml:"zone"`
+	Listen   string   `toml:"listen"`
+	Keep     string   `toml:"keep,omitempty"`  // folder for the last list
+	Boxes    string   `toml:"boxes"`           // address of the box list
+	News     string   `toml:"news,omitempty"`  // UDP address for messages of siblings
+	Peers    []string `toml:"peers,omitempty"` // theirs, by number
+	Seed     uint64   `toml:"seed,omitempty"`  // of its chance; 0: a fresh one at each start
+	Margin   Span     `toml:"margin"`          // taken off a client's time for the way back
+	Body     int64    `toml:"body_limit"`      // bytes of a request
+	BodyTime Span     `toml:"body_time"`       // for a request to arrive
+	Write    Span     `toml:"write_time"`      // for a client to take a piece of its answer
+	Stop     Span     `toml:"stop_time"`       // for running questions to end after SIGTERM
+}
+
+// Dispatcher is the file of one dispatcher.
+type Dispatcher struct {
+	Place Place `toml:"dispatcher"`
+	Terms
+}
+
+// DefaultDispatcher is what a file of a dispatcher starts from.
+func DefaultDispatcher() Dispatcher {
+	return Dispatcher{Terms: DefaultTerms(), Place: Place{
+		Name: "dispatcher", Siblings: 1, Zone: "here", Listen: "127.0.0.1:8100", Margin: Span(10 * time.Millisecond),
+		Body: 8 << 20, BodyTime: Span(10 * time.Second), Write: Span(10 * time.Second), Stop: Span(30 * time.Second),
+	}}
+}
+
+// Fault is what is wrong with a file, and where.
+type Fault struct {
+	File string
+	Line int
+	Key  string
+	Text string
+}
+
+func (f *Fault) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Key, f.Text)
+}
+
+// wrong is a senseless value under a key; Decode finds its line.
+type wrong struct{ key, text string }
+
+func (w *wrong) Error() string { return w.key + ": " + w.text }
+
+// Wrong tells that the value under a key makes no sense.
+func Wrong(key, format string, args ...any) error { return &wrong{key, fmt.Sprintf(format, args...)} }
+
+// Load reads the file of a dispatcher.
+func Load(file string) (Dispatcher, error) {
+	d := DefaultDispatcher()
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return d, err
+	}
+	return d, Decode(file, raw, &d, d.check)
+}
+
+// Decode reads TOML strictly, then lets check look at what it says.
+func Decode(file string, raw []byte, into any, check func() error) error {
+	dec := toml.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(into)
+	var unknown *toml.StrictMissingError
+	var wrongKind *toml.DecodeError
+	switch {
+	case errors.As(err, &unknown):
+		e := unknown.Errors[0]
+		line, _ := e.Position()
+		return &Fault{file, line, strings.Join(e.Key(), "."), "no such key"}
+	case errors.As(err, &wrongKind):
+		line, _ := wrongKind.Position()
+		return &Fault{file, line, strings.Join(wrongKind.Key(), "."), strings.TrimPrefix(wrongKind.Error(), "toml: ")}
+	case err != nil:
+		return &Fault{file, 1, "", err.Error()}
+	}
+	var w *wrong
+	if err := check(); errors.As(err, &w) {
+		return &Fault{file, lineOf(raw, w.key), w.key, w.text}
+	} else if err != nil {
+		return &Fault{file, 1, "", err.Error()}
+	}
+	return nil
+}
+
+// lineOf finds the line on which a dotted key stands, or its nearest table above.
+func lineOf(raw []byte, key string) int {
+	var p unstable.Parser
+	p.Reset(raw)
+	best, depth := 1, -1
+	table, counts := "", map[string]int{}
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			parts = append(parts, string(it.Node().Data))
+			if line == 0 {
+				line = p.Shape(it.Node().Raw).Start.Line
+			}
+		}
+		name := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.Table:
+			table = name
+		case unstable.ArrayTable:
+			table = fmt.Sprintf("%s.%d", name, counts[name])
+			counts[name]++
+		}
+		if e.Kind == unstable.KeyValue {
+			if table != "" {
+				name = table + "." + name
+			}
+		} else {
+			name = table
+		}
+		if (name == key || strings.HasPrefix(key, name+".")) && len(name) > depth {
+			best, depth = line, len(name)
+		}
+	}
+	return best
+}
+
+func (d *Dispatcher) check() error {
+	p := d.Place
+	if p.Name == "" {
+		return Wrong("dispatcher.name", "is empty")
+	}
+	if p.Siblings < 1 || p.Number < 0 || p.Number >= p.Siblings {
+		return Wrong("dispatcher.number", "is %d of %d dispatchers; numbers begin with 0", p.Number, p.Siblings)
+	}
+	for key, addr := range map[string]string{"listen": p.Listen, "boxes": p.Boxes} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return Wrong("dispatcher."+key, "%q is no address such as 127.0.0.1:8100", addr)
+		}
+	}
+	if d.Limits.Siblings && len(p.Peers) != p.Siblings {
+		return Wrong("dispatcher.peers", "names %d addresses, for %d dispatchers", len(p.Peers), p.Siblings)
+	}
+	if !slices.Contains(d.Zones, p.Zone) {
+		return Wrong("dispatcher.zone", "%q is not among zones", p.Zone)
+	}
+	if p.Body < 1024 {
+		return Wrong("dispatcher.body_limit", "is %d bytes, at least 1024 are needed", p.Body)
+	}
+	return d.Terms.Check()
+}
+
+// Check looks at what a deployment states.
+func (t *Terms) Check() error {
+	if len(t.Grades) == 0 {
+		return Wrong("grade", "no service grade is stated")
+	}
+	for i, g := range t.Grades {
+		at := fmt.Sprintf("grade.%d.", i)
+		switch {
+		case g.Name == "":
+			return Wrong(at+"name", "is empty")
+		case effects[g.Effect] == "":
+			return Wrong(at+"effect", "must be idempotent, deduplicated or unrepeatable, not %q", g.Effect)
+		case g.Reach != "" && reaches[g.Reach] == "":
+			return Wrong(at+"reach", "must be all, zone or rack, not %q", g.Reach)
+		case g.Effect == "deduplicated" && g.Window <= 0:
+			return Wrong(at+"window", "is needed where repeats are known by a mark")
+		case g.Promised <= 0:
+			return Wrong(at+"promised", "must be above 0")
+		case g.Expiry < g.Promised:
+			return Wrong(at+"expiry", "is before the promised time")
+		case g.Benefit < 0:
+			return Wrong(at+"benefit", "is negative")
+		case g.Most < 1:
+			return Wrong(at+"max_tokens", "must be at least 1")
+		}
+	}
+	for i, c := range t.Channels {
+		if c.Name == "" || c.Share < 0 || c.PerS < 0 {
+			return Wrong(fmt.Sprintf("channel.%d.share", i), "a channel needs a name and no negative figures")
+		}
+	}
+	for i, k := range t.Kinds {
+		if roles[k.Role] == "" {
+			return Wrong(fmt.Sprintf("kind.%d.role", i), "must be reader, writer or mixed, not %q", k.Role)
+		}
+		if k.Memory < 1 {
+			return Wrong(fmt.Sprintf("kind.%d.memory", i), "must be at least 1 token")
+		}
+	}
+	if len(t.Kinds) == 0 {
+		return Wrong("kind", "no kind of box is stated")
+	}
+	if len(t.Report) > 4 {
+		return Wrong("report", "names %d values, 4 at most", len(t.Report))
+	}
+	r, l := t.Rules, t.Limits
+	switch {
+	case r.ColdMultiple <= 0 || math.IsNaN(r.ColdMultiple):
+		return Wrong("rules.cold_multiple", "must be above 0")
+	case r.ColdShare <= 0 || r.ColdShare > 1:
+		return Wrong("rules.cold_share", "must be above 0 and at most 1")
+	case r.ColdWindow <= 0:
+		return Wrong("rules.cold_window", "must be above 0")
+	case r.Pin <= 0:
+		return Wrong("rules.pin_limit", "must be above 0")
+	case l.Trips < 1 || l.Trips > 16:
+		return Wrong("limits.trips", "must be from 1 to 16")
+	case l.Dial <= 0:
+		return Wrong("limits.dial", "must be above 0")
+	case l.Open < 1:
+		return Wrong("limits.open_questions", "must be at least 1")
+	case l.Stall <= 0:
+		return Wrong("limits.stall", "must be above 0")
+	case l.BoxConns < 1:
+		return Wrong("limits.connections_a_box", "must be at least 1")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,202 @@
+// Package standin is what the project plays itself around a dispatcher: boxes of the three roles, the box list,
+// and clients, on loopback sockets and with scripted faults. They are models in real time, not measurements of
+// engines, and take down what they see in a record.Book. They know nothing of a dispatcher but its requests. Begin
+// with Fleet.
+package standin
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sloetrestle/internal/record"
+	"sloetrestle/internal/setup"
+)
+
+// Links are the ways that read states take between boxes.
+type Links struct {
+	Near float64 // tokens a second to a box of the same rack
+	Far  float64 // over the one link of a rack
+	Zone float64 // how many times as long a token takes to another zone
+}
+
+// Fleet is what boxes of a run share: the record, links, and what a mark was seen with.
+type Fleet struct {
+	Terms setup.Terms
+	Book  *record.Book
+	Links Links
+	Talk  map[string]Talk // by grade
+
+	mu       sync.Mutex
+	boxes    map[string]*Box // by address
+	slowLink float64
+	reads    map[string]*mean // tokens left to read, by grade
+	seen     map[mark]time.Duration
+	racks    map[string]*lane
+	client   *http.Client
+	starts   uint64
+}
+
+// Talk is how the questions of a grade look.
+type Talk struct {
+	New    float64 // tokens that a turn adds, mean
+	Answer float64 // tokens of an answer, mean
+	Prefix int     // tokens of a shared beginning
+}
+
+type mark struct{ group, try string }
+
+// NewFleet makes an empty fleet.
+func NewFleet(terms setup.Terms, book *record.Book, links Links, talk map[string]Talk) *Fleet {
+	return &Fleet{
+		Terms: terms, Book: book, Links: links, Talk: talk, boxes: map[string]*Box{}, slowLink: 1,
+		reads: map[string]*mean{}, seen: map[mark]time.Duration{}, racks: map[string]*lane{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+	}
+}
+
+// Close lets the fleet's idle connections go.
+func (f *Fleet) Close() { f.client.CloseIdleConnections() }
+
+// SlowLinks makes all links so many times slower.
+func (f *Fleet) SlowLinks(times float64) {
+	f.mu.Lock()
+	f.slowLink = times
+	f.mu.Unlock()
+}
+
+// start numbers the starts of boxes.
+func (f *Fleet) start() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.starts++
+	return f.starts
+}
+
+type mean struct{ sum, n float64 }
+
+// leftToRead is the mean of what a grade's prompts had left to read so far.
+func (f *Fleet) leftToRead(grade string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.reads[grade]
+	if m == nil {
+		m = &mean{f.Talk[grade].New + float64(f.Talk[grade].Prefix)/4, 1}
+		f.reads[grade] = m
+	}
+	return m.sum / m.n
+}
+
+func (f *Fleet) sawRead(grade string, left float64) {
+	f.leftToRead(grade)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads[grade].sum += left
+	f.reads[grade].n++
+}
+
+// runs tells whether a trip's effect is a new one: within its window a group of boxes drops a deduplicated
+// question's repeats.
+func (f *Fleet) runs(b *Box, grade, try string) bool {
+	i := f.Terms.GradeNumber(grade)
+	if i < 0 || f.Terms.Grades[i].Effect != "deduplicated" {
+		return true
+	}
+	g := f.Terms.Grades[i]
+	group := map[string]string{"zone": b.Zone, "rack": b.Rack}[g.Reach]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Book.Since()
+	at, known := f.seen[mark{group, try}]
+	if known && now-at < g.Window.D() {
+		return false
+	}
+	f.seen[mark{group, try}] = now
+	return true
+}
+
+// answerTokens is how long the answer to a try truly is: the same at every box, and told to no one.
+func (f *Fleet) answerTokens(grade, try string, most int) int {
+	rng := rand.New(rand.NewPCG(xxhash.Sum64String(try), 7))
+	n := int(math.Round(f.Talk[grade].Answer * (0.4 + 1.2*rng.Float64())))
+	return min(max(n, 1), max(most, 1))
+}
+
+// move takes as long as tokens need between two boxes. A rack's link is shared: moves over it follow one another.
+func (f *Fleet) move(ctx context.Context, from *Box, toRack, toZone string, tokens float64) error {
+	f.mu.Lock()
+	slow := f.slowLink
+	link := f.racks[from.Rack]
+	if link == nil {
+		link = &lane{}
+		f.racks[from.Rack] = link
+	}
+	f.mu.Unlock()
+	if toRack == from.Rack {
+		return sleep(ctx, seconds(tokens/f.Links.Near))
+	}
+	times := slow
+	if toZone != from.Zone {
+		times *= max(f.Links.Zone, 1)
+	}
+	return link.use(ctx, seconds(tokens/f.Links.Far*times))
+}
+
+// lane is something that one after the other uses.
+type lane struct {
+	mu   sync.Mutex
+	free time.Time
+}
+
+// use waits for the lane, then takes it for so long.
+func (l *lane) use(ctx context.Context, d time.Duration) error {
+	l.mu.Lock()
+	now := time.Now()
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(d)
+	until := l.free
+	l.mu.Unlock()
+	err := sleep(ctx, time.Until(until))
+	if err != nil { // what was called off leaves its turn to others
+		l.mu.Lock()
+		l.free = l.free.Add(-min(max(time.Until(until), 0), d))
+		l.mu.Unlock()
+	}
+	return err
+}
+
+// waits is how long the lane is taken already.
+func (l *lane) waits() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(time.Until(l.free), 0)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// chanceOf makes a generator for a name.
+func chanceOf(seed uint64, name string) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, xxhash.Sum64String(name)))
+}
+
