--- /dev/null
+++ b/cmd/sloetrestle/day.go
@@ -0,0 +1,223 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/spf13/cobra"
+
+	"sloetrestle/examples"
+	"sloetrestle/internal/day"
+	"sloetrestle/internal/judge"
+	"sloetrestle/internal/record"
+	"sloetrestle/internal/setup"
+)
+
+func dayCommand() *cobra.Command {
+	c := &cobra.Command{Use: "day", Short: "Play and judge scripted days"}
+	c.AddCommand(play(), judgeCommand(), kinds(), importDay())
+	return c
+}
+
+// show prints a verdict and tells by its error whether a rule was broken.
+func show(out io.Writer, v judge.Verdict, asJSON bool) error {
+	if asJSON {
+		raw, err := json.MarshalIndent(v, "", "  ")
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(out, string(raw))
+	} else {
+		fmt.Fprint(out, v.Text())
+	}
+	if !v.Kept() {
+		return errBroken
+	}
+	return nil
+}
+
+func perform(cmd *cobra.Command, d day.Day, record string, asJSON, quiet bool) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	stage := day.Stage{Serve: []string{self, "serve", "--level", "warn", "--config"}, Record: record}
+	if !quiet {
+		stage.Progress = cmd.ErrOrStderr()
+	}
+	v, err := day.Play(cmd.Context(), d, stage)
+	if err != nil {
+		return err
+	}
+	return show(cmd.OutOrStdout(), v, asJSON)
+}
+
+func play() *cobra.Command {
+	var to string
+	var asJSON, quiet bool
+	c := &cobra.Command{
+		Use: "play FILE", Short: "Play a day against real dispatchers, and judge it", Args: cobra.ExactArgs(1),
+		Long: `Play starts the day's dispatchers as processes of their own, with stand-ins for boxes, list and clients on
+loopback; plays the script; prints progress while it runs, then a table and each rule, kept or broken.`,
+		Example: "  sloetrestle day play examples/slow.toml --record /tmp/slow",
+		RunE: works(func(cmd *cobra.Command, args []string) error {
+			d, err := day.Load(args[0])
+			if err != nil {
+				return err
+			}
+			return perform(cmd, d, to, asJSON, quiet)
+		}),
+	}
+	c.Flags().StringVar(&to, "record", "", "folder to keep the record and the dispatchers' files in")
+	c.Flags().BoolVar(&asJSON, "json", false, "print the verdict as JSON")
+	c.Flags().BoolVar(&quiet, "quiet", false, "print no progress")
+	return c
+}
+
+func demo() *cobra.Command {
+	var asJSON, quiet bool
+	c := &cobra.Command{
+		Use: "demo", Short: "Play a built-in bad day of about 20 s", Args: cobra.NoArgs,
+		Long: "Demo plays examples/demo.toml, which is built in: nothing has to be set up. Its boxes are stand-ins.",
+		RunE: works(func(cmd *cobra.Command, _ []string) error {
+			d, err := day.Parse("demo.toml", examples.Demo)
+			if err != nil {
+				return err
+			}
+			return perform(cmd, d, "", asJSON, quiet)
+		}),
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "print the verdict as JSON")
+	c.Flags().BoolVar(&quiet, "quiet", false, "print no progress")
+	return c
+}
+
+func judgeCommand() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{
+		Use: "judge DIR", Short: "Judge a kept record again", Args: cobra.ExactArgs(1),
+		RunE: works(func(cmd *cobra.Command, args []string) error {
+			head, lines, err := record.Read(args[0])
+			if err != nil {
+				return err
+			}
+			return show(cmd.OutOrStdout(), judge.Judge(head, lines), asJSON)
+		}),
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "print the verdict as JSON")
+	return c
+}
+
+func kinds() *cobra.Command {
+	return &cobra.Command{Use: "kinds", Short: "List the kinds of trouble", Args: cobra.NoArgs, Run: func(cmd *cobra.Command, _ []string) {
+		for _, k := range day.Kinds {
+			fmt.Fprintf(cmd.OutOrStdout(), "%-17s %s", k.Name, k.What)
+			if len(k.Needs) > 0 {
+				fmt.Fprintf(cmd.OutOrStdout(), " (needs %v)", k.Needs)
+			}
+			fmt.Fprintln(cmd.OutOrStdout())
+		}
+	}}
+}
+
+func importDay() *cobra.Command {
+	var to string
+	var scale day.Scale
+	c := &cobra.Command{
+		Use: "import DAY.json -o FILE.toml", Short: "Turn a day drawn by the bench into a script", Args: cobra.ExactArgs(1),
+		RunE: works(func(cmd *cobra.Command, args []string) error {
+			raw, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			d, lost, err := day.Import(args[0], raw, scale)
+			if err != nil {
+				return err
+			}
+			for _, l := range lost {
+				fmt.Fprintln(cmd.ErrOrStderr(), "not carried over:", l)
+			}
+			var text bytes.Buffer
+			if err := toml.NewEncoder(&text).SetIndentTables(false).Encode(d); err != nil {
+				return err
+			}
+			if to == "" {
+				_, err = cmd.OutOrStdout().Write(text.Bytes())
+				return err
+			}
+			return os.WriteFile(to, text.Bytes(), 0o644)
+		}),
+	}
+	c.Flags().StringVarP(&to, "output", "o", "", "file to write; without it the script is printed")
+	c.Flags().Float64Var(&scale.Time, "time", 1, "scale of the day's length and of its troubles' times")
+	c.Flags().Float64Var(&scale.Rate, "rate", 1, "scale of the questions a second")
+	return c
+}
+
+// check looks at files of dispatchers and of days, told apart by their tables.
+func check() *cobra.Command {
+	return &cobra.Command{
+		Use: "check FILE...", Short: "Check files of dispatchers and of days", Args: cobra.MinimumNArgs(1),
+		RunE: works(func(cmd *cobra.Command, args []string) error {
+			bad := 0
+			for _, file := range args {
+				if err := checkFile(file); err != nil {
+					bad++
+					fmt.Fprintln(cmd.ErrOrStderr(), err)
+					continue
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: fine\n", file)
+			}
+			if bad > 0 {
+				return errBroken
+			}
+			return nil
+		}),
+	}
+}
+
+func checkFile(file string) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var tables map[string]any
+	if toml.Unmarshal(raw, &tables) == nil {
+		if _, isDay := tables["day"]; isDay {
+			_, err := day.Parse(file, raw)
+			return err
+		}
+	}
+	_, err = setup.Load(file)
+	return err
+}
+
+func state() *cobra.Command {
+	return &cobra.Command{
+		Use: "state ADDRESS", Short: "Print what a running dispatcher holds and has seen", Args: cobra.ExactArgs(1),
+		RunE: works(func(cmd *cobra.Command, args []string) error {
+			client := http.Client{Timeout: 5 * time.Second}
+			resp, err := client.Get("http://" + args[0] + "/state")
+			if err != nil {
+				return err
+			}
+			defer resp.Body.Close()
+			raw, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
+			if err != nil {
+				return err
+			}
+			var out bytes.Buffer
+			if err := json.Indent(&out, raw, "", "  "); err != nil {
+				return fmt.Errorf("%s answered no state: %.200s", args[0], raw)
+			}
+			_, err = out.WriteTo(cmd.OutOrStdout())
+			return err
+		}),
+	}
+}
--- /dev/null
+++ b/internal/day/day.go
@@ -0,0 +1,277 @@
+// Package day has a scripted day: its TOML form, the questions that clients will ask in it, its troubles, and the
+// run of it against real dispatcher processes with stand-ins around them. It judges nothing; the record that it
+// leaves is for internal/judge. Begin with Day, then Play.
+package day
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"sloetrestle/internal/setup"
+)
+
+// Day is a script.
+type Day struct {
+	Head     Head      `toml:"day"`
+	Links    Links     `toml:"links"`
+	List     List      `toml:"list"`
+	Clients  Clients   `toml:"clients"`
+	Boxes    []Boxes   `toml:"box"`
+	Traffic  []Traffic `toml:"traffic"`
+	Troubles []Trouble `toml:"trouble,omitempty"`
+	setup.Terms
+}
+
+// Head says how long and how much.
+type Head struct {
+	Name        string     `toml:"name"`
+	Length      setup.Span `toml:"length"`
+	Seed        uint64     `toml:"seed"`
+	Dispatchers int        `toml:"dispatchers"`
+	PerS        float64    `toml:"questions_a_second"`
+	Margin      setup.Span `toml:"margin"`       // of the dispatchers, off a client's time
+	FrontNotice setup.Span `toml:"front_notice"` // how long the front goes on sending to a killed dispatcher
+}
+
+// Links carry read states.
+type Links struct {
+	Near float64 `toml:"near_tokens_a_second"`
+	Far  float64 `toml:"far_tokens_a_second"`
+	Zone float64 `toml:"other_zone_times"`
+}
+
+// List is how late the box list is.
+type List struct {
+	Notice setup.Span `toml:"notice"`      // of starts and drains
+	Silent setup.Span `toml:"gone_notice"` // of processes that died
+}
+
+// Clients are how they behave.
+type Clients struct {
+	Retries     int        `toml:"retries"`
+	Wait        setup.Span `toml:"wait"`
+	Honour      float64    `toml:"honour"` // share that follows the advice
+	PatienceMin float64    `toml:"patience_min"`
+	PatienceMax float64    `toml:"patience_max"` // of the expiry, after which a try is given up
+}
+
+// Boxes are some alike.
+type Boxes struct {
+	Kind      string     `toml:"kind"`
+	Count     int        `toml:"count"`
+	Racks     []string   `toml:"racks"` // in turn
+	Zones     []string   `toml:"zones,omitempty"`
+	Slots     int        `toml:"slots"`
+	Queue     int        `toml:"queue"`
+	ReadPerS  float64    `toml:"read_tokens_a_second"`
+	TokenTime setup.Span `toml:"token_time"`
+	Units     float64    `toml:"units"`
+}
+
+// Traffic is what is asked of one grade.
+type Traffic struct {
+	Grade      string  `toml:"grade"`
+	Share      float64 `toml:"share"`
+	New        float64 `toml:"new_tokens"`
+	Answer     float64 `toml:"answer_tokens"`
+	Turns      float64 `toml:"turns"`
+	Shared     float64 `toml:"shared"`        // share of sessions that begin with a shared text
+	Beginnings int     `toml:"beginnings"`    // how many there are
+	Prefix     int     `toml:"shared_tokens"` // of each
+}
+
+// Trouble is something that goes wrong for a while.
+type Trouble struct {
+	Kind        string     `toml:"kind"`
+	At          setup.Span `toml:"at"`
+	Length      setup.Span `toml:"length,omitempty"`
+	Boxes       []string   `toml:"boxes,omitempty"` // names, or kinds for all of them
+	Dispatchers []int      `toml:"dispatchers,omitempty"`
+	Size        float64    `toml:"size,omitempty"`
+	Share       float64    `toml:"share,omitempty"`
+	Grade       string     `toml:"grade,omitempty"`
+	By          setup.Span `toml:"by,omitempty"`
+	Tokens      int        `toml:"tokens,omitempty"`
+}
+
+// kind says what a trouble is and which of its keys it needs.
+type kind struct {
+	Name, What string
+	Needs      []string
+}
+
+// Kinds lists the troubles.
+var Kinds = []kind{
+	{"slow", "boxes work size times slower", []string{"boxes", "size"}},
+	{"failing", "boxes answer a share of trips with an error at once, some after the effect", []string{"boxes", "share"}},
+	{"grade_failing", "boxes fail a share of one grade's trips", []string{"boxes", "share", "grade"}},
+	{"hang", "boxes take trips and say nothing", []string{"boxes"}},
+	{"crash", "boxes die at once and start cold after length", []string{"boxes"}},
+	{"crash_after_read", "readers die after a share of their reads, before the state is taken, and start cold after length", []string{"boxes", "share"}},
+	{"reset", "boxes cut a share of answers off mid-stream", []string{"boxes", "share"}},
+	{"reset_running", "boxes cut a share of trips off when they have begun to run, before a token", []string{"boxes", "share"}},
+	{"forget", "boxes forget their kept texts, once", []string{"boxes"}},
+	{"no_cancel", "a cancel or a time-out does not stop work at the boxes", []string{"boxes"}},
+	{"drain", "boxes drain; after length they are gone, and back cold a second later", []string{"boxes"}},
+	{"restart", "boxes restart cold, and the list says so as late as it is", []string{"boxes"}},
+	{"list_stale", "the list is later than usual by so much", []string{"by"}},
+	{"list_gap", "the next push of the list is lost", nil},
+	{"list_down", "the list is away", nil},
+	{"link_slow", "the racks' links are size times slower", []string{"size"}},
+	{"kill_dispatcher", "dispatchers are killed outright (SIGKILL) and start anew after length", []string{"dispatchers"}},
+	{"stop_dispatcher", "dispatchers are told to stop (SIGTERM) and start anew after length", []string{"dispatchers"}},
+	{"burst", "size times as many questions", []string{"size"}},
+	{"leave", "a share of clients leaves before the promised time, or mid-stream", []string{"share"}},
+	{"shared_text", "a share of questions opens new sessions with one unseen text of so many tokens", []string{"share", "tokens"}},
+	{"long_prompts", "a share of prompts is size times as long", []string{"share", "size"}},
+	{"slow_clients", "a share of clients takes its answer slowly, a piece every by", []string{"share", "by"}},
+}
+
+// Default is what a day starts from.
+func Default() Day {
+	return Day{
+		Terms: setup.DefaultTerms(),
+		Head: Head{Name: "day", Length: setup.Span(20 * time.Second), Seed: 1, Dispatchers: 2, PerS: 20,
+			Margin: setup.Span(40 * time.Millisecond), FrontNotice: setup.Span(time.Second)},
+		Links:   Links{Near: 250_000, Far: 400_000, Zone: 2},
+		List:    List{Notice: setup.Span(500 * time.Millisecond), Silent: setup.Span(2 * time.Second)},
+		Clients: Clients{Retries: 1, Wait: setup.Span(100 * time.Millisecond), Honour: 0.7, PatienceMin: 0.5, PatienceMax: 1},
+	}
+}
+
+// Load reads a script.
+func Load(file string) (Day, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return Day{}, err
+	}
+	return Parse(file, raw)
+}
+
+// Parse reads a script's text.
+func Parse(file string, raw []byte) (Day, error) {
+	d := Default()
+	return d, setup.Decode(file, raw, &d, d.check)
+}
+
+// The bounds of what one machine plays.
+const (
+	mostBoxes       = 200
+	mostDispatchers = 64
+	mostLength      = 30 * time.Minute
+	mostQuestions   = 500_000
+)
+
+func (d *Day) check() error {
+	h := d.Head
+	switch {
+	case h.Length <= 0 || h.Length.D() > mostLength:
+		return setup.Wrong("day.length", "must be above 0 and at most %v", mostLength)
+	case h.Dispatchers < 1 || h.Dispatchers > mostDispatchers:
+		return setup.Wrong("day.dispatchers", "must be from 1 to %d", mostDispatchers)
+	case h.PerS <= 0 || h.PerS*h.Length.D().Seconds() > mostQuestions:
+		return setup.Wrong("day.questions_a_second", "must be above 0 and come to at most %d questions", mostQuestions)
+	case d.Links.Near <= 0 || d.Links.Far <= 0:
+		return setup.Wrong("links", "must be above 0")
+	case d.Clients.PatienceMin <= 0 || d.Clients.PatienceMax < d.Clients.PatienceMin:
+		return setup.Wrong("clients.patience_min", "must be above 0 and not beyond patience_max")
+	case d.Clients.Retries < 0 || d.Clients.Retries > 10:
+		return setup.Wrong("clients.retries", "must be from 0 to 10")
+	case len(d.Traffic) == 0:
+		return setup.Wrong("traffic", "nothing is asked")
+	}
+	if err := d.Terms.Check(); err != nil {
+		return err
+	}
+	n := 0
+	for i, b := range d.Boxes {
+		at := fmt.Sprintf("box.%d.", i)
+		switch {
+		case d.KindNumber(b.Kind) < 0:
+			return setup.Wrong(at+"kind", "%q is not among the kinds", b.Kind)
+		case b.Count < 1:
+			return setup.Wrong(at+"count", "must be at least 1")
+		case len(b.Racks) == 0:
+			return setup.Wrong(at+"racks", "names no rack")
+		case b.Slots < 1 || b.Queue < 0:
+			return setup.Wrong(at+"slots", "slots must be at least 1, and queue not negative")
+		case b.ReadPerS <= 0:
+			return setup.Wrong(at+"read_tokens_a_second", "must be above 0")
+		case b.TokenTime <= 0:
+			return setup.Wrong(at+"token_time", "must be above 0")
+		}
+		for _, z := range b.Zones {
+			if d.ZoneNumber(z) < 0 {
+				return setup.Wrong(at+"zones", "%q is not among the zones", z)
+			}
+		}
+		n += b.Count
+	}
+	if n == 0 || n > mostBoxes {
+		return setup.Wrong("box", "%d boxes are stated; 1 to %d can be played", n, mostBoxes)
+	}
+	for i, t := range d.Traffic {
+		at := fmt.Sprintf("traffic.%d.", i)
+		switch {
+		case d.GradeNumber(t.Grade) < 0:
+			return setup.Wrong(at+"grade", "%q is not among the grades", t.Grade)
+		case t.Share < 0 || t.New <= 0 || t.Answer <= 0:
+			return setup.Wrong(at+"new_tokens", "new_tokens and answer_tokens must be above 0, and share not negative")
+		case t.Turns < 1:
+			return setup.Wrong(at+"turns", "must be at least 1")
+		case t.Shared > 0 && (t.Beginnings < 1 || t.Prefix < 1):
+			return setup.Wrong(at+"beginnings", "shared texts need beginnings and shared_tokens of at least 1")
+		}
+	}
+	names := d.names()
+	for i, t := range d.Troubles {
+		at := fmt.Sprintf("trouble.%d.", i)
+		k := slices.IndexFunc(Kinds, func(k kind) bool { return k.Name == t.Kind })
+		if k < 0 {
+			return setup.Wrong(at+"kind", "%q is unknown; see day kinds", t.Kind)
+		}
+		for _, need := range Kinds[k].Needs {
+			lacks := map[string]bool{"boxes": len(t.Boxes) == 0, "size": t.Size <= 0, "share": t.Share <= 0 || t.Share > 1, "grade": d.GradeNumber(t.Grade) < 0,
+				"by": t.By <= 0, "dispatchers": len(t.Dispatchers) == 0, "tokens": t.Tokens <= 0}
+			if lacks[need] {
+				return setup.Wrong(at+need, "%s needs it: %s", t.Kind, Kinds[k].What)
+			}
+		}
+		for _, b := range t.Boxes {
+			if !slices.ContainsFunc(names, func(n string) bool { return n == b || isOf(n, b) }) {
+				return setup.Wrong(at+"boxes", "%q is no box and no kind of this day", b)
+			}
+		}
+		for _, n := range t.Dispatchers {
+			if n < 0 || n >= h.Dispatchers {
+				return setup.Wrong(at+"dispatchers", "there is no dispatcher %d", n)
+			}
+		}
+	}
+	return nil
+}
+
+// isOf tells whether a box is of a kind, by its name.
+func isOf(box, kind string) bool {
+	i := strings.LastIndexByte(box, '-')
+	return i >= 0 && box[:i] == kind
+}
+
+// names lists the boxes: each kind's are numbered from 1.
+func (d *Day) names() []string {
+	var names []string
+	next := map[string]int{}
+	for _, b := range d.Boxes {
+		for range b.Count {
+			next[b.Kind]++
+			names = append(names, fmt.Sprintf("%s-%d", b.Kind, next[b.Kind]))
+		}
+	}
+	return names
+}
+
+func (d *Day) rng(what uint64) *rand.Rand { return rand.New(rand.NewPCG(d.Head.Seed, what)) }
--- /dev/null
+++ b/internal/day/play.go
@@ -0,0 +1,428 @@
+package day
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"golang.org/x/sync/errgroup"
+
+	"sloetrestle/internal/boxlist"
+	"sloetrestle/internal/judge"
+	"sloetrestle/internal/record"
+	"sloetrestle/internal/setup"
+	"sloetrestle/internal/standin"
+)
+
+// Stage is what a day is played with.
+type Stage struct {
+	Serve    []string  // the command that serves one dispatcher; its file's name is added
+	Env      []string  // added to its environment
+	Record   string    // folder for the record; empty: it is not kept
+	Progress io.Writer // lines while the day runs; nil: none
+}
+
+// run is a day being played.
+type run struct {
+	day         Day
+	stage       Stage
+	book        *record.Book
+	fleet       *standin.Fleet
+	list        *standin.List
+	boxes       map[string]*standin.Box
+	dispatchers []*process
+	dir         string
+	group       *errgroup.Group
+	counts      struct {
+		sync.Mutex
+		asked, satisfied, declined, forfeited, other int
+	}
+}
+
+// process is one dispatcher.
+type process struct {
+	number int
+	name   string
+	addr   string
+	file   string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{}
+	front   bool // the front sends here
+	wanted  bool // it should be running
+	lasting error
+}
+
+// Play plays a day and judges it.
+func Play(ctx context.Context, d Day, stage Stage) (judge.Verdict, error) {
+	r := &run{day: d, stage: stage, boxes: map[string]*standin.Box{}}
+	head := record.Head{Day: d.Head.Name, Seed: d.Head.Seed, Terms: d.Terms, Boxes: r.places()}
+	var err error
+	if r.book, err = record.Open(stage.Record, head); err != nil {
+		return judge.Verdict{}, err
+	}
+	defer r.book.Close()
+	r.book.Watch = r.count
+	if r.dir = stage.Record; r.dir == "" {
+		if r.dir, err = os.MkdirTemp("", "sloetrestle-day-"); err != nil {
+			return judge.Verdict{}, err
+		}
+		defer os.RemoveAll(r.dir)
+	}
+	if err := r.play(ctx); err != nil {
+		return judge.Verdict{}, err
+	}
+	v := judge.Judge(head, r.book.Lines())
+	return v, r.book.Close()
+}
+
+// play sets the day up, plays it and takes it down again.
+func (r *run) play(ctx context.Context) error {
+	h := r.day.Head
+	ports, err := freePorts(1 + len(r.day.names()) + 2*h.Dispatchers)
+	if err != nil {
+		return err
+	}
+	next := func() string { p := ports[0]; ports = ports[1:]; return fmt.Sprintf("127.0.0.1:%d", p) }
+	talk := map[string]standin.Talk{}
+	for _, t := range r.day.Traffic {
+		talk[t.Grade] = standin.Talk{New: t.New, Answer: t.Answer, Prefix: t.Prefix}
+	}
+	r.fleet = standin.NewFleet(r.day.Terms, r.book, standin.Links{Near: r.day.Links.Near, Far: r.day.Links.Far, Zone: r.day.Links.Zone}, talk)
+	defer r.fleet.Close()
+	r.list = r.fleet.NewList(next())
+	if err := r.list.Open(); err != nil {
+		return err
+	}
+	defer r.list.Shut()
+	for _, m := range r.makes(next) {
+		b := r.fleet.NewBox(m)
+		r.boxes[m.Name] = b
+		if err := b.Boot(false); err != nil {
+			return err
+		}
+		defer b.Kill("end of the day")
+		r.list.Publish(b, boxlist.Ready, 0)
+	}
+	if err := r.hire(next); err != nil {
+		return err
+	}
+	defer r.dismiss()
+	for _, p := range r.dispatchers {
+		if err := r.start(ctx, p); err != nil {
+			return err
+		}
+	}
+	wishes := r.day.Plan()
+	r.say("%s: %d boxes, %d dispatchers, %d questions in %v (stand-ins, not engines)", h.Name, len(r.boxes), len(r.dispatchers), len(wishes), h.Length.D())
+	clients := standin.NewClients(r.book, r.day.Model, r.front)
+	defer clients.Close()
+	began := time.Now()
+	wait := func(ctx context.Context, at time.Duration) bool {
+		select {
+		case <-time.After(time.Until(began.Add(at))):
+			return ctx.Err() == nil
+		case <-ctx.Done():
+			return false
+		}
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	r.group = group
+	for _, t := range r.day.Troubles {
+		group.Go(func() error {
+			if wait(ctx, t.At.D()) {
+				return r.trouble(ctx, t, func(after time.Duration) bool { return wait(ctx, t.At.D()+after) })
+			}
+			return nil
+		})
+	}
+	ended := make(chan struct{})
+	group.Go(func() error {
+		defer close(ended)
+		var asking sync.WaitGroup
+		for _, w := range wishes {
+			if !wait(ctx, w.At) {
+				break
+			}
+			asking.Add(1)
+			go func() { defer asking.Done(); clients.Ask(ctx, w) }()
+		}
+		asking.Wait()
+		return nil
+	})
+	group.Go(func() error {
+		for {
+			select {
+			case <-ended:
+				return nil
+			case <-time.After(time.Second):
+				r.progress(time.Since(began))
+			}
+		}
+	})
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	// What is released late is still seen.
+	time.Sleep(r.day.Rules.Pin.D() + 100*time.Millisecond)
+	return r.died()
+}
+
+func (r *run) say(format string, args ...any) {
+	if r.stage.Progress != nil {
+		fmt.Fprintf(r.stage.Progress, format+"\n", args...)
+	}
+}
+
+func (r *run) count(l record.Line) {
+	c := &r.counts
+	c.Lock()
+	defer c.Unlock()
+	switch {
+	case l.What == record.Asked:
+		c.asked++
+	case l.What == record.Final && l.Word == "satisfied":
+		c.satisfied++
+	case l.What == record.Final && l.Word == "declined":
+		c.declined++
+	case l.What == record.Final && l.Word == "forfeited":
+		c.forfeited++
+	case l.What == record.Quit || l.What == record.Cut || l.What == record.Final:
+		c.other++
+	}
+}
+
+func (r *run) progress(at time.Duration) {
+	c := &r.counts
+	c.Lock()
+	defer c.Unlock()
+	r.say("%4.0f s  tries %5d  satisfied %5d  declined %4d  forfeited %4d  left or cut %4d  open %4d", at.Seconds(),
+		c.asked, c.satisfied, c.declined, c.forfeited, c.other, c.asked-c.satisfied-c.declined-c.forfeited-c.other)
+}
+
+// places lists where the boxes stand.
+func (r *run) places() []record.Place {
+	var out []record.Place
+	for _, m := range r.makes(func() string { return "" }) {
+		out = append(out, record.Place{Name: m.Name, Kind: m.Kind, Role: m.Role, Zone: m.Zone, Rack: m.Rack})
+	}
+	return out
+}
+
+func (r *run) makes(addr func() string) []standin.Make {
+	var out []standin.Make
+	next := map[string]int{}
+	for _, b := range r.day.Boxes {
+		k := r.day.Kinds[r.day.KindNumber(b.Kind)]
+		for range b.Count {
+			i := next[b.Kind]
+			next[b.Kind]++
+			zone := r.day.Zones[0]
+			if len(b.Zones) > 0 {
+				zone = b.Zones[i%len(b.Zones)]
+			}
+			out = append(out, standin.Make{
+				Name: fmt.Sprintf("%s-%d", b.Kind, i+1), Kind: b.Kind, Role: k.Role, Zone: zone, Rack: b.Racks[i%len(b.Racks)],
+				Slots: b.Slots, Queue: b.Queue, Memory: k.Memory, ReadPerS: b.ReadPerS, TokenTime: b.TokenTime.D(), Units: max(b.Units, 1),
+				Address: addr(), Seed: r.day.Head.Seed,
+			})
+		}
+	}
+	return out
+}
+
+// hire writes the files of the dispatchers.
+func (r *run) hire(next func() string) error {
+	h := r.day.Head
+	var peers []string
+	for i := range h.Dispatchers {
+		r.dispatchers = append(r.dispatchers, &process{number: i, name: fmt.Sprintf("d%d", i), addr: next()})
+		peers = append(peers, next())
+	}
+	for i, p := range r.dispatchers {
+		d := setup.DefaultDispatcher()
+		d.Terms = r.day.Terms
+		d.Place.Name, d.Place.Number, d.Place.Siblings = p.name, i, h.Dispatchers
+		d.Place.Zone = r.day.Zones[i%len(r.day.Zones)]
+		d.Place.Listen, d.Place.Boxes, d.Place.Keep = p.addr, r.list.Address, r.dir
+		d.Place.News, d.Place.Peers, d.Place.Margin = peers[i], peers, h.Margin
+		d.Place.Seed = h.Seed*1000 + uint64(i) + 1
+		raw, err := toml.Marshal(d)
+		if err != nil {
+			return err
+		}
+		p.file = filepath.Join(r.dir, p.name+".toml")
+		if err := os.WriteFile(p.file, raw, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startTime is how long a dispatcher may take to be ready.
+const startTime = 15 * time.Second
+
+// start runs a dispatcher's process and waits until it is ready.
+func (r *run) start(ctx context.Context, p *process) error {
+	log, err := os.OpenFile(filepath.Join(r.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	args := append(append([]string(nil), r.stage.Serve[1:]...), p.file)
+	cmd := exec.Command(r.stage.Serve[0], args...)
+	cmd.Stderr, cmd.Stdout, cmd.Env = log, log, append(os.Environ(), r.stage.Env...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive the day
+	if err := cmd.Start(); err != nil {
+		log.Close()
+		return fmt.Errorf("%s: %w", p.name, err)
+	}
+	done := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.done, p.wanted = cmd, done, true
+	p.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		log.Close()
+		p.mu.Lock()
+		if p.wanted {
+			p.lasting, p.front, p.wanted = fmt.Errorf("%s ended by itself: %v; its log ends: %s", p.name, err, tail(log.Name())), false, false
+			r.book.Put(record.Line{What: record.Down, Dispatcher: p.name, Word: "died"})
+		}
+		p.mu.Unlock()
+		close(done)
+	}()
+	for end := time.Now().Add(startTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		select {
+		case <-done:
+			return p.lasting
+		case <-ctx.Done():
+			return ctx.Err()
+		default:
+		}
+		if ready(p.addr) {
+			r.book.Put(record.Line{What: record.Up, Dispatcher: p.name})
+			p.mu.Lock()
+			p.front = true
+			p.mu.Unlock()
+			return nil
+		}
+	}
+	return fmt.Errorf("%s was not ready within %v; its log ends: %s", p.name, startTime, tail(log.Name()))
+}
+
+// tail is the end of a file, for an error.
+func tail(file string) string {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw[max(0, len(raw)-400):])
+}
+
+func ready(addr string) bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + addr + "/v2/health/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// kill ends a dispatcher outright. The front goes on sending there for a while.
+func (r *run) kill(p *process) {
+	p.mu.Lock()
+	cmd, done := p.cmd, p.done
+	p.wanted = false
+	p.mu.Unlock()
+	r.book.Put(record.Line{What: record.Down, Dispatcher: p.name, Word: "killed"})
+	cmd.Process.Kill()
+	<-done
+	time.AfterFunc(r.day.Head.FrontNotice.D(), func() {
+		p.mu.Lock()
+		p.front = p.front && p.wanted
+		p.mu.Unlock()
+	})
+}
+
+// stop asks a dispatcher to stop; the front reads its readiness, and sends there no more.
+func (r *run) stop(p *process) {
+	p.mu.Lock()
+	p.front, p.wanted = false, false
+	cmd, done := p.cmd, p.done
+	p.mu.Unlock()
+	r.book.Put(record.Line{What: record.Note, Dispatcher: p.name, Word: "told to stop"})
+	cmd.Process.Signal(syscall.SIGTERM)
+	<-done
+	r.book.Put(record.Line{What: record.Note, Dispatcher: p.name, Word: "stopped"})
+}
+
+// dismiss stops all dispatchers at the end of the day.
+func (r *run) dismiss() {
+	var all sync.WaitGroup
+	for _, p := range r.dispatchers {
+		p.mu.Lock()
+		runs := p.cmd != nil && p.wanted
+		p.mu.Unlock()
+		if runs {
+			all.Add(1)
+			go func() { defer all.Done(); r.stop(p) }()
+		}
+	}
+	all.Wait()
+}
+
+// died names a dispatcher that ended by itself.
+func (r *run) died() error {
+	var errs []error
+	for _, p := range r.dispatchers {
+		p.mu.Lock()
+		errs = append(errs, p.lasting)
+		p.mu.Unlock()
+	}
+	return errors.Join(errs...)
+}
+
+// front spreads tries over the dispatchers that it believes in.
+func (r *run) front(seed uint64) (string, string) {
+	var up []*process
+	for _, p := range r.dispatchers {
+		p.mu.Lock()
+		if p.front {
+			up = append(up, p)
+		}
+		p.mu.Unlock()
+	}
+	if len(up) == 0 {
+		return "", ""
+	}
+	p := up[(seed*0x9e3779b97f4a7c15>>33)%uint64(len(up))]
+	return p.name, p.addr
+}
+
+// freePorts finds ports below those that the system gives to outgoing connections: else one could be taken
+// while its box is down.
+func freePorts(n int) ([]int, error) {
+	var found []int
+	for p := 12000 + (os.Getpid()*131)%16000; p < 32000 && len(found) < n; p++ {
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p)); err == nil {
+			l.Close()
+			found = append(found, p)
+		}
+	}
+	if len(found) < n {
+		return nil, fmt.Errorf("%d free ports were found of %d", len(found), n)
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/day/troubles.go
@@ -0,0 +1,195 @@
+package day
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"sloetrestle/internal/boxlist"
+	"sloetrestle/internal/record"
+	"sloetrestle/internal/standin"
+)
+
+// hit lists the boxes that a trouble names, in the order of their names.
+func (r *run) hit(t Trouble) []*standin.Box {
+	var hit []*standin.Box
+	for _, name := range r.day.names() {
+		if slices.ContainsFunc(t.Boxes, func(b string) bool { return b == name || isOf(name, b) }) {
+			hit = append(hit, r.boxes[name])
+		}
+	}
+	return hit
+}
+
+// trouble begins a trouble, waits for its length, and ends it. Those of the questions themselves are in the plan.
+func (r *run) trouble(ctx context.Context, t Trouble, wait func(time.Duration) bool) error {
+	r.book.Put(record.Line{What: record.Note, Word: t.Kind + " begins"})
+	r.say("        %s begins", t.Kind)
+	hit, length := r.hit(t), t.Length.D()
+	faults := func(change func(*standin.Faults)) {
+		for _, b := range hit {
+			b.Do(change)
+		}
+	}
+	var err error
+	switch t.Kind {
+	case "slow":
+		faults(func(f *standin.Faults) { f.Slow = t.Size })
+		wait(length)
+		faults(func(f *standin.Faults) { f.Slow = 0 })
+	case "failing", "grade_failing":
+		faults(func(f *standin.Faults) { f.Fail, f.FailGrade = t.Share, t.Grade })
+		wait(length)
+		faults(func(f *standin.Faults) { f.Fail = 0 })
+	case "hang":
+		faults(func(f *standin.Faults) { f.Hang = true })
+		wait(length)
+		faults(func(f *standin.Faults) { f.Hang = false })
+	case "reset":
+		faults(func(f *standin.Faults) { f.Reset = t.Share })
+		wait(length)
+		faults(func(f *standin.Faults) { f.Reset = 0 })
+	case "reset_running":
+		faults(func(f *standin.Faults) { f.ResetAtOnce = t.Share })
+		wait(length)
+		faults(func(f *standin.Faults) { f.ResetAtOnce = 0 })
+	case "no_cancel":
+		faults(func(f *standin.Faults) { f.Ignore = true })
+		wait(length)
+		faults(func(f *standin.Faults) { f.Ignore = false })
+	case "forget":
+		for _, b := range hit {
+			b.Forget()
+		}
+	case "crash":
+		for _, b := range hit {
+			r.lose(b, "crashed", length)
+		}
+		wait(length)
+		err = r.back(hit)
+	case "crash_after_read":
+		faults(func(f *standin.Faults) { f.CrashAfterRead = t.Share })
+		err = r.crashing(hit, length, wait)
+	case "restart":
+		for _, b := range hit {
+			b.Kill("restarted")
+		}
+		err = r.back(hit)
+	case "drain":
+		for _, b := range hit {
+			r.list.Publish(b, boxlist.Draining, r.day.List.Notice.D())
+		}
+		wait(length)
+		for _, b := range hit {
+			b.Kill("drained")
+			r.list.Publish(b, boxlist.Gone, r.day.List.Notice.D())
+		}
+		wait(length + time.Second)
+		err = r.back(hit)
+	case "list_stale":
+		r.list.Stale(t.By.D())
+		wait(length)
+		r.list.Stale(0)
+	case "list_gap":
+		r.list.Skip()
+	case "list_down":
+		r.list.Shut()
+		wait(length)
+		err = r.list.Open()
+	case "link_slow":
+		r.fleet.SlowLinks(t.Size)
+		wait(length)
+		r.fleet.SlowLinks(1)
+	case "kill_dispatcher", "stop_dispatcher":
+		err = r.restart(ctx, t, wait)
+	default:
+		wait(length)
+	}
+	r.book.Put(record.Line{What: record.Note, Word: t.Kind + " ends"})
+	r.say("        %s ends", t.Kind)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// lose kills a box; the list notices after a while, unless it is back before.
+func (r *run) lose(b *standin.Box, why string, away time.Duration) {
+	b.Kill(why)
+	if silent := r.day.List.Silent.D(); away > silent {
+		r.list.Publish(b, boxlist.Gone, silent)
+	}
+}
+
+// back starts boxes cold; the list tells of it as late as it is.
+func (r *run) back(boxes []*standin.Box) error {
+	for _, b := range boxes {
+		if b.Up() {
+			continue
+		}
+		if err := b.Boot(true); err != nil {
+			return err
+		}
+		r.list.Publish(b, boxlist.Ready, r.day.List.Notice.D())
+	}
+	return nil
+}
+
+// crashing brings boxes that die one by one back, each a while after its death.
+func (r *run) crashing(hit []*standin.Box, length time.Duration, wait func(time.Duration) bool) error {
+	const step = 50 * time.Millisecond
+	const away = time.Second
+	down := map[*standin.Box]time.Duration{}
+	for at := time.Duration(0); at < length+away+step; at += step {
+		if !wait(at) {
+			return nil
+		}
+		if at >= length {
+			for _, b := range hit {
+				b.Do(func(f *standin.Faults) { f.CrashAfterRead = 0 })
+			}
+		}
+		for _, b := range hit {
+			since, known := down[b]
+			switch {
+			case b.Up():
+				delete(down, b)
+			case !known:
+				down[b] = at
+			case at-since >= away:
+				if err := r.back([]*standin.Box{b}); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return r.back(hit)
+}
+
+// restart ends dispatchers and starts them anew, all at once.
+func (r *run) restart(ctx context.Context, t Trouble, wait func(time.Duration) bool) error {
+	var all sync.WaitGroup
+	for _, n := range t.Dispatchers {
+		p := r.dispatchers[n]
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if t.Kind == "kill_dispatcher" {
+				r.kill(p)
+			} else {
+				r.stop(p)
+			}
+		}()
+	}
+	all.Wait()
+	if !wait(t.Length.D()) {
+		return nil
+	}
+	for _, n := range t.Dispatchers {
+		if err := r.start(ctx, r.dispatchers[n]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -199,4 +199,3 @@
 func chanceOf(seed uint64, name string) *rand.Rand {
 	return rand.New(rand.NewPCG(seed, xxhash.Sum64String(name)))
 }
-
