--- /dev/null
+++ b/cmd/benchlink/same_test.go
@@ -0,0 +1,308 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/boxlist"
+	"sloetrestle/internal/dispatch"
+	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/setup"
+	"sloetrestle/internal/wire"
+)
+
+// rec is one record of a batch: its fields are put at their places.
+type rec [56]byte
+
+func (r *rec) u32(at int, v uint32) { binary.BigEndian.PutUint32(r[at:], v) }
+func (r *rec) u64(at int, v uint64) { binary.BigEndian.PutUint64(r[at:], v) }
+func (r *rec) f32(at int, v float64) {
+	binary.BigEndian.PutUint32(r[at:], math.Float32bits(float32(v)))
+}
+
+func event(t *testing.T, r rec, tail []byte) wire.Event {
+	t.Helper()
+	raw := binary.BigEndian.AppendUint32(nil, 1)
+	raw = binary.BigEndian.AppendUint32(raw, uint32(8+len(r)+len(tail)))
+	raw = binary.BigEndian.AppendUint64(raw, 0)
+	b, err := wire.NewReader(bytes.NewReader(append(append(raw, r[:]...), tail...))).Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b.Events[0]
+}
+
+// bench drives the module through the simulator's wire.
+type bench struct {
+	t       *testing.T
+	in      *instance
+	reply   *wire.Reply
+	clock   uint64
+	wakes   []due
+	actions []string
+	sent    map[uint64]uint32 // the host of each question's last trip
+}
+
+type due struct {
+	at  uint64
+	ctx uint32
+}
+
+func (b *bench) take(r rec, tail []byte) {
+	b.in.take(event(b.t, r, tail), b.clock)
+	b.collect()
+}
+
+// collect reads the actions out of the reply.
+func (b *bench) collect() {
+	var out bytes.Buffer
+	if _, err := b.reply.WriteTo(&out); err != nil {
+		b.t.Fatal(err)
+	}
+	raw := out.Bytes()[8:]
+	for ; len(raw) >= 24; raw = raw[24:] {
+		u32 := func(at int) uint32 { return binary.BigEndian.Uint32(raw[at:]) }
+		id := binary.BigEndian.Uint64(raw[3:])
+		switch raw[0] {
+		case 10:
+			b.sent[id] = u32(11)
+			b.actions = append(b.actions, fmt.Sprintf("%d send %d to %d for %d", b.clock, id, u32(11), u32(15)))
+		case 20:
+			b.actions = append(b.actions, fmt.Sprintf("%d decline %d for %d", b.clock, id, u32(11)/1000))
+		case 30:
+			b.actions = append(b.actions, fmt.Sprintf("%d forfeit %d", b.clock, id))
+		case 40:
+			b.actions = append(b.actions, fmt.Sprintf("%d cancel %d", b.clock, id))
+		case 50:
+			b.wakes = append(b.wakes, due{b.clock + uint64(u32(3)), u32(7)})
+		}
+	}
+}
+
+func (b *bench) due() {
+	for {
+		i := -1
+		for j, w := range b.wakes {
+			if w.at <= b.clock && (i < 0 || w.at < b.wakes[i].at) {
+				i = j
+			}
+		}
+		if i < 0 {
+			return
+		}
+		var r rec
+		r[0] = wire.Due
+		r.u32(3, b.wakes[i].ctx)
+		b.wakes = slices.Delete(b.wakes, i, i+1)
+		b.take(r, nil)
+	}
+}
+
+// carrier takes down what the dispatcher's door is asked to carry.
+type carrier struct {
+	now     time.Duration
+	actions []string
+	flights map[uint64]*dispatch.Flight
+}
+
+func (c *carrier) note(format string, args ...any) {
+	c.actions = append(c.actions, fmt.Sprintf("%d ", c.now.Microseconds())+fmt.Sprintf(format, args...))
+}
+
+func (c *carrier) Carry(f *dispatch.Flight) {
+	c.flights[f.Trip.Question.ID] = f
+	c.note("send %d to %d for %d", f.Trip.Question.ID, f.Trip.Host.ID, f.Wait.Microseconds())
+}
+func (c *carrier) Release(*dispatch.Box, string) {}
+func (c *carrier) Tell(int, brain.News)          {}
+
+// The bench is a regression test of the running dispatcher only as long as both hosts of the module get the same
+// decisions out of the same sequence.
+func TestBothDoorsActAlike(t *testing.T) {
+	d := setup.DefaultDispatcher()
+	for i, effect := range []string{"idempotent", "deduplicated", "unrepeatable"} {
+		d.Grades = append(d.Grades, setup.Grade{Name: effect, Effect: effect, Reach: "all", Window: setup.Span(2 * time.Second),
+			Promised: setup.Span(time.Second), Expiry: setup.Span(4 * time.Second), Benefit: float64(i + 1), Late: 0.2, Most: 60})
+	}
+	d.Kinds = []setup.Kind{{Name: "reader", Role: "reader", Memory: 2e5}, {Name: "writer", Role: "writer", Memory: 1e5}, {Name: "mixed", Role: "mixed", Memory: 1e5}}
+	d.Report = []string{"util", "queue"}
+	info, err := json.Marshal(d.Facts())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const seed = 99
+	c := &carrier{flights: map[uint64]*dispatch.Flight{}}
+	loop, err := dispatch.NewLoop(context.Background(), d.Facts(), seed, dispatch.Places{Zone: d.ZoneNumber, Kind: d.KindNumber}, c,
+		func() time.Duration { return c.now }, "d", slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, reply: &wire.Reply{}, sent: map[uint64]uint32{}}
+	var begin rec
+	begin[0] = wire.Start
+	begin.u64(3, seed)
+	begin.u32(15, uint32(len(info)))
+	b.in = start(event(t, begin, info), 0, b.reply)
+	b.collect()
+
+	kinds := []string{"reader", "reader", "reader", "writer", "writer", "writer", "mixed"}
+	list := func(standing func(i int) int) {
+		var lines []boxlist.Box
+		var tail []byte
+		for i, kind := range kinds {
+			name, rack, s := fmt.Sprintf("%s-%d", kind, i), fmt.Sprintf("rack-%d", i%2), standing(i)
+			line := boxlist.Box{Name: name, Address: "a:1", Kind: kind, Zone: "here", Rack: rack, Standing: [...]string{"draining", "ready", "gone"}[s], Units: 2, UpMs: -1}
+			e := make([]byte, 22)
+			binary.BigEndian.PutUint32(e, dispatch.HostID(name))
+			binary.BigEndian.PutUint16(e[5:], uint16(d.KindNumber(kind)))
+			binary.BigEndian.PutUint16(e[7:], uint16(i%2))
+			e[9] = byte(s)
+			binary.BigEndian.PutUint32(e[10:], math.Float32bits(2))
+			if i == 4 { // one that has just started
+				line.Start, line.UpMs = 5, 1
+				binary.BigEndian.PutUint64(e[14:], b.clock-1000)
+			}
+			lines, tail = append(lines, line), append(tail, e...)
+		}
+		var r rec
+		r[0], r[11] = wire.Announce, 1
+		r.u32(16, uint32(len(lines)))
+		b.take(r, tail)
+		loop.Do(func() { loop.Listed(lines, true) })
+	}
+	tick := func() {
+		b.clock += 2000
+		c.now += 2 * time.Millisecond
+		b.due()
+		loop.Due()
+	}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	asked := map[uint64]*dispatch.Asked{}
+	codes := map[brain.Outcome]uint16{brain.Answered: 200, brain.Read: 210, brain.Failed: 500, brain.Full: 503, brain.TimedOut: 504, brain.Unreached: 502, brain.Broken: 598}
+	end := func(id uint64, f *dispatch.Flight, o brain.Outcome, note int) {
+		took := (c.now - f.Trip.Sent).Microseconds()
+		over := o == brain.Answered || f.Trip.Began > 0
+		load := []float64{0.5, 3}
+		var r rec
+		r[0], r[11] = wire.Resolved, byte(f.Trip.Number)
+		r.u64(3, id)
+		r.u32(12, f.Trip.Host.ID)
+		binary.BigEndian.PutUint16(r[16:], codes[o])
+		r.u32(18, uint32(took))
+		if over || f.Trip.Question.Over {
+			r[22] = 1
+		}
+		r.u32(23, uint32(note))
+		r[27] = 2
+		r.f32(28, load[0])
+		r.f32(32, load[1])
+		b.take(r, nil)
+		delete(c.flights, id)
+		loop.Do(func() { loop.Ended(f, brain.Result{Outcome: o, Note: note, Load: load}) })
+	}
+	tick()
+	list(func(int) int { return 1 })
+	for step := range 15000 {
+		tick()
+		if step%15 == 0 {
+			id := uint64(len(asked) + 1)
+			grade, tokens := rng.IntN(3), 200+rng.IntN(4000)
+			session, shared := fmt.Sprint("s", rng.IntN(200)), fmt.Sprint("b", rng.IntN(9))
+			a := &dispatch.Asked{Ask: kserve.Ask{Tokens: tokens, Prefix: 100, Most: 60, Session: session, Shared: shared}}
+			asked[id] = a
+			var r rec
+			r[0], r[36] = wire.Incoming, byte(grade)
+			r.u64(3, id)
+			r.u64(11, dispatch.Number(session))
+			r.f32(20, 60)
+			r.u64(24, dispatch.Number(shared))
+			r.f32(32, float64(tokens))
+			r.u32(41, 3_000_000)
+			r.f32(45, 100)
+			b.take(r, nil)
+			loop.Do(func() { loop.Arrive(a, grade, 0, 3*time.Second) })
+		}
+		if step == 7000 {
+			list(func(i int) int { return []int{1, 0, 1, 1, 2, 1, 1}[i] })
+		}
+		var ids []uint64
+		for id := range c.flights {
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		for _, id := range ids {
+			f := c.flights[id]
+			age := c.now - f.Trip.Sent
+			switch p := rng.Float64(); {
+			case age >= f.Wait && f.Trip.Began == 0:
+				end(id, f, brain.TimedOut, 0)
+			case p < 0.001:
+				end(id, f, brain.Failed, 0)
+			case p < 0.002:
+				end(id, f, brain.Broken, 0)
+			case f.Trip.Began > 0 && p < 0.05:
+				end(id, f, brain.Answered, 40)
+			case f.Trip.Began > 0:
+			case p < 0.0021:
+				end(id, f, brain.Unreached, 0)
+			case p < 0.003:
+				end(id, f, brain.Full, 0)
+			case p < 0.12 && f.Trip.Stage == brain.ToRead:
+				end(id, f, brain.Read, 100)
+			case p < 0.12:
+				var r rec
+				r[0], r[11] = wire.First, byte(f.Trip.Number)
+				r.u64(3, id)
+				r.u32(12, f.Trip.Host.ID)
+				r.u32(16, uint32(age.Microseconds()))
+				b.take(r, nil)
+				loop.Do(func() { loop.Began(f) })
+			case p < 0.122 && !f.Trip.Question.Over:
+				var r rec
+				r[0] = wire.Aborted
+				r.u64(3, id)
+				b.take(r, nil)
+				a := asked[id]
+				loop.Do(func() { loop.Left(a) })
+			}
+		}
+	}
+	// A final answer lies with its question in the program; on the wire it is an action.
+	var sends []string
+	finals := map[string]int{}
+	for _, a := range b.actions {
+		switch {
+		case bytes.Contains([]byte(a), []byte("send")):
+			sends = append(sends, a)
+		case bytes.Contains([]byte(a), []byte("decline")):
+			finals[kserve.Declined]++
+		case bytes.Contains([]byte(a), []byte("forfeit")):
+			finals[kserve.Forfeited]++
+		}
+	}
+	if len(sends) < 800 || finals[kserve.Forfeited] == 0 {
+		t.Fatalf("the sequence is too tame: %d sends, finals %v", len(sends), finals)
+	}
+	for i := range min(len(sends), len(c.actions)) {
+		if sends[i] != c.actions[i] {
+			t.Fatalf("action %d: bench %q, dispatcher %q", i, sends[i], c.actions[i])
+		}
+	}
+	if len(sends) != len(c.actions) {
+		t.Errorf("bench sends %d trips, the dispatcher %d", len(sends), len(c.actions))
+	}
+	if l := loop.Tally; int(l.Declined) != finals[kserve.Declined] || int(l.Forfeited) < finals[kserve.Forfeited] {
+		t.Errorf("bench declines %d and forfeits %d, the dispatcher %d and %d", finals[kserve.Declined], finals[kserve.Forfeited], l.Declined, l.Forfeited)
+	}
+}
--- a/internal/begins/begins_test.go
+++ b/internal/begins/begins_test.go
@@ -20,7 +20,7 @@
 	if n != 3*block/toEach || key == 0 {
 		t.Errorf("the second session shares %d tokens", n)
 	}
-	if again, _ := table.Find(3*time.Second, 3, one); again != key {
+	if again, _ := table.Find(3*time.Second, 3, common+strings.Repeat("d", 2*block)); again != key {
 		t.Errorf("the third session's beginning has key %x, not %x", again, key)
 	}
 	if _, n := table.Find(3*turn, 4, one); n == 0 {
@@ -28,7 +28,7 @@
 	}
 	table.Find(5*turn, 9, "")
 	table.Find(7*turn, 9, "")
-	if _, n := table.Find(7*turn, 5, one); n != 0 {
+	if _, n := table.Find(7*turn, 5, two); n != 0 {
 		t.Errorf("%d tokens are remembered past two turns", n)
 	}
 }
--- /dev/null
+++ b/internal/dispatch/loop_test.go
@@ -0,0 +1,204 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/boxlist"
+	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/setup"
+)
+
+// hand takes trips and releases down instead of sending them; the test moves its clock.
+type hand struct {
+	now      time.Duration
+	flights  []*Flight
+	released []string
+}
+
+func (h *hand) Carry(f *Flight)            { h.flights = append(h.flights, f) }
+func (h *hand) Release(b *Box, key string) { h.released = append(h.released, b.Name) }
+func (h *hand) Tell(int, brain.News)       {}
+
+func terms(effect string) setup.Dispatcher {
+	d := setup.DefaultDispatcher()
+	d.Grades = []setup.Grade{{Name: "g", Effect: effect, Reach: "all", Window: setup.Span(3 * time.Second), Promised: setup.Span(time.Second),
+		Expiry: setup.Span(4 * time.Second), Benefit: 1, Most: 50}}
+	d.Kinds = []setup.Kind{{Name: "reader", Role: "reader", Memory: 1e5}, {Name: "writer", Role: "writer", Memory: 1e5}}
+	return d
+}
+
+func box(name, kind, standing string) boxlist.Box {
+	return boxlist.Box{Name: name, Address: name + ":1", Kind: kind, Standing: standing, Units: 1, UpMs: -1}
+}
+
+// settled makes a loop that knows two readers and two writers.
+func settled(t *testing.T, effect string) (*Loop, *hand) {
+	t.Helper()
+	h := &hand{now: time.Second}
+	d := terms(effect)
+	l, err := NewLoop(context.Background(), d.Facts(), 1, Places{d.ZoneNumber, d.KindNumber}, h, func() time.Duration { return h.now }, "d0.x",
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Do(func() {
+		l.Listed([]boxlist.Box{box("r1", "reader", "ready"), box("r2", "reader", "ready"), box("w1", "writer", "ready"), box("w2", "writer", "ready")}, true)
+	})
+	return l, h
+}
+
+func asks(l *Loop, left time.Duration) *Asked {
+	a := &Asked{Ask: kserve.Ask{Tokens: 2000, Most: 50, Session: "s"}, Grade: "g"}
+	l.Do(func() { l.Arrive(a, 0, 0, left) })
+	return a
+}
+
+func (h *hand) last() *Flight { return h.flights[len(h.flights)-1] }
+
+func final(t *testing.T, a *Asked) kserve.Final {
+	t.Helper()
+	select {
+	case f := <-a.final:
+		return f
+	default:
+		t.Fatal("no final answer")
+		return kserve.Final{}
+	}
+}
+
+func TestALateTripEndsOnceAndItsStateIsLetGo(t *testing.T) {
+	l, h := settled(t, "idempotent")
+	a := asks(l, 4*time.Second)
+	f := h.last()
+	h.now += f.Wait + time.Millisecond
+	l.Due()
+	if context.Cause(f.ctx) != errLate {
+		t.Fatalf("the flight was called off for %v", context.Cause(f.ctx))
+	}
+	l.Do(func() { l.Ended(f, brain.Result{Outcome: brain.TimedOut}) })
+	l.Do(func() { l.Ended(f, brain.Result{Outcome: brain.Read}) })
+	if len(h.released) != 1 {
+		t.Errorf("releases %v: a read cut off may have left its state", h.released)
+	}
+	if len(a.Question.Trips) == 1 && !a.answered {
+		t.Error("neither another trip nor an answer")
+	}
+}
+
+// A first token that arrives in the moment when the trip's time is up must not be shown to the client: the trip ends as
+// timed out, and another one may follow.
+func TestAFirstTokenAfterTheTripsTimeDoesNotCount(t *testing.T) {
+	l, h := settled(t, "idempotent")
+	a := asks(l, 4*time.Second)
+	l.Do(func() { l.Ended(h.last(), brain.Result{Outcome: brain.Read}) })
+	f := h.last()
+	if f.Trip.Stage != brain.ToWrite || f.State == nil {
+		t.Fatalf("stage %d, state %v", f.Trip.Stage, f.State)
+	}
+	h.now += f.Wait
+	l.Due()
+	l.Do(func() { l.Began(f) })
+	if len(a.began) != 0 {
+		t.Error("the stream was handed to the client")
+	}
+}
+
+func TestAClientThatLeavesMidStreamEndsItsTrip(t *testing.T) {
+	l, h := settled(t, "unrepeatable")
+	a := asks(l, 4*time.Second)
+	l.Do(func() { l.Ended(h.last(), brain.Result{Outcome: brain.Read}) })
+	f := h.last()
+	l.Do(func() { l.Began(f) })
+	l.Do(func() { l.Left(a) })
+	if context.Cause(f.ctx) != errLeft {
+		t.Error("the stream goes on unread")
+	}
+	l.Do(func() { l.Ended(f, brain.Result{Outcome: brain.Cancelled}) })
+	if len(a.final) != 0 || len(l.asked) != 0 {
+		t.Errorf("%d answers to a client that left, %d questions held", len(a.final), len(l.asked))
+	}
+}
+
+func TestAnUnrepeatableQuestionThatMayHaveRunIsForfeited(t *testing.T) {
+	l, h := settled(t, "unrepeatable")
+	a := asks(l, 4*time.Second)
+	l.Do(func() { l.Ended(h.last(), brain.Result{Outcome: brain.Read}) })
+	n := len(h.flights)
+	l.Do(func() { l.Ended(h.last(), brain.Result{Outcome: brain.Broken}) })
+	if f := final(t, a); f.Final != kserve.Forfeited || f.Harmless || len(h.flights) != n {
+		t.Errorf("%+v after a broken trip, and %d more trips", f, len(h.flights)-n)
+	}
+	if len(h.released) == 0 {
+		t.Error("its state was not let go of")
+	}
+}
+
+// The reader may be handing the state to a writer whose trip was just given up on, and say it has none.
+func TestAStateThatCouldNotBeGivenIsReleasedAllTheSame(t *testing.T) {
+	l, h := settled(t, "idempotent")
+	asks(l, 4*time.Second)
+	reader := h.last().Box.Name
+	l.Do(func() { l.Ended(h.last(), brain.Result{Outcome: brain.Read}) })
+	l.Do(func() { l.Ended(h.last(), brain.Result{Outcome: brain.Full, Note: 1}) })
+	if len(h.released) != 1 || h.released[0] != reader {
+		t.Errorf("released at %v, the state was at %s", h.released, reader)
+	}
+}
+
+// Should the module ever leave a question without an answer, its client still gets one in time.
+func TestAnOverdueQuestionIsForfeited(t *testing.T) {
+	l, h := settled(t, "idempotent")
+	a := asks(l, 4*time.Second)
+	h.now += 4*time.Second + overdue
+	l.Due()
+	if f := final(t, a); f.Final != kserve.Forfeited || l.Tally.Overdue != 1 {
+		t.Errorf("%+v, overdue %d", f, l.Tally.Overdue)
+	}
+	l.Do(func() { l.Ended(h.last(), brain.Result{Outcome: brain.Read}) })
+	if len(h.released) == 0 || len(h.flights) != 1 {
+		t.Errorf("released %v, flights %d", h.released, len(h.flights))
+	}
+}
+
+// The list repeats a start with another age each time: that is no new start, at which the module would forget
+// what it knows of the box.
+func TestAStartHasOneTimeHoweverOftenItIsListed(t *testing.T) {
+	l, h := settled(t, "idempotent")
+	line := box("w1", "writer", "ready")
+	line.Start, line.UpMs = 7, 1000
+	l.Do(func() { l.Listed([]boxlist.Box{line}, false) })
+	host := l.boxes["w1"].Host
+	booted := host.Booted
+	h.now += 3 * time.Second
+	line.UpMs = 4007
+	l.Do(func() { l.Listed([]boxlist.Box{line}, false) })
+	if host.Booted != booted || !host.Restart {
+		t.Errorf("booted %v, then %v", booted, host.Booted)
+	}
+	line.Start, line.UpMs = 8, 10
+	l.Do(func() { l.Listed([]boxlist.Box{line}, false) })
+	if host.Booted == booted {
+		t.Error("a new start went unseen")
+	}
+}
+
+func TestABoxThatAWholeListLeavesOutIsGone(t *testing.T) {
+	l, _ := settled(t, "idempotent")
+	gone := l.boxes["w2"]
+	l.Do(func() {
+		l.Listed([]boxlist.Box{box("r1", "reader", "ready"), box("w1", "writer", "draining"), box("x", "nonesuch", "ready")}, true)
+	})
+	if gone.Host.Standing != brain.Gone || l.boxes["w1"].Host.Standing != brain.Draining || l.boxes["x"] != nil {
+		t.Errorf("w2 %d, w1 %d, x %v", gone.Host.Standing, l.boxes["w1"].Host.Standing, l.boxes["x"])
+	}
+	select {
+	case <-gone.Drained:
+	default:
+		t.Error("releases to a box that is gone would be tried on")
+	}
+}
--- /dev/null
+++ b/internal/dispatch/trips_test.go
@@ -0,0 +1,41 @@
+package dispatch
+
+import (
+	"testing"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/kserve"
+)
+
+// Only what is proven not to have run may be called so: rule 2 hangs on it.
+func TestOutcomeClaimsNoMoreThanTheSocketProved(t *testing.T) {
+	told := func(word string) *kserve.Told { return &kserve.Told{Outcome: word, Kept: 5} }
+	for _, c := range []struct {
+		seen  Seen
+		stage brain.Stage
+		want  brain.Outcome
+		note  int
+	}{
+		{Seen{}, brain.Whole, brain.Unreached, 0},
+		{Seen{Cause: errNoDial}, brain.Whole, brain.Unreached, 0},
+		{Seen{Cause: errLate}, brain.Whole, brain.Unreached, 0},
+		{Seen{Cause: errLeft}, brain.Whole, brain.Cancelled, 0},
+		{Seen{Connected: true}, brain.Whole, brain.Broken, 0},
+		{Seen{Connected: true, Cause: errNoDial}, brain.Whole, brain.Broken, 0},
+		{Seen{Connected: true, Cause: errStalled}, brain.Whole, brain.Broken, 0},
+		{Seen{Connected: true, Cause: errLate}, brain.ToWrite, brain.TimedOut, 0},
+		{Seen{Connected: true, Cause: errLeft}, brain.ToWrite, brain.Cancelled, 0},
+		{Seen{Connected: true, Told: told(kserve.OutcomeRead)}, brain.ToRead, brain.Read, 5},
+		{Seen{Connected: true, Told: told(kserve.OutcomeRead)}, brain.Whole, brain.Failed, 0},
+		{Seen{Connected: true, Told: told(kserve.OutcomeAnswered)}, brain.ToWrite, brain.Answered, 5},
+		{Seen{Connected: true, Told: told(kserve.OutcomeAnswered)}, brain.ToRead, brain.Failed, 0},
+		{Seen{Connected: true, Told: told(kserve.OutcomeFull)}, brain.ToWrite, brain.Full, 0},
+		{Seen{Connected: true, Told: told(kserve.OutcomeNoState)}, brain.ToWrite, brain.Full, 1},
+		{Seen{Connected: true, Told: told(kserve.OutcomeFailed)}, brain.ToWrite, brain.Failed, 0},
+		{Seen{Connected: true, Told: told("gibberish")}, brain.ToWrite, brain.Failed, 0},
+	} {
+		if got, note := c.seen.Outcome(c.stage); got != c.want || note != c.note {
+			t.Errorf("%+v at stage %d: outcome %d note %d, not %d note %d", c.seen, c.stage, got, note, c.want, c.note)
+		}
+	}
+}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -400,6 +400,13 @@
 		go b.Kill("pushed over")
 		panic(http.ErrAbortHandler)
 	}
+	effect := func() {
+		if b.fleet.runs(b, e.Grade, cmp.Or(e.Mark, e.Key())) {
+			put(record.Ran, "")
+		} else {
+			put(record.Repeat, "")
+		}
+	}
 	answer := func(status int, told kserve.Told) {
 		told.Load = b.load()
 		word = told.Outcome
@@ -414,7 +421,9 @@
 		<-ctx.Done()
 		return
 	case fails:
-		put(record.Ran, "failed") // an error may come after the effect
+		if e.Stage != kserve.StageRead { // an error may come after the effect
+			effect()
+		}
 		answer(http.StatusInternalServerError, kserve.Told{Outcome: kserve.OutcomeFailed, Error: "internal error"})
 		return
 	}
@@ -450,11 +459,7 @@
 	} else if kept, err = b.readHere(ctx, e); err != nil {
 		return
 	}
-	if b.fleet.runs(b, e.Grade, cmp.Or(e.Mark, e.Key())) {
-		put(record.Ran, "")
-	} else {
-		put(record.Repeat, "")
-	}
+	effect()
 	if resetsNow {
 		panic(http.ErrAbortHandler)
 	}
