--- /dev/null
+++ b/internal/boxlist/boxlist_test.go
@@ -0,0 +1,116 @@
+package boxlist
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func line(name, standing string) Box {
+	return Box{Name: name, Address: "127.0.0.1:1", Standing: standing, Units: 1, UpMs: -1}
+}
+
+func TestChangesApplyInOrderAndAGapIsNoticed(t *testing.T) {
+	var table Table
+	if _, _, err := table.Apply(Push{Version: 5, Whole: true, Boxes: []Box{line("b", Ready), line("a", Ready)}}); err != nil {
+		t.Fatal(err)
+	}
+	changed, refused, err := table.Apply(Push{Version: 6, Base: 5, Boxes: []Box{line("b", Gone), {Standing: Ready}, line("c", "asleep")}})
+	if err != nil || len(changed) != 1 || changed[0].Name != "b" || refused == nil || !strings.Contains(refused.Error(), "asleep") {
+		t.Errorf("%v, %v, %v", changed, refused, err)
+	}
+	if all := table.Whole(); len(all) != 1 || all[0].Name != "a" || table.Version != 6 {
+		t.Errorf("%v at version %d", all, table.Version)
+	}
+	if _, _, err := table.Apply(Push{Version: 9, Base: 8, Boxes: []Box{line("d", Ready)}}); !errors.Is(err, ErrGap) || len(table.Whole()) != 1 {
+		t.Errorf("a gap gives %v, and %v", err, table.Whole())
+	}
+}
+
+// pushes serves, for each connection, a script of pushes; have collects what versions were asked from.
+type pushes struct {
+	mu     sync.Mutex
+	have   []string
+	script [][]Push
+}
+
+func (p *pushes) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.have = append(p.have, r.URL.Query().Get("have"))
+	var mine []Push
+	if len(p.script) > 0 {
+		mine, p.script = p.script[0], p.script[1:]
+	}
+	p.mu.Unlock()
+	for _, push := range mine {
+		json.NewEncoder(w).Encode(push)
+	}
+	http.NewResponseController(w).Flush()
+	if mine == nil {
+		<-r.Context().Done()
+	}
+}
+
+func TestAfterAGapTheWholeListIsAskedForAndTheLastOneIsKept(t *testing.T) {
+	p := &pushes{script: [][]Push{
+		{{Version: 1, Whole: true, Boxes: []Box{line("a", Ready)}}, {Version: 3, Base: 2, Boxes: []Box{line("c", Ready)}}},
+		{{Version: 3, Whole: true, Boxes: []Box{line("a", Ready), line("b", Draining), line("c", Ready)}}},
+	}}
+	server := httptest.NewServer(p)
+	defer server.Close()
+	dir := t.TempDir()
+	got := make(chan []Box, 9)
+	f := func() *Follower {
+		return &Follower{Address: strings.TrimPrefix(server.URL, "http://"), Name: "d", Keep: dir, Client: server.Client(),
+			Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Listed: func(lines []Box, whole bool) { got <- lines }}
+	}
+	first := f()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- first.Follow(ctx) }()
+	<-got
+	if second := <-got; len(second) != 3 || first.Gaps() != 1 {
+		t.Errorf("after the gap: %v, gaps %d", second, first.Gaps())
+	}
+	for range 100 { // the list is kept a moment after it was handed on
+		if raw, err := os.ReadFile(first.file()); err == nil && strings.Contains(string(raw), `"draining"`) {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	p.mu.Lock()
+	if p.have[0] != "0" || p.have[1] != "0" {
+		t.Errorf("asked from versions %v", p.have)
+	}
+	p.mu.Unlock()
+	again := f()
+	if err := again.Restore(); err != nil {
+		t.Fatal(err)
+	}
+	if kept := <-got; len(kept) != 3 || kept[1].Standing != Draining {
+		t.Errorf("kept %v", kept)
+	}
+}
+
+func TestAKeptListThatIsCutOffIsNamedAndLeftOut(t *testing.T) {
+	f := &Follower{Name: "d", Keep: t.TempDir(), Listed: func([]Box, bool) { t.Error("half a list was handed on") }}
+	if err := os.WriteFile(f.file(), []byte(`{"push":{"version":3,"boxes":[{"na`), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Restore(); err == nil || !strings.Contains(err.Error(), f.file()) {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/day/play.go
+++ b/internal/day/play.go
@@ -411,14 +411,32 @@
 	return p.name, p.addr
 }
 
+// ports is where the search for free ones goes on, so that days played side by side have different ones.
+var ports struct {
+	sync.Mutex
+	next int
+}
+
 // freePorts finds ports below those that the system gives to outgoing connections: else one could be taken
 // while its box is down.
 func freePorts(n int) ([]int, error) {
+	const low, high = 12000, 32000
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.next == 0 {
+		ports.next = low + os.Getpid()*131%(high-low)
+	}
 	var found []int
-	for p := 12000 + (os.Getpid()*131)%16000; p < 32000 && len(found) < n; p++ {
-		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p)); err == nil {
+	for range high - low {
+		if len(found) == n {
+			break
+		}
+		if ports.next++; ports.next >= high {
+			ports.next = low
+		}
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", ports.next)); err == nil {
 			l.Close()
-			found = append(found, p)
+			found = append(found, ports.next)
 		}
 	}
 	if len(found) < n {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -22,15 +22,35 @@
 // Span is a length of time, written "250ms" or "4s".
 type Span time.Duration
 
+// UnmarshalTOML takes a string only: a bare number, which would pass for nanoseconds, names no unit.
+func (s *Span) UnmarshalTOML(raw []byte) error {
+	n := len(raw) - 1
+	if n < 2 || raw[0] != raw[n] || raw[0] != '"' && raw[0] != '\'' {
+		return &noSpan{string(raw)}
+	}
+	if s.UnmarshalText(raw[1:n]) != nil {
+		return &noSpan{string(raw)}
+	}
+	return nil
+}
+
+// UnmarshalText reads what MarshalText wrote, in a record's head.
 func (s *Span) UnmarshalText(raw []byte) error {
 	d, err := time.ParseDuration(string(raw))
 	if err != nil || d < 0 {
-		return fmt.Errorf("%q is no length of time such as 250ms or 4s", raw)
+		return &noSpan{string(raw)}
 	}
 	*s = Span(d)
 	return nil
 }
 
+// noSpan is a value that is no length of time; Decode finds where it stands.
+type noSpan struct{ value string }
+
+func (n *noSpan) Error() string {
+	return n.value + " is no length of time such as \"250ms\" or \"4s\""
+}
+
 func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
 
 func (s Span) D() time.Duration { return time.Duration(s) }
@@ -186,9 +206,11 @@
 func Decode(file string, raw []byte, into any, check func() error) error {
 	dec := toml.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields()
+	dec.EnableUnmarshalerInterface()
 	err := dec.Decode(into)
 	var unknown *toml.StrictMissingError
 	var wrongKind *toml.DecodeError
+	var span *noSpan
 	switch {
 	case errors.As(err, &unknown):
 		e := unknown.Errors[0]
@@ -197,6 +219,9 @@
 	case errors.As(err, &wrongKind):
 		line, _ := wrongKind.Position()
 		return &Fault{file, line, strings.Join(wrongKind.Key(), "."), strings.TrimPrefix(wrongKind.Error(), "toml: ")}
+	case errors.As(err, &span):
+		key, line := keyOf(raw, span.value)
+		return &Fault{file, line, key, span.Error()}
 	case err != nil:
 		return &Fault{file, 1, "", err.Error()}
 	}
@@ -209,11 +234,18 @@
 	return nil
 }
 
-// lineOf finds the line on which a dotted key stands, or its nearest table above.
-func lineOf(raw []byte, key string) int {
+// place is where a key stands.
+type place struct {
+	name  string // dotted, with the number of its table among those of one name
+	line  int
+	value string
+}
+
+// placesOf lists the keys of a text in order.
+func placesOf(raw []byte) []place {
 	var p unstable.Parser
 	p.Reset(raw)
-	best, depth := 1, -1
+	var places []place
 	table, counts := "", map[string]int{}
 	for p.NextExpression() {
 		e := p.Expression()
@@ -227,26 +259,42 @@
 		}
 		name := strings.Join(parts, ".")
 		switch e.Kind {
-		case unstable.Table:
-			table = name
-		case unstable.ArrayTable:
-			table = fmt.Sprintf("%s.%d", name, counts[name])
-			counts[name]++
-		}
-		if e.Kind == unstable.KeyValue {
+		case unstable.KeyValue:
 			if table != "" {
 				name = table + "." + name
 			}
-		} else {
-			name = table
+			places = append(places, place{name, line, string(p.Raw(e.Value().Raw))})
+			continue
+		case unstable.ArrayTable:
+			name, counts[name] = fmt.Sprintf("%s.%d", name, counts[name]), counts[name]+1
 		}
-		if (name == key || strings.HasPrefix(key, name+".")) && len(name) > depth {
-			best, depth = line, len(name)
+		table = name
+		places = append(places, place{name: name, line: line})
+	}
+	return places
+}
+
+// lineOf finds the line on which a dotted key stands, or its nearest table above.
+func lineOf(raw []byte, key string) int {
+	best, depth := 1, 0
+	for _, p := range placesOf(raw) {
+		if (p.name == key || strings.HasPrefix(key, p.name+".")) && len(p.name) > depth {
+			best, depth = p.line, len(p.name)
 		}
 	}
 	return best
 }
 
+// keyOf finds the first key that has a value.
+func keyOf(raw []byte, value string) (string, int) {
+	for _, p := range placesOf(raw) {
+		if p.value == value {
+			return p.name, p.line
+		}
+	}
+	return "", 1
+}
+
 func (d *Dispatcher) check() error {
 	p := d.Place
 	if p.Name == "" {
