--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -606,6 +606,7 @@
 		if kserve.WriteEvent(w, "", kserve.Token{Model: b.fleet.Terms.Model, Text: " word"}) != nil || ctl.Flush() != nil {
 			return "broke"
 		}
+		b.fleet.holds(ctx)
 		b.mu.Lock()
 		share := float64(b.busy) / float64(b.Slots)
 		reading := b.reading
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -40,6 +40,7 @@
 	racks    map[string]*lane
 	client   *http.Client
 	starts   uint64
+	held     chan struct{} // while it is open, answers stop after their first token
 }
 
 // Talk is how the questions of a grade look.
@@ -70,6 +71,31 @@
 	f.mu.Unlock()
 }
 
+// Hold makes answers stop after their first token, until it is called with false.
+func (f *Fleet) Hold(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if on {
+		f.held = make(chan struct{})
+	} else if f.held != nil {
+		close(f.held)
+		f.held = nil
+	}
+}
+
+// holds waits while answers are held.
+func (f *Fleet) holds(ctx context.Context) {
+	f.mu.Lock()
+	held := f.held
+	f.mu.Unlock()
+	if held != nil {
+		select {
+		case <-held:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // start numbers the starts of boxes.
 func (f *Fleet) start() uint64 {
 	f.mu.Lock()
