Several addresses a box: raced connections, proven before a trip is bound to one

Change: internal/addresses decides (order, stagger, trust drawn from a posterior, budget of background tries), internal/reach connects, has each connection prove that the box meant reads, and sends a request over exactly one; the transport's own pool is gone. Stand-in boxes have several addresses that go wrong one by one.

--- a/internal/boxlist/table.go
+++ b/internal/boxlist/table.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"sloetrestle/internal/addresses"
 )
 
 // Standings, as the list writes them.
@@ -17,17 +19,20 @@
 	Gone     = "gone"
 )
 
+// mostAddresses bounds what one box may be listed with.
+const mostAddresses = 16
+
 // Box is one line of the list.
 type Box struct {
-	Name     string  `json:"name"`
-	Address  string  `json:"address"` // host:port
-	Kind     string  `json:"kind"`
-	Zone     string  `json:"zone"`
-	Rack     string  `json:"rack"`
-	Standing string  `json:"standing"`
-	Units    float64 `json:"units"`
-	Start    uint64  `json:"start"` // tells one start of its process from another
-	UpMs     int64   `json:"up_ms"` // how long it had been up when this was sent; negative: since long ago
+	Name      string           `json:"name"`
+	Addresses []addresses.Spec `json:"addresses"`
+	Kind      string           `json:"kind"`
+	Zone      string           `json:"zone"`
+	Rack      string           `json:"rack"`
+	Standing  string           `json:"standing"`
+	Units     float64          `json:"units"`
+	Start     uint64           `json:"start"` // tells one start of its process from another
+	UpMs      int64            `json:"up_ms"` // how long it had been up when this was sent; negative: since long ago
 }
 
 // Push is what the list sends: a whole list, or the changes from version Base to Version; a beat has none.
@@ -98,8 +103,10 @@
 		return errors.New("a box without a name")
 	case b.Standing != Ready && b.Standing != Draining && b.Standing != Gone:
 		return fmt.Errorf("box %s: standing %q is unknown", b.Name, b.Standing)
-	case b.Standing != Gone && b.Address == "":
+	case b.Standing != Gone && len(b.Addresses) == 0:
 		return fmt.Errorf("box %s: no address", b.Name)
+	case len(b.Addresses) > mostAddresses:
+		return fmt.Errorf("box %s: %d addresses, %d are taken at most", b.Name, len(b.Addresses), mostAddresses)
 	}
 	return nil
 }
--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/setup"
 )
 
@@ -70,6 +71,7 @@
 	ReadPerS  float64    `toml:"read_tokens_a_second"`
 	TokenTime setup.Span `toml:"token_time"`
 	Units     float64    `toml:"units"`
+	Addresses []string   `toml:"addresses,omitempty"` // of each box, in their order: tcp4, tcp6, unix; one tcp4 where left out
 }
 
 // Traffic is what is asked of one grade.
@@ -96,6 +98,8 @@
 	Grade       string     `toml:"grade,omitempty"`
 	By          setup.Span `toml:"by,omitempty"`
 	Tokens      int        `toml:"tokens,omitempty"`
+	Addresses   []int      `toml:"addresses,omitempty"` // of each box hit, by number from 0
+	Bytes       int        `toml:"bytes,omitempty"`
 }
 
 // kind says what a trouble is and which of its keys it needs.
@@ -128,6 +132,15 @@
 	{"leave", "a share of clients leaves before the promised time, or mid-stream", []string{"share"}},
 	{"shared_text", "a share of questions opens new sessions with one unseen text of so many tokens", []string{"share", "tokens"}},
 	{"long_prompts", "a share of prompts is size times as long", []string{"share", "size"}},
+	{"address_refuse", "nobody listens at these addresses of the boxes", []string{"boxes", "addresses"}},
+	{"address_blackhole", "connections to these addresses are neither made nor refused", []string{"boxes", "addresses"}},
+	{"address_stall", "these addresses take connections, and nothing is read", []string{"boxes", "addresses"}},
+	{"address_stall_after", "these addresses answer one request on a connection, then nothing is read", []string{"boxes", "addresses"}},
+	{"address_slow", "each read at these addresses takes longer by so much", []string{"boxes", "addresses", "by"}},
+	{"address_reset", "connections to these addresses are reset after so many bytes", []string{"boxes", "addresses", "bytes"}},
+	{"address_flap", "these addresses refuse and serve in turn, each for so long", []string{"boxes", "addresses", "by"}},
+	{"address_swap", "the first two boxes' processes swap these addresses", []string{"boxes", "addresses"}},
+	{"address_drop", "the list names these addresses no more", []string{"boxes", "addresses"}},
 	{"slow_clients", "a share of clients takes its answer slowly, a piece every by", []string{"share", "by"}},
 }
 
@@ -204,6 +217,11 @@
 		case b.TokenTime <= 0:
 			return setup.Wrong(at+"token_time", "must be above 0")
 		}
+		for _, a := range b.Addresses {
+			if a != addresses.TCP4 && a != addresses.TCP6 && a != addresses.Unix {
+				return setup.Wrong(at+"addresses", "%q is none of tcp4, tcp6 and unix", a)
+			}
+		}
 		for _, z := range b.Zones {
 			if d.ZoneNumber(z) < 0 {
 				return setup.Wrong(at+"zones", "%q is not among the zones", z)
@@ -236,7 +254,8 @@
 		}
 		for _, need := range Kinds[k].Needs {
 			lacks := map[string]bool{"boxes": len(t.Boxes) == 0, "size": t.Size <= 0, "share": t.Share <= 0 || t.Share > 1, "grade": d.GradeNumber(t.Grade) < 0,
-				"by": t.By <= 0, "dispatchers": len(t.Dispatchers) == 0, "tokens": t.Tokens <= 0}
+				"by": t.By <= 0, "dispatchers": len(t.Dispatchers) == 0, "tokens": t.Tokens <= 0,
+				"addresses": len(t.Addresses) == 0, "bytes": t.Bytes <= 0}
 			if lacks[need] {
 				return setup.Wrong(at+need, "%s needs it: %s", t.Kind, Kinds[k].What)
 			}
@@ -246,6 +265,13 @@
 				return setup.Wrong(at+"boxes", "%q is no box and no kind of this day", b)
 			}
 		}
+		for _, n := range t.Addresses {
+			for _, b := range d.Boxes {
+				if n < 0 || n >= max(len(b.Addresses), 1) && slices.ContainsFunc(t.Boxes, func(name string) bool { return name == b.Kind || isOf(name, b.Kind) }) {
+					return setup.Wrong(at+"addresses", "a %s has no address %d", b.Kind, n)
+				}
+			}
+		}
 		for _, n := range t.Dispatchers {
 			if n < 0 || n >= h.Dispatchers {
 				return setup.Wrong(at+"dispatchers", "there is no dispatcher %d", n)
--- a/internal/day/troubles.go
+++ b/internal/day/troubles.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -104,7 +106,11 @@
 	case "kill_dispatcher", "stop_dispatcher":
 		err = r.restart(ctx, t, wait)
 	default:
-		wait(length)
+		if mode, ok := strings.CutPrefix(t.Kind, "address_"); ok {
+			err = r.addressTrouble(t, mode, hit, func() { wait(length) })
+		} else {
+			wait(length)
+		}
 	}
 	r.book.Put(record.Line{What: record.Note, Word: t.Kind + " ends"})
 	r.say("        %s ends", t.Kind)
@@ -193,3 +199,45 @@
 	}
 	return nil
 }
+
+// addressTrouble lets single addresses of boxes go wrong.
+func (r *run) addressTrouble(t Trouble, mode string, hit []*standin.Box, wait func()) error {
+	each := func(do func(b *standin.Box, i int) error) error {
+		var errs []error
+		for _, b := range hit {
+			for _, i := range t.Addresses {
+				errs = append(errs, do(b, i))
+			}
+		}
+		return errors.Join(errs...)
+	}
+	switch mode {
+	case standin.GateSwapped:
+		if len(hit) < 2 {
+			return nil
+		}
+		swap := func() {
+			for _, i := range t.Addresses {
+				hit[0].Gate(i).Swap(hit[1].Gate(i))
+			}
+		}
+		swap()
+		wait()
+		swap()
+		return nil
+	case "drop":
+		for _, b := range hit {
+			r.list.Drop(b, t.Addresses)
+			r.list.Publish(b, boxlist.Ready, r.day.List.Notice.D())
+		}
+		wait()
+		for _, b := range hit {
+			r.list.Drop(b, nil)
+			r.list.Publish(b, boxlist.Ready, r.day.List.Notice.D())
+		}
+		return nil
+	}
+	err := each(func(b *standin.Box, i int) error { return b.Gate(i).Set(mode, t.By.D(), t.Bytes) })
+	wait()
+	return errors.Join(err, each(func(b *standin.Box, i int) error { return b.Gate(i).Set(standin.GateServes, 0, 0) }))
+}
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -10,35 +10,41 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"sloetrestle/brain"
+	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/boxlist"
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/reach"
 )
 
 // Carrier takes trips and messages out. Its methods are called by the loop and must not wait.
 type Carrier interface {
 	Carry(f *Flight)
 	Release(b *Box, key string)
+	Reach(b *Box, at []addresses.Spec) // none: the box is gone
 	Tell(peer int, n brain.News)
 }
 
 // Places turns the list's names into the module's numbers.
 type Places struct {
 	Zone, Kind func(name string) int
+	Allows     func(addresses.Spec) bool // nil: all of them
 }
 
 // Box is one model host as the program knows it: the module's host and where it listens.
 type Box struct {
 	Name    string
-	Address string
+	At      []addresses.Spec // where it listens, as far as that is allowed
 	Host    *brain.Host
 	Start   uint64
 	Drained chan struct{} // closed when the list says that it is gone
+	reach   *reach.Host
 }
 
 // Asked is one question between its client and the module.
@@ -121,7 +127,9 @@
 	byHost map[*brain.Host]*Box
 	hosts  map[uint32]*brain.Host
 	starts map[uint64]time.Duration
-	Tally  Tally
+
+	further map[string][]addresses.Spec // of boxes, from the own file
+	Tally   Tally
 }
 
 // Tally counts what a loop has seen; it is read by the loop's goroutine only.
@@ -132,6 +140,9 @@
 
 // NewLoop makes a loop and its module. since is the clock, a span since the start.
 func NewLoop(life context.Context, facts brain.Facts, seed uint64, places Places, carrier Carrier, since func() time.Duration, epoch string, log *slog.Logger) (*Loop, error) {
+	if places.Allows == nil {
+		places.Allows = func(addresses.Spec) bool { return true }
+	}
 	l := &Loop{
 		Epoch: epoch, Log: log, carrier: carrier, places: places, since: since, life: life, bell: make(chan struct{}, 1), ended: make(chan struct{}),
 		asked: map[*brain.Question]*Asked{}, boxes: map[string]*Box{}, byHost: map[*brain.Host]*Box{},
@@ -254,7 +265,7 @@
 	if whole {
 		for _, b := range l.boxes {
 			if !containsName(lines, b.Name) {
-				b.retire()
+				l.retire(b)
 			}
 		}
 	}
@@ -270,25 +281,31 @@
 	return false
 }
 
-func (b *Box) retire() {
+// retire ends what is still tried at a box that is gone.
+func (l *Loop) retire(b *Box) {
 	select {
 	case <-b.Drained:
 	default:
 		close(b.Drained)
+		b.At = nil
+		l.carrier.Reach(b, nil)
 	}
 }
 
 func (l *Loop) listing(b *Box, line boxlist.Box) brain.Listing {
 	standing := map[string]brain.Standing{boxlist.Ready: brain.Ready, boxlist.Draining: brain.Draining, boxlist.Gone: brain.Gone}[line.Standing]
 	if standing == brain.Gone {
-		b.retire()
+		l.retire(b)
 	} else {
 		select {
 		case <-b.Drained:
 			b.Drained = make(chan struct{}) // it came back under its name
 		default:
 		}
-		b.Address = line.Address
+		if at := l.allowed(line); !slices.Equal(at, b.At) {
+			b.At = at
+			l.carrier.Reach(b, at)
+		}
 	}
 	b.Start = line.Start
 	// A start has one time, however often the list repeats it with another age: the module would else see
@@ -303,6 +320,29 @@
 	return brain.Listing{Host: b.Host, Standing: standing, Units: max(line.Units, 0.01), Booted: booted, Restart: line.UpMs >= 0}
 }
 
+// allowed leaves out addresses that make no sense or lie outside of what the deployment allows, with a note.
+func (l *Loop) allowed(line boxlist.Box) []addresses.Spec {
+	var at []addresses.Spec
+	for _, s := range append(slices.Clone(line.Addresses), l.further[line.Name]...) {
+		if err := s.Check(); err != nil {
+			l.Log.Warn("address left out", "box", line.Name, "address", s, "why", err)
+		} else if !l.places.Allows(s) {
+			l.Log.Warn("address left out", "box", line.Name, "address", s, "why", "it is outside of dispatcher.allow")
+		} else {
+			at = append(at, s)
+		}
+	}
+	return at
+}
+
+// Further adds an address to what the list says of a box.
+func (l *Loop) Further(box string, at addresses.Spec) {
+	if l.further == nil {
+		l.further = map[string][]addresses.Spec{}
+	}
+	l.further[box] = append(l.further[box], at)
+}
+
 // Arrive takes a question, which has left for its answer.
 func (l *Loop) Arrive(a *Asked, grade, channel int, left time.Duration) {
 	l.lastID++
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -14,7 +14,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"sloetrestle/brain"
+	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/boxlist"
+	"sloetrestle/internal/reach"
 	"sloetrestle/internal/setup"
 )
 
@@ -45,18 +47,33 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	var flights, group errgroup.Group
-	trips := NewTrips(life, &flights, d.Limits.BoxConns)
-	trips.Model, trips.Dial, trips.Stall = d.Model, d.Limits.Dial.D(), d.Limits.Stall.D()
-	loop, err := NewLoop(life, d.Facts(), chance, Places{d.ZoneNumber, d.KindNumber}, trips, since, epoch, log)
+	trips := NewTrips(life, &flights, d.Limits.BoxConns, d.Limits.Dial.D(), since)
+	trips.Model, trips.Stall = d.Model, d.Limits.Stall.D()
+	may, err := reach.NewAllowed(d.Place.Allow)
 	if err != nil {
 		return err
 	}
-	trips.loop = loop
-	listener, err := net.Listen("tcp", d.Place.Listen)
+	loop, err := NewLoop(life, d.Facts(), chance, Places{d.ZoneNumber, d.KindNumber, may.Has}, trips, since, epoch, log)
 	if err != nil {
-		return fmt.Errorf("dispatcher.listen: %w", err)
+		return err
+	}
+	trips.loop = loop
+	for _, f := range d.Further {
+		loop.Further(f.Box, f.Spec)
+	}
+	var listeners []net.Listener
+	for _, at := range d.Place.Listen {
+		spec, err := reach.ParseListen(at)
+		if err != nil {
+			return fmt.Errorf("dispatcher.listen: %w", err)
+		}
+		l, err := reach.Listen(spec)
+		if err != nil {
+			return fmt.Errorf("dispatcher.listen: %w", err)
+		}
+		defer l.Close()
+		listeners = append(listeners, l)
 	}
-	defer listener.Close()
 	if d.Limits.Siblings {
 		if trips.Peers, err = ListenPeers(d.Place.Number, d.Place.News, d.Place.Peers); err != nil {
 			return err
@@ -84,16 +101,18 @@
 		Handler: server.Handler(), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerMost,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
-	failed := make(chan error, 1)
-	group.Go(func() error {
-		if err := web.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			failed <- err
-		}
-		return nil
-	})
-	log.Info("serving", "listen", listener.Addr().String(), "epoch", epoch, "boxes", d.Place.Boxes)
+	failed := make(chan error, len(listeners))
+	for _, l := range listeners {
+		group.Go(func() error {
+			if err := web.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+			return nil
+		})
+	}
+	log.Info("serving", "listen", d.Place.Listen, "epoch", epoch, "boxes", d.Place.Boxes)
 	if started != nil {
-		started(listener.Addr())
+		started(listeners[0].Addr())
 	}
 	select {
 	case <-ctx.Done():
@@ -115,7 +134,6 @@
 	end()
 	flights.Wait()
 	group.Wait()
-	trips.Close()
 	list.Client.CloseIdleConnections()
 	return err
 }
@@ -191,12 +209,42 @@
 		var boxes []map[string]any
 		for _, b := range l.boxes {
 			h := b.Host
-			boxes = append(boxes, map[string]any{"name": b.Name, "address": b.Address, "standing": [...]string{"draining", "ready", "gone"}[h.Standing],
+			boxes = append(boxes, map[string]any{"name": b.Name, "at": b.At, "standing": [...]string{"draining", "ready", "gone"}[h.Standing],
 				"role": [...]string{"reader", "writer", "mixed"}[h.Role], "streams": h.Streams, "tokens": h.Tokens, "util": h.Util, "queue": h.Queue})
 		}
 		out["boxes"] = boxes
 	})
+	out["addresses"] = boxAddresses(trips, up)
 	return out
 }
 
+// boxAddresses tells how each address of each box stands, and why.
+func boxAddresses(trips *Trips, now time.Duration) []BoxState {
+	var out []BoxState
+	trips.Boxes.Look(func(name string, book *addresses.Book, open, idle int) {
+		b := BoxState{Name: name, Open: open, Idle: idle}
+		for _, a := range book.Addresses() {
+			b.Addresses = append(b.Addresses, AddressState{a.Spec.String(), a.Prefer, a.Doubtful(now), a.Why(now)})
+		}
+		out = append(out, b)
+	})
+	return out
+}
+
+// BoxState is a box as it is reached.
+type BoxState struct {
+	Name      string         `json:"name"`
+	Open      int            `json:"open"`
+	Idle      int            `json:"idle"`
+	Addresses []AddressState `json:"addresses"`
+}
+
+// AddressState is one of its addresses.
+type AddressState struct {
+	At       string `json:"at"`
+	Prefer   int    `json:"prefer"`
+	Doubtful bool   `json:"doubtful"`
+	Why      string `json:"why"`
+}
+
 var outcomeWords = [...]string{"answered", "read", "failed", "full", "timed_out", "unreached", "broken", "cancelled", "moot"}
--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -6,9 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,20 +15,21 @@
 	"golang.org/x/sync/errgroup"
 
 	"sloetrestle/brain"
+	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/reach"
 )
 
 // Why a flight was called off.
 var (
 	errLate    = errors.New("its time was up")
 	errLeft    = errors.New("nobody waits for it")
-	errNoDial  = errors.New("no connection in time")
 	errStalled = errors.New("the stream stalled")
 )
 
 // Seen is what the socket of a trip showed.
 type Seen struct {
-	Connected bool         // a connection was to be had: from here on bytes may have gone out
+	Connected bool         // a byte of the request went out, over one proven connection
 	Told      *kserve.Told // what the box said at the end
 	Cause     error        // why it was called off, if it was
 }
@@ -67,13 +66,11 @@
 // Trips takes trips to boxes over HTTP.
 type Trips struct {
 	Model string
-	Dial  time.Duration // for a connection
 	Stall time.Duration
 	Peers *Peers
-	Zones []string
+	Boxes *reach.Boxes
 
 	loop  *Loop
-	http  *http.Client
 	group *errgroup.Group
 	life  context.Context
 
@@ -82,20 +79,17 @@
 	Refused  atomic.Int64 // releases given up, as too many waited
 }
 
-// NewTrips makes the carrier; its goroutines belong to the group and end with the context.
-func NewTrips(life context.Context, group *errgroup.Group, conns int) *Trips {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{KeepAlive: 15 * time.Second}).DialContext,
-		MaxConnsPerHost:     conns,
-		MaxIdleConnsPerHost: conns,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}
-	return &Trips{life: life, group: group, http: &http.Client{Transport: transport}, releases: map[*Box]*releases{}}
+// NewTrips makes the carrier; its goroutines belong to the group and end with the context. A connection is given dial.
+func NewTrips(life context.Context, group *errgroup.Group, conns int, dial time.Duration, since func() time.Duration) *Trips {
+	boxes := &reach.Boxes{Limit: dial, Most: conns, Since: since, Life: life, Group: group}
+	group.Go(boxes.Tend)
+	return &Trips{life: life, group: group, Boxes: boxes, releases: map[*Box]*releases{}}
 }
 
-// Close lets the idle connections go.
-func (c *Trips) Close() { c.http.CloseIdleConnections() }
+// Reach says where a box is now.
+func (c *Trips) Reach(b *Box, at []addresses.Spec) {
+	b.reach = c.Boxes.Set(b.Name, at, uint64(b.Host.ID))
+}
 
 // Carry starts a trip.
 func (c *Trips) Carry(f *Flight) {
@@ -107,12 +101,12 @@
 		WaitUs: f.Wait.Microseconds(),
 	}
 	if f.State != nil {
-		e.State = f.State.Address
+		e.State = stateAddress(f.State.reach.Best())
 	}
 	// What the goroutine needs is read here: boxes are the loop's.
-	base, text := "http://"+f.Box.Address, a.Ask.Text
+	host, text := f.Box.reach, a.Ask.Text
 	c.group.Go(func() error {
-		seen := c.fly(f, base, text, e)
+		seen := c.fly(f, host, text, e)
 		f.cancel(nil)
 		outcome, note := seen.Outcome(f.Trip.Stage)
 		result := brain.Result{Outcome: outcome, Note: note}
@@ -125,20 +119,60 @@
 	})
 }
 
-// fly is one trip from its connection to its end.
-func (c *Trips) fly(f *Flight, base, text string, e kserve.Errand) (seen Seen) {
-	defer func() { seen.Cause = context.Cause(f.ctx) }()
-	dial := time.AfterFunc(c.Dial, func() { f.cancel(errNoDial) })
-	defer dial.Stop()
-	ctx := httptrace.WithClientTrace(f.ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
-		dial.Stop()
-		seen.Connected = true
-	}})
-	r, err := kserve.NewErrand(ctx, base, c.Model, text, e)
-	if err != nil {
-		return seen // the address makes no request: nothing was sent
+// stateAddress is where a writer fetches a state: the first address that another machine can reach, else a socket.
+func stateAddress(at []addresses.Spec) string {
+	for _, s := range at {
+		if s.Network != addresses.Unix {
+			return s.At
+		}
 	}
-	resp, err := c.http.Do(r)
+	if len(at) > 0 {
+		return at[0].String()
+	}
+	return ""
+}
+
+// connected gets connections until a request went out over one: nothing of it was sent over those before.
+func connected(ctx context.Context, host *reach.Host, r func() (*http.Request, error)) (*reach.Conn, *http.Response, error) {
+	for {
+		conn, err := host.Get(ctx)
+		if err != nil {
+			return nil, nil, err
+		}
+		req, err := r()
+		if err != nil {
+			return nil, nil, err
+		}
+		resp, err := conn.Do(ctx, req)
+		if errors.Is(err, reach.ErrNotSent) && ctx.Err() == nil {
+			continue
+		}
+		return conn, resp, err
+	}
+}
+
+// fly is one trip from its connection to its end. It is bound to one connection, of one address.
+func (c *Trips) fly(f *Flight, host *reach.Host, text string, e kserve.Errand) (seen Seen) {
+	var conn *reach.Conn
+	defer func() {
+		seen.Cause = context.Cause(f.ctx)
+		if conn == nil {
+			return
+		}
+		// A trip that ended without a word speaks against the way it took, unless it was called off for its client.
+		if seen.Told != nil {
+			conn.Served()
+		} else if !errors.Is(seen.Cause, errLeft) {
+			conn.Lost()
+		}
+	}()
+	if host == nil {
+		return seen
+	}
+	conn, resp, err := connected(f.ctx, host, func() (*http.Request, error) {
+		return kserve.NewErrand(f.ctx, reach.URL(host.Name), c.Model, text, e)
+	})
+	seen.Connected = conn != nil && conn.Sent()
 	if err != nil {
 		return seen
 	}
@@ -224,8 +258,8 @@
 	if r == nil {
 		r = &releases{}
 		c.releases[b] = r
-		base, gone := "http://"+b.Address, b.Drained
-		c.group.Go(func() error { c.releasing(b, r, base, gone); return nil })
+		host, gone := b.reach, b.Drained
+		c.group.Go(func() error { c.releasing(b, r, host, gone); return nil })
 	}
 	if len(r.keys) >= releaseMost {
 		c.Refused.Add(1)
@@ -235,7 +269,7 @@
 }
 
 // releasing works until nothing is left to release at the box.
-func (c *Trips) releasing(b *Box, r *releases, base string, gone <-chan struct{}) {
+func (c *Trips) releasing(b *Box, r *releases, host *reach.Host, gone <-chan struct{}) {
 	wait := releaseAgain
 	for {
 		c.mu.Lock()
@@ -246,7 +280,7 @@
 			return
 		}
 		c.mu.Unlock()
-		if err := c.release(base, batch); err == nil {
+		if err := c.release(host, batch); err == nil {
 			c.mu.Lock()
 			r.keys = r.keys[len(batch):]
 			c.mu.Unlock()
@@ -267,14 +301,15 @@
 	}
 }
 
-func (c *Trips) release(base string, keys []string) error {
+func (c *Trips) release(host *reach.Host, keys []string) error {
 	ctx, cancel := context.WithTimeout(c.life, releaseTime)
 	defer cancel()
-	r, err := kserve.NewRelease(ctx, base, c.Model, keys)
-	if err != nil {
-		return err
+	if host == nil {
+		return reach.ErrUnreached
 	}
-	resp, err := c.http.Do(r)
+	_, resp, err := connected(ctx, host, func() (*http.Request, error) {
+		return kserve.NewRelease(ctx, reach.URL(host.Name), c.Model, keys)
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -94,6 +94,14 @@
 	until int64
 }
 
+// place is the box that a trip reached, and by which address.
+func (t *trip) place() string {
+	if t.Address == "" {
+		return t.Box
+	}
+	return t.Box + " at " + t.Address
+}
+
 type reading struct {
 	head   record.Head
 	lines  []record.Line
@@ -274,7 +282,7 @@
 						b.Trip, b.Box, ms(min(a.until, b.until)-b.At))
 				}
 				if b.Trip == a.Trip {
-					r.offence("question %s (try %s): trip %d reached %s and %s", key, a.Try, a.Trip, a.Box, b.Box)
+					r.offence("question %s (try %s): trip %d reached %s and %s", key, a.Try, a.Trip, a.place(), b.place())
 				}
 			}
 		}
--- /dev/null
+++ b/internal/reach/reach.go
@@ -0,0 +1,552 @@
+// Package reach connects to boxes: it races connections as internal/addresses decides, has each one prove that the
+// far side reads and is the box that is meant, keeps proven connections, and sends a request over exactly one of
+// them. It decides nothing about order, times or trust, and never sends a request again of which a byte went out.
+// Begin with Boxes.Get.
+package reach
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sloetrestle/internal/addresses"
+)
+
+// Boxes are all the boxes that a dispatcher may connect to.
+type Boxes struct {
+	Limit time.Duration // for a connection, all addresses together
+	Most  int           // connections to one box
+	Since func() time.Duration
+	Life  context.Context
+	Group *errgroup.Group
+
+	mu     sync.Mutex
+	hosts  map[string]*Host
+	order  []*Host // by when they were first heard of
+	budget addresses.Budget
+	closed bool
+}
+
+// Host is one box as it is reached.
+type Host struct {
+	Name string
+	all  *Boxes
+
+	mu      sync.Mutex
+	book    *addresses.Book
+	idle    []*Conn
+	open    int // connections, idle ones too
+	racing  int
+	used    time.Duration
+	changed chan struct{} // closed when a connection or a place for one comes free
+	gone    bool
+}
+
+// Conn is one proven connection.
+type Conn struct {
+	net.Conn
+	Address *addresses.Address
+	host    *Host
+	read    *bufio.Reader
+	since   time.Duration // idle since
+	wrote   int64         // bytes of the present request that went out
+}
+
+// Why no connection was to be had, or no answer came.
+var (
+	ErrUnreached = errors.New("no address of the box connects and answers")
+	ErrNotSent   = errors.New("not a byte of the request went out")
+)
+
+const (
+	idleMost  = 20 * time.Second // an idle connection is closed after that; boxes should keep them longer
+	usedMost  = 30 * time.Second // a box without questions for so long needs no warm connection
+	proofMost = 4096             // bytes of a proof's body
+	drainTime = 50 * time.Millisecond
+	drainMost = 64 << 10
+)
+
+// Set says which addresses a box has; none: it is gone. Connections to addresses that it has no more are closed when
+// they are idle, and not kept when their trip ends.
+func (b *Boxes) Set(name string, specs []addresses.Spec, seed uint64) *Host {
+	b.mu.Lock()
+	if b.hosts == nil {
+		b.hosts = map[string]*Host{}
+	}
+	h := b.hosts[name]
+	if h == nil {
+		h = &Host{Name: name, all: b, book: addresses.NewBook(seed), changed: make(chan struct{})}
+		b.hosts[name] = h
+		b.order = append(b.order, h)
+	}
+	b.mu.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.book.Set(specs)
+	h.gone = len(specs) == 0
+	h.dropIdle(func(c *Conn) bool { return c.Address.Dropped })
+	return h
+}
+
+// Best lists the box's addresses, the best just now first.
+func (h *Host) Best() []addresses.Spec {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var at []addresses.Spec
+	for _, a := range h.book.Order(h.all.Since()) {
+		at = append(at, a.Spec)
+	}
+	return at
+}
+
+// Look calls look with each box's book, which must not be kept.
+func (b *Boxes) Look(look func(name string, book *addresses.Book, open, idle int)) {
+	for _, h := range b.listed() {
+		h.mu.Lock()
+		look(h.Name, h.book, h.open, len(h.idle))
+		h.mu.Unlock()
+	}
+}
+
+func (b *Boxes) listed() []*Host {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.order)
+}
+
+// dropIdle closes idle connections; the host is locked.
+func (h *Host) dropIdle(which func(*Conn) bool) {
+	h.idle = slices.DeleteFunc(h.idle, func(c *Conn) bool {
+		if !which(c) {
+			return false
+		}
+		c.Conn.Close()
+		h.open--
+		return true
+	})
+	h.notify()
+}
+
+// notify wakes those who wait for a connection; the host is locked.
+func (h *Host) notify() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Get returns a proven connection: an idle one, else the first that a race of the addresses brings.
+func (h *Host) Get(ctx context.Context) (*Conn, error) {
+	until := h.all.Since() + h.all.Limit
+	limit := time.NewTimer(h.all.Limit)
+	defer limit.Stop()
+	for {
+		h.mu.Lock()
+		if h.gone {
+			h.mu.Unlock()
+			return nil, ErrUnreached
+		}
+		h.used = h.all.Since()
+		if c := h.takeIdle(); c != nil {
+			h.mu.Unlock()
+			return c, nil
+		}
+		if h.open < h.all.Most && h.racing < addresses.MostRaces {
+			h.open++
+			h.racing++
+			race := h.book.Race(h.all.Since(), until)
+			h.mu.Unlock()
+			return h.race(ctx, race)
+		}
+		changed := h.changed
+		h.mu.Unlock()
+		select {
+		case <-changed:
+		case <-limit.C:
+			return nil, ErrUnreached
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// takeIdle returns the idle connection that was used last and still stands, at the address that is best just now.
+func (h *Host) takeIdle() *Conn {
+	now := h.all.Since()
+	for _, a := range h.book.Order(now) {
+		for i := len(h.idle) - 1; i >= 0; i-- {
+			c := h.idle[i]
+			if c.Address != a {
+				continue
+			}
+			h.idle = slices.Delete(h.idle, i, i+1)
+			if now-c.since < idleMost && c.stands() {
+				c.wrote = 0
+				return c
+			}
+			c.Conn.Close()
+			h.open--
+		}
+		if a.Doubtful(now) {
+			break // before a doubtful address's old connections, a race has its say
+		}
+	}
+	return nil
+}
+
+// stands tells whether the far side has neither closed an idle connection nor said something unasked.
+func (c *Conn) stands() bool {
+	if c.read.Buffered() > 0 {
+		return false
+	}
+	sys, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return false
+	}
+	fine := false
+	err = raw.Read(func(fd uintptr) bool {
+		var buf [1]byte
+		n, _, e := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		fine = n < 0 && (e == syscall.EAGAIN || e == syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && fine
+}
+
+// race runs one race. The place for its connection is taken already.
+func (h *Host) race(ctx context.Context, race *addresses.Race) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.all.Limit)
+	defer cancel()
+	won, ended := make(chan *Conn, 1), make(chan struct{}, 16)
+	out := 0
+	finish := func(c *Conn) (*Conn, error) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		race.End(h.all.Since())
+		h.racing--
+		if c == nil {
+			select {
+			case c = <-won: // it came in the same moment
+			default:
+				h.open--
+				h.notify()
+				return nil, ErrUnreached
+			}
+		}
+		h.notify()
+		return c, nil
+	}
+	for {
+		h.mu.Lock()
+		a, wait, over := race.Next(h.all.Since())
+		h.mu.Unlock()
+		if a != nil {
+			out++
+			spec := a.Spec
+			h.all.Group.Go(func() error {
+				began := h.all.Since()
+				conn, read, res := connect(ctx, spec, h.Name)
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				now := h.all.Since()
+				first := race.Did(now, a, res, now-began)
+				switch {
+				case first:
+					won <- &Conn{Conn: conn, Address: a, host: h, read: read}
+				case res == addresses.Proven:
+					h.keep(&Conn{Conn: conn, Address: a, host: h, read: read}, true)
+				}
+				select {
+				case ended <- struct{}{}:
+				default:
+				}
+				return nil
+			})
+			continue
+		}
+		if over {
+			return finish(nil)
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case c := <-won:
+			timer.Stop()
+			return finish(c)
+		case <-ended:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return finish(nil)
+		}
+		timer.Stop()
+	}
+}
+
+// keep puts a proven connection among the idle ones, if there is use for it; the host is locked. fresh: it has no
+// place among the open ones yet.
+func (h *Host) keep(c *Conn, fresh bool) {
+	if c.Address.Dropped || h.gone || h.all.Life.Err() != nil || fresh && h.open >= h.all.Most {
+		c.Conn.Close()
+		if !fresh {
+			h.open--
+		}
+		h.notify()
+		return
+	}
+	if fresh {
+		h.open++
+	}
+	c.since = h.all.Since()
+	h.idle = append(h.idle, c)
+	h.notify()
+}
+
+// connect opens a connection and has it proved: the far side must read a request and answer with the box's name.
+func connect(ctx context.Context, spec addresses.Spec, name string) (net.Conn, *bufio.Reader, addresses.Result) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, spec.Network, spec.At)
+	if err != nil {
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ENOENT), errors.Is(err, syscall.ECONNRESET):
+			return nil, nil, addresses.Refused
+		case ctx.Err() != nil, errors.Is(err, syscall.ETIMEDOUT):
+			return nil, nil, addresses.Silent
+		}
+		return nil, nil, addresses.Refused
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	read := bufio.NewReader(conn)
+	res := prove(conn, read, name)
+	if !stop() && res != addresses.OtherOwner {
+		res = addresses.Silent
+	}
+	if res != addresses.Proven {
+		conn.Close()
+		return nil, nil, res
+	}
+	return conn, read, res
+}
+
+func prove(conn net.Conn, read *bufio.Reader, name string) addresses.Result {
+	if _, err := fmt.Fprintf(conn, "GET /v2 HTTP/1.1\r\nHost: %s\r\n\r\n", name); err != nil {
+		return addresses.Broke
+	}
+	resp, err := http.ReadResponse(read, nil)
+	if err != nil {
+		return addresses.Broke
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, proofMost+1))
+	resp.Body.Close()
+	if err != nil || len(raw) > proofMost || resp.Close {
+		return addresses.Broke
+	}
+	var said struct {
+		Name string `json:"name"`
+	}
+	if json.Unmarshal(raw, &said) != nil || resp.StatusCode != http.StatusOK || said.Name != name {
+		return addresses.OtherOwner
+	}
+	return addresses.Proven
+}
+
+// Write counts what went out.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.wrote += int64(n)
+	return n, err
+}
+
+// Sent tells whether a byte of the request went out: from then on it is bound to this connection.
+func (c *Conn) Sent() bool { return c.wrote > 0 }
+
+// Do sends a request over the connection and returns its answer, whose body must be closed; then the connection is
+// kept or closed. An error that is ErrNotSent means that the request may go over another connection.
+func (c *Conn) Do(ctx context.Context, r *http.Request) (*http.Response, error) {
+	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	fail := func(err error) (*http.Response, error) {
+		stop()
+		c.drop()
+		if !c.Sent() {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		return nil, err
+	}
+	out := bufio.NewWriter(c)
+	if err := r.Write(out); err != nil {
+		return fail(err)
+	}
+	if err := out.Flush(); err != nil {
+		return fail(err)
+	}
+	resp, err := http.ReadResponse(c.read, r)
+	if err != nil {
+		return fail(err)
+	}
+	resp.Body = &body{ReadCloser: resp.Body, conn: c, stop: stop, last: resp.Close}
+	return resp, nil
+}
+
+// body gives the connection back when the answer has been read.
+type body struct {
+	io.ReadCloser
+	conn   *Conn
+	stop   func() bool
+	last   bool // no further answer follows on this connection
+	ended  bool
+	closed bool
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || err == io.EOF
+	return n, err
+}
+
+// Close reads the little that may follow an answer's last event; with more to come the connection is closed.
+func (b *body) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	if !b.ended && !b.last {
+		b.conn.SetReadDeadline(time.Now().Add(drainTime))
+		io.CopyN(io.Discard, b, drainMost)
+		b.conn.SetReadDeadline(time.Time{})
+	}
+	if !b.stop() || !b.ended || b.last {
+		b.conn.drop()
+		return nil
+	}
+	h := b.conn.host
+	h.mu.Lock()
+	h.keep(b.conn, false)
+	h.mu.Unlock()
+	return nil
+}
+
+// drop closes the connection.
+func (c *Conn) drop() {
+	c.Conn.Close()
+	h := c.host
+	h.mu.Lock()
+	h.open--
+	h.notify()
+	h.mu.Unlock()
+}
+
+// Served and Lost tell how a request over an address ended. After a lost one the address's idle connections are
+// closed: what is sent next there has a new proof before it.
+func (c *Conn) Served() { c.did(addresses.Served) }
+func (c *Conn) Lost()   { c.did(addresses.Lost) }
+
+func (c *Conn) did(r addresses.Result) {
+	h := c.host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.book.Did(h.all.Since(), c.Address, r, 0)
+	if r == addresses.Lost {
+		h.dropIdle(func(o *Conn) bool { return o.Address == c.Address })
+	}
+}
+
+// Look again and keep warm, until the boxes' life ends.
+func (b *Boxes) Tend() error {
+	const step = 250 * time.Millisecond
+	tick := time.NewTicker(step)
+	defer tick.Stop()
+	for {
+		select {
+		case <-b.Life.Done():
+			for _, h := range b.listed() {
+				h.mu.Lock()
+				h.dropIdle(func(*Conn) bool { return true })
+				h.mu.Unlock()
+			}
+			return nil
+		case <-tick.C:
+		}
+		b.recheck()
+		for _, h := range b.listed() {
+			h.warm()
+		}
+	}
+}
+
+// recheck looks at one doubtful address again, if the budget has a try for it.
+func (b *Boxes) recheck() {
+	hosts := b.listed()
+	var books []*addresses.Book
+	for _, h := range hosts {
+		h.mu.Lock()
+		books = append(books, h.book)
+	}
+	book, a := b.budget.Recheck(b.Since(), books)
+	for _, h := range hosts {
+		h.mu.Unlock()
+	}
+	if a == nil {
+		return
+	}
+	h := hosts[slices.Index(books, book)]
+	b.try(h, a, func(now time.Duration, res addresses.Result, took time.Duration) { book.Rechecked(now, a, res, took) })
+}
+
+// warm closes what was idle for long and opens what should be ready, one connection at a time.
+func (h *Host) warm() {
+	h.mu.Lock()
+	now := h.all.Since()
+	h.dropIdle(func(c *Conn) bool { return now-c.since >= idleMost })
+	var want *addresses.Address
+	if h.used > 0 && now-h.used < usedMost && !h.gone && h.racing == 0 && h.open < h.all.Most {
+		for _, a := range h.book.Warm(now) {
+			if !slices.ContainsFunc(h.idle, func(c *Conn) bool { return c.Address == a }) {
+				want = a
+				break
+			}
+		}
+	}
+	h.mu.Unlock()
+	if want != nil {
+		h.all.try(h, want, func(now time.Duration, res addresses.Result, took time.Duration) { h.book.Did(now, want, res, took) })
+	}
+}
+
+// try makes one connection in the background.
+func (b *Boxes) try(h *Host, a *addresses.Address, did func(time.Duration, addresses.Result, time.Duration)) {
+	h.mu.Lock()
+	h.racing++
+	spec := a.Spec
+	h.mu.Unlock()
+	b.Group.Go(func() error {
+		ctx, cancel := context.WithTimeout(b.Life, b.Limit)
+		defer cancel()
+		began := b.Since()
+		conn, read, res := connect(ctx, spec, h.Name)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.racing--
+		did(b.Since(), res, b.Since()-began)
+		if res == addresses.Proven {
+			h.keep(&Conn{Conn: conn, Address: a, host: h, read: read}, true)
+		}
+		h.notify()
+		return nil
+	})
+}
+
+// URL is a request's address for a box: requests are made for its name, and sent over a connection.
+func URL(name string) string { return "http://" + strings.ReplaceAll(name, " ", "-") }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -42,6 +42,7 @@
 	At         int64   `json:"at"` // microseconds since the day began
 	What       string  `json:"what"`
 	Box        string  `json:"box,omitempty"`
+	Address    string  `json:"address,omitempty"` // of the box, by which a trip came
 	Dispatcher string  `json:"dispatcher,omitempty"`
 	Try        string  `json:"try,omitempty"` // the client's id for one try, which is the question's mark
 	Question   string  `json:"question,omitempty"`
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -17,6 +17,9 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"sloetrestle/internal/addresses"
+	"sloetrestle/internal/reach"
 )
 
 // Span is a length of time, written "250ms" or "4s".
@@ -145,7 +148,8 @@
 	Number   int      `toml:"number"`
 	Siblings int      `toml:"siblings"` // dispatchers, itself among them
 	Zone     string   `toml:"zone"`
-	Listen   string   `toml:"listen"`
+	Listen   []string `toml:"listen"`          // host:port, tcp4:, tcp6: or unix: with a path
+	Allow    []string `toml:"allow,omitempty"` // where boxes may be: ranges such as 10.0.0.0/8, and unix:/folder/; none: anywhere
 	Keep     string   `toml:"keep,omitempty"`  // folder for the last list
 	Boxes    string   `toml:"boxes"`           // address of the box list
 	News     string   `toml:"news,omitempty"`  // UDP address for messages of siblings
@@ -158,16 +162,23 @@
 	Stop     Span     `toml:"stop_time"`       // for running questions to end after SIGTERM
 }
 
+// BoxAddress is a further address of a box, beside those that the list names.
+type BoxAddress struct {
+	Box string `toml:"box"`
+	addresses.Spec
+}
+
 // Dispatcher is the file of one dispatcher.
 type Dispatcher struct {
 	Place Place `toml:"dispatcher"`
 	Terms
+	Further []BoxAddress `toml:"address,omitempty"`
 }
 
 // DefaultDispatcher is what a file of a dispatcher starts from.
 func DefaultDispatcher() Dispatcher {
 	return Dispatcher{Terms: DefaultTerms(), Place: Place{
-		Name: "dispatcher", Siblings: 1, Zone: "here", Listen: "127.0.0.1:8100", Margin: Span(10 * time.Millisecond),
+		Name: "dispatcher", Siblings: 1, Zone: "here", Listen: []string{"127.0.0.1:8100"}, Margin: Span(10 * time.Millisecond),
 		Body: 8 << 20, BodyTime: Span(10 * time.Second), Write: Span(10 * time.Second), Stop: Span(30 * time.Second),
 	}}
 }
@@ -303,9 +314,23 @@
 	if p.Siblings < 1 || p.Number < 0 || p.Number >= p.Siblings {
 		return Wrong("dispatcher.number", "is %d of %d dispatchers; numbers begin with 0", p.Number, p.Siblings)
 	}
-	for key, addr := range map[string]string{"listen": p.Listen, "boxes": p.Boxes} {
-		if _, _, err := net.SplitHostPort(addr); err != nil {
-			return Wrong("dispatcher."+key, "%q is no address such as 127.0.0.1:8100", addr)
+	if _, _, err := net.SplitHostPort(p.Boxes); err != nil {
+		return Wrong("dispatcher.boxes", "%q is no address such as 127.0.0.1:8000", p.Boxes)
+	}
+	if len(p.Listen) == 0 {
+		return Wrong("dispatcher.listen", "names no address")
+	}
+	for _, at := range p.Listen {
+		if _, err := reach.ParseListen(at); err != nil {
+			return Wrong("dispatcher.listen", "%v", err)
+		}
+	}
+	if _, err := reach.NewAllowed(p.Allow); err != nil {
+		return Wrong("dispatcher.allow", "%v", err)
+	}
+	for i, a := range d.Further {
+		if err := a.Check(); err != nil || a.Box == "" {
+			return Wrong(fmt.Sprintf("address.%d", i), "an address needs a box, a network and at: %v", err)
 		}
 	}
 	if d.Limits.Siblings && len(p.Peers) != p.Siblings {
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -7,10 +7,12 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/boxlist"
 	"sloetrestle/internal/record"
 )
@@ -29,6 +31,7 @@
 	server  *http.Server
 	served  sync.WaitGroup
 	whole   int // whole lists sent
+	dropped map[string][]int
 }
 
 type change struct {
@@ -48,7 +51,7 @@
 
 // Open starts serving, also again after Shut.
 func (l *List) Open() error {
-	listener, err := listen(l.Address)
+	listener, err := listen("tcp", l.Address)
 	if err != nil {
 		return err
 	}
@@ -99,10 +102,30 @@
 		visible = max(visible, l.changes[n-1].visible)
 	}
 	l.changes = append(l.changes, change{visible, boxlist.Box{
-		Name: b.Name, Address: b.Address, Kind: b.Kind, Zone: b.Zone, Rack: b.Rack, Standing: standing, Units: b.Units, Start: start,
+		Name: b.Name, Addresses: l.named(b), Kind: b.Kind, Zone: b.Zone, Rack: b.Rack, Standing: standing, Units: b.Units, Start: start,
 	}, now - up, cold})
 }
 
+// Drop leaves addresses of a box out of what the list says from now on.
+func (l *List) Drop(b *Box, which []int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dropped == nil {
+		l.dropped = map[string][]int{}
+	}
+	l.dropped[b.Name] = which
+}
+
+func (l *List) named(b *Box) []addresses.Spec {
+	var at []addresses.Spec
+	for i, a := range b.Addresses {
+		if !slices.Contains(l.dropped[b.Name], i) {
+			at = append(at, a)
+		}
+	}
+	return at
+}
+
 // line is a change as it is said now.
 func (c change) line(now time.Duration) boxlist.Box {
 	b := c.box
