Rested connections prove themselves anew; releases hold for trips that arrive later

Change: an idle connection older than 100 ms proves itself before a trip is bound to it; a release names the trips it covers and a box drops what arrives after it; the stand-in takes down when a trip's bytes reached its machine; a writer fetches by whichever address of the reader serves.

--- a/cmd/benchlink/same_test.go
+++ b/cmd/benchlink/same_test.go
@@ -125,7 +125,7 @@
 	c.flights[f.Trip.Question.ID] = f
 	c.note("send %d to %d for %d", f.Trip.Question.ID, f.Trip.Host.ID, f.Wait.Microseconds())
 }
-func (c *carrier) Release(*dispatch.Box, string)         {}
+func (c *carrier) Release(*dispatch.Box, kserve.Release) {}
 func (c *carrier) Tell(int, brain.News)                  {}
 func (c *carrier) Reach(*dispatch.Box, []addresses.Spec) {}
 
--- a/cmd/sloetrestle/day.go
+++ b/cmd/sloetrestle/day.go
@@ -2,11 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -14,7 +19,9 @@
 
 	"sloetrestle/examples"
 	"sloetrestle/internal/day"
+	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/judge"
+	"sloetrestle/internal/reach"
 	"sloetrestle/internal/record"
 	"sloetrestle/internal/setup"
 )
@@ -198,26 +205,83 @@
 	return err
 }
 
+// ask gets what a running dispatcher tells operators.
+func ask(address string, into any) error {
+	client := http.Client{Timeout: 5 * time.Second}
+	spec, err := reach.ParseListen(address)
+	if err != nil {
+		return err
+	}
+	client.Transport = &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, spec.Network, spec.At)
+	}}
+	defer client.CloseIdleConnections()
+	resp, err := client.Get("http://dispatcher/state")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 16<<20)).Decode(into); err != nil {
+		return fmt.Errorf("%s answered no state: %w", address, err)
+	}
+	return nil
+}
+
 func state() *cobra.Command {
 	return &cobra.Command{
 		Use: "state ADDRESS", Short: "Print what a running dispatcher holds and has seen", Args: cobra.ExactArgs(1),
+		Example: "  sloetrestle state 127.0.0.1:8100\n  sloetrestle state unix:/run/d0.sock",
 		RunE: works(func(cmd *cobra.Command, args []string) error {
-			client := http.Client{Timeout: 5 * time.Second}
-			resp, err := client.Get("http://" + args[0] + "/state")
-			if err != nil {
+			var seen json.RawMessage
+			if err := ask(args[0], &seen); err != nil {
 				return err
 			}
-			defer resp.Body.Close()
-			raw, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
-			if err != nil {
+			var out bytes.Buffer
+			json.Indent(&out, seen, "", "  ")
+			_, err := out.WriteTo(cmd.OutOrStdout())
+			return err
+		}),
+	}
+}
+
+func boxes() *cobra.Command {
+	return &cobra.Command{
+		Use: "boxes ADDRESS", Short: "Show the boxes of a running dispatcher, each address with how it stands and why", Args: cobra.ExactArgs(1),
+		RunE: works(func(cmd *cobra.Command, args []string) error {
+			var seen struct {
+				Boxes []struct {
+					Name, Standing, Role string
+					Streams              int
+				}
+				Addresses []dispatch.BoxState
+			}
+			if err := ask(args[0], &seen); err != nil {
 				return err
 			}
-			var out bytes.Buffer
-			if err := json.Indent(&out, raw, "", "  "); err != nil {
-				return fmt.Errorf("%s answered no state: %.200s", args[0], raw)
+			out := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
+			fmt.Fprintln(out, "BOX\tROLE\tSTANDING\tSTREAMS\tCONNECTIONS\tADDRESS\tSTANDS\tWHY")
+			slices.SortFunc(seen.Addresses, func(a, b dispatch.BoxState) int { return strings.Compare(a.Name, b.Name) })
+			for _, at := range seen.Addresses {
+				for _, b := range seen.Boxes {
+					if b.Name == at.Name {
+						fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%d, %d idle\t", b.Name, b.Role, b.Standing, b.Streams, at.Open, at.Idle)
+					}
+				}
+				for i, a := range at.Addresses {
+					if i > 0 {
+						fmt.Fprint(out, "\t\t\t\t\t")
+					}
+					stands := "trusted"
+					if a.Doubtful {
+						stands = "in doubt"
+					}
+					fmt.Fprintf(out, "%s\t%s\t%s\n", a.At, stands, a.Why)
+				}
+				if len(at.Addresses) == 0 {
+					fmt.Fprintln(out, "none\t\t")
+				}
 			}
-			_, err = out.WriteTo(cmd.OutOrStdout())
-			return err
+			return out.Flush()
 		}),
 	}
 }
--- a/internal/addresses/addresses.go
+++ b/internal/addresses/addresses.go
@@ -39,6 +39,10 @@
 	// connection of its own, and a cold box be pushed over by proofs. Those who wait take what a race leaves.
 	MostRaces = 8
 
+	// FreshFor is how long a connection's proof is believed while it is idle. One that has rested longer proves itself
+	// anew before a trip is bound to it, which costs a round trip; a busy box's connections hardly ever rest.
+	FreshFor = 100 * time.Millisecond
+
 	// Connections that are kept ready: one proven connection at the best two addresses.
 	warmAddresses = 2
 )
@@ -249,8 +253,8 @@
 	return out
 }
 
-// stagger is how long one attempt is given before the next begins beside it.
-func (b *Book) stagger() time.Duration {
+// Stagger is how long one attempt is given before the next begins beside it, and an idle connection to prove itself.
+func (b *Book) Stagger() time.Duration {
 	s := time.Duration(staggerTimes * b.proofs.Or(staggerFirst.Seconds()/staggerTimes) * float64(time.Second))
 	return min(max(s, staggerLeast), staggerMost)
 }
@@ -281,7 +285,7 @@
 		a := r.left[0]
 		r.left = r.left[1:]
 		r.out = append(r.out, a)
-		r.next = now + r.book.stagger()
+		r.next = now + r.book.Stagger()
 		a.LastTry, a.tried = now, true
 		a.trying++
 		return a, 0, false
@@ -318,7 +322,7 @@
 func (r *Race) End(now time.Duration) {
 	for _, a := range r.out {
 		a.trying--
-		if now-a.LastTry >= r.book.stagger() {
+		if now-a.LastTry >= r.book.Stagger() {
 			r.book.Did(now, a, Silent, 0)
 		}
 	}
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -26,7 +26,7 @@
 // Carrier takes trips and messages out. Its methods are called by the loop and must not wait.
 type Carrier interface {
 	Carry(f *Flight)
-	Release(b *Box, key string)
+	Release(b *Box, r kserve.Release)
 	Reach(b *Box, at []addresses.Spec) // none: the box is gone
 	Tell(peer int, n brain.News)
 }
@@ -62,8 +62,10 @@
 	from     time.Duration
 }
 
-// Key names the question at boxes.
-func (l *Loop) Key(a *Asked) string { return fmt.Sprintf("%s/%d", l.Epoch, a.Question.ID) }
+// release lets go at a box of what a question's trips so far may have left there.
+func (l *Loop) release(b *Box, a *Asked) {
+	l.carrier.Release(b, kserve.Release{Key: fmt.Sprintf("%s/%d", l.Epoch, a.Question.ID), Trip: len(a.Question.Trips) - 1})
+}
 
 // Flight is one trip on its way.
 type Flight struct {
@@ -438,10 +440,10 @@
 		a.waiting[f.Box] = true
 	case t.Stage == brain.ToRead && r.Outcome != brain.Unreached && r.Outcome != brain.Full:
 		// The read may have ended at the box just as it was given up on here: its state must not stay there.
-		l.carrier.Release(f.Box, l.Key(a))
+		l.release(f.Box, a)
 	case r.Outcome == brain.Full && r.Note == 1 && f.State != nil:
 		// The reader could not give the state just now; it may hold it all the same.
-		l.carrier.Release(f.State, l.Key(a))
+		l.release(f.State, a)
 		delete(a.waiting, f.State)
 	}
 	r.Over = a.answered || a.left || r.Outcome == brain.Answered || t.Began > 0
@@ -504,7 +506,7 @@
 func (l *Loop) Release(q *brain.Question) {
 	a := l.asked[q]
 	for b := range a.waiting {
-		l.carrier.Release(b, l.Key(a))
+		l.release(b, a)
 	}
 	clear(a.waiting)
 }
--- a/internal/dispatch/loop_test.go
+++ b/internal/dispatch/loop_test.go
@@ -23,9 +23,9 @@
 	reached  []string
 }
 
-func (h *hand) Carry(f *Flight)            { h.flights = append(h.flights, f) }
-func (h *hand) Release(b *Box, key string) { h.released = append(h.released, b.Name) }
-func (h *hand) Tell(int, brain.News)       {}
+func (h *hand) Carry(f *Flight)                  { h.flights = append(h.flights, f) }
+func (h *hand) Release(b *Box, _ kserve.Release) { h.released = append(h.released, b.Name) }
+func (h *hand) Tell(int, brain.News)             {}
 func (h *hand) Reach(b *Box, at []addresses.Spec) {
 	h.reached = append(h.reached, fmt.Sprint(b.Name, at))
 }
--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -101,7 +101,7 @@
 		WaitUs: f.Wait.Microseconds(),
 	}
 	if f.State != nil {
-		e.State = stateAddress(f.State.reach.Best())
+		e.Reader, e.State = f.State.Name, f.State.reach.Best()
 	}
 	// What the goroutine needs is read here: boxes are the loop's.
 	host, text := f.Box.reach, a.Ask.Text
@@ -119,19 +119,6 @@
 	})
 }
 
-// stateAddress is where a writer fetches a state: the first address that another machine can reach, else a socket.
-func stateAddress(at []addresses.Spec) string {
-	for _, s := range at {
-		if s.Network != addresses.Unix {
-			return s.At
-		}
-	}
-	if len(at) > 0 {
-		return at[0].String()
-	}
-	return ""
-}
-
 // connected gets connections until a request went out over one: nothing of it was sent over those before.
 func connected(ctx context.Context, host *reach.Host, r func() (*http.Request, error)) (*reach.Conn, *http.Response, error) {
 	for {
@@ -239,7 +226,7 @@
 
 // releases are the states that a box is still to be told to let go of.
 type releases struct {
-	keys []string
+	keys []kserve.Release
 }
 
 const (
@@ -251,7 +238,7 @@
 )
 
 // Release tells a box to let go of a question's state, until it is known done or the box is gone.
-func (c *Trips) Release(b *Box, key string) {
+func (c *Trips) Release(b *Box, key kserve.Release) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.releases[b]
@@ -301,16 +288,19 @@
 	}
 }
 
-func (c *Trips) release(host *reach.Host, keys []string) error {
+func (c *Trips) release(host *reach.Host, keys []kserve.Release) error {
 	ctx, cancel := context.WithTimeout(c.life, releaseTime)
 	defer cancel()
 	if host == nil {
 		return reach.ErrUnreached
 	}
-	_, resp, err := connected(ctx, host, func() (*http.Request, error) {
+	conn, resp, err := connected(ctx, host, func() (*http.Request, error) {
 		return kserve.NewRelease(ctx, reach.URL(host.Name), c.Model, keys)
 	})
 	if err != nil {
+		if conn != nil {
+			conn.Lost() // the next try takes another way
+		}
 		return err
 	}
 	defer resp.Body.Close()
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -155,6 +155,13 @@
 			}
 		case record.Trip:
 			tr := &trip{Line: l, until: -1}
+			// A trip counts from when its bytes had reached the box's machine: what the dispatcher did lies before.
+			if l.Arrived > 0 {
+				tr.At = l.Arrived
+			}
+			if l.Gone > 0 {
+				tr.until = max(l.Gone, tr.At)
+			}
 			open[at] = tr
 			rd.trips[l.Key] = append(rd.trips[l.Key], tr)
 			if t != nil {
@@ -191,6 +198,7 @@
 		}
 	}
 	for _, trips := range rd.trips {
+		slices.SortStableFunc(trips, func(a, b *trip) int { return cmp.Compare(a.At, b.At) })
 		for _, tr := range trips {
 			if tr.until < 0 {
 				tr.until = rd.end
@@ -334,6 +342,9 @@
 		case record.Trip:
 			r.Checked++
 			d := dispatcherOf(l.Key)
+			if l.Arrived > 0 {
+				l.At = l.Arrived
+			}
 			if at, known := told[pair{d, l.Box}]; known && l.At > at+grace {
 				r.offence("try %s: %s sent trip %d to %s %.0f ms after it was told that the box drains or is gone", l.Try, d, l.Trip, l.Box, ms(l.At-at))
 			}
--- a/internal/kserve/errand.go
+++ b/internal/kserve/errand.go
@@ -31,7 +31,9 @@
 	Prefix   int    `json:"shared_tokens,omitempty"`
 	Most     int    `json:"max_tokens"`
 	WaitUs   int64  `json:"timeout,omitempty"`
-	State    string `json:"state,omitempty"` // address of the reader at which the state waits
+	// Where the state waits: the reader's name and its addresses (tcp4:, tcp6: or unix:), the best first.
+	Reader string   `json:"reader,omitempty"`
+	State  []string `json:"state,omitempty"`
 }
 
 // Key names the question at a box: ids are a dispatcher's own.
@@ -104,23 +106,47 @@
 	return e, b.Text, nil
 }
 
-// Keys are the questions whose states and places a box lets go of, or one that a writer fetches.
-type Keys struct {
-	Keys []string `json:"keys"`
+// Release is a question whose states and places a box lets go of: those of its trips up to one. A trip that arrives
+// only after its release leaves none: on a slow way the one may overtake the other.
+type Release struct {
+	Key  string `json:"key"`
+	Trip int    `json:"trip"`
+}
+
+type releaseBody struct {
+	Release []Release `json:"release"`
 }
 
 // NewRelease makes the request that lets go of states.
-func NewRelease(ctx context.Context, base, model string, keys []string) (*http.Request, error) {
-	return keysRequest(ctx, base+"/v2/models/"+model+"/release", keys)
+func NewRelease(ctx context.Context, base, model string, release []Release) (*http.Request, error) {
+	return post(ctx, base+"/v2/models/"+model+"/release", releaseBody{release})
+}
+
+// ReadRelease decodes its body.
+func ReadRelease(body io.Reader) ([]Release, error) {
+	var r releaseBody
+	err := decode(body, &r)
+	return r.Release, err
+}
+
+type fetchBody struct {
+	Key string `json:"key"`
 }
 
 // NewFetch makes the request by which a writer takes a state from its reader.
 func NewFetch(ctx context.Context, base, model, key string) (*http.Request, error) {
-	return keysRequest(ctx, base+"/v2/models/"+model+"/state", []string{key})
+	return post(ctx, base+"/v2/models/"+model+"/state", fetchBody{key})
+}
+
+// ReadFetch decodes its body.
+func ReadFetch(body io.Reader) (string, error) {
+	var f fetchBody
+	err := decode(body, &f)
+	return f.Key, err
 }
 
-func keysRequest(ctx context.Context, to string, keys []string) (*http.Request, error) {
-	raw, err := json.Marshal(Keys{keys})
+func post(ctx context.Context, to string, v any) (*http.Request, error) {
+	raw, err := json.Marshal(v)
 	if err != nil {
 		return nil, err
 	}
@@ -130,10 +156,3 @@
 	}
 	return r, err
 }
-
-// ReadKeys decodes the body of both.
-func ReadKeys(body io.Reader) ([]string, error) {
-	var k Keys
-	err := decode(body, &k)
-	return k.Keys, err
-}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -278,7 +278,7 @@
 	}
 	io.Copy(io.Discard, resp.Body)
 	resp.Body.Close()
-	e.Stage, e.Trip, e.State = kserve.StageWrite, 1, r.reader
+	e.Stage, e.Trip, e.Reader, e.State = kserve.StageWrite, 1, "reader-1", []string{"tcp4:" + r.reader}
 	if req, err = kserve.NewErrand(ctx, "http://"+r.writer, r.model, "", e); err != nil {
 		return time.Time{}, err
 	}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -54,7 +54,7 @@
 	gone    bool
 }
 
-// Conn is one proven connection.
+// Conn is one use of a proven connection.
 type Conn struct {
 	net.Conn
 	Address *addresses.Address
@@ -101,12 +101,12 @@
 }
 
 // Best lists the box's addresses, the best just now first.
-func (h *Host) Best() []addresses.Spec {
+func (h *Host) Best() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var at []addresses.Spec
+	var at []string
 	for _, a := range h.book.Order(h.all.Since()) {
-		at = append(at, a.Spec)
+		at = append(at, a.Spec.String())
 	}
 	return at
 }
@@ -156,10 +156,22 @@
 			h.mu.Unlock()
 			return nil, ErrUnreached
 		}
+		if h.all.Since() >= until {
+			h.mu.Unlock()
+			return nil, ErrUnreached
+		}
+		if err := ctx.Err(); err != nil {
+			h.mu.Unlock()
+			return nil, err
+		}
 		h.used = h.all.Since()
 		if c := h.takeIdle(); c != nil {
+			fresh, within := h.used-c.since < addresses.FreshFor, h.book.Stagger()
 			h.mu.Unlock()
-			return c, nil
+			if fresh || c.again(ctx, within) {
+				return c, nil
+			}
+			continue
 		}
 		if h.open < h.all.Most && h.racing < addresses.MostRaces {
 			h.open++
@@ -191,8 +203,8 @@
 			}
 			h.idle = slices.Delete(h.idle, i, i+1)
 			if now-c.since < idleMost && c.stands() {
-				c.wrote = 0
-				return c
+				// Each use has a Conn of its own: whoever had it last may still ask whether its request was sent.
+				return &Conn{Conn: c.Conn, Address: c.Address, host: h, read: c.read, since: c.since}
 			}
 			c.Conn.Close()
 			h.open--
@@ -232,7 +244,6 @@
 	ctx, cancel := context.WithTimeout(ctx, h.all.Limit)
 	defer cancel()
 	won, ended := make(chan *Conn, 1), make(chan struct{}, 16)
-	out := 0
 	finish := func(c *Conn) (*Conn, error) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -253,10 +264,12 @@
 	for {
 		h.mu.Lock()
 		a, wait, over := race.Next(h.all.Since())
+		var spec addresses.Spec
+		if a != nil {
+			spec = a.Spec
+		}
 		h.mu.Unlock()
 		if a != nil {
-			out++
-			spec := a.Spec
 			h.all.Group.Go(func() error {
 				began := h.all.Since()
 				conn, read, res := connect(ctx, spec, h.Name)
@@ -363,6 +376,35 @@
 	return addresses.Proven
 }
 
+// again has a connection that rested prove itself anew. One that doesn't speaks against its address, whose other idle
+// connections are closed with it.
+func (c *Conn) again(ctx context.Context, within time.Duration) bool {
+	began := c.host.all.Since()
+	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	c.Conn.SetDeadline(time.Now().Add(within))
+	res := prove(c.Conn, c.read, c.host.Name)
+	c.Conn.SetDeadline(time.Time{})
+	if !stop() {
+		c.drop()
+		return false
+	}
+	h := c.host
+	h.mu.Lock()
+	now := h.all.Since()
+	if res == addresses.Broke && now-began >= within {
+		res = addresses.Silent
+	}
+	h.book.Did(now, c.Address, res, now-began)
+	if res != addresses.Proven {
+		h.dropIdle(func(o *Conn) bool { return o.Address == c.Address })
+	}
+	h.mu.Unlock()
+	if res != addresses.Proven {
+		c.drop()
+	}
+	return res == addresses.Proven
+}
+
 // Write counts what went out.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,380 @@
+package reach_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+
+	"sloetrestle/internal/addresses"
+	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/reach"
+	"sloetrestle/internal/record"
+	"sloetrestle/internal/setup"
+	"sloetrestle/internal/standin"
+)
+
+// site is one box with addresses of all three kinds, and the way to it.
+type site struct {
+	t     *testing.T
+	book  *record.Book
+	fleet *standin.Fleet
+	boxes *reach.Boxes
+	n     atomic.Int64
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	before := goleak.IgnoreCurrent()
+	book, err := record.Open("", record.Head{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	terms := setup.DefaultTerms()
+	terms.Grades = []setup.Grade{{Name: "g", Effect: "unrepeatable"}}
+	s := &site{t: t, book: book, fleet: standin.NewFleet(terms, book, standin.Links{Near: 1e9, Far: 1e9}, map[string]standin.Talk{"g": {New: 1, Answer: 1}})}
+	life, end := context.WithCancel(context.Background())
+	group := &errgroup.Group{}
+	s.boxes = &reach.Boxes{Limit: 250 * time.Millisecond, Most: 64, Since: book.Since, Life: life, Group: group}
+	group.Go(s.boxes.Tend)
+	t.Cleanup(func() {
+		end()
+		group.Wait()
+		s.fleet.Close()
+		goleak.VerifyNone(t, before)
+	})
+	return s
+}
+
+func free(t *testing.T, network, at string) string {
+	t.Helper()
+	l, err := net.Listen(network, at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// box starts a box and tells the way to it. Its addresses are, in order: a socket, IPv6, IPv4.
+func (s *site) box(name string) (*standin.Box, *reach.Host) {
+	s.t.Helper()
+	dir, err := os.MkdirTemp("", "r") // a socket's path must be short
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	at := []addresses.Spec{{Network: addresses.Unix, At: filepath.Join(dir, name)}, {Network: addresses.TCP6, At: free(s.t, "tcp6", "[::1]:0")},
+		{Network: addresses.TCP4, At: free(s.t, "tcp4", "127.0.0.1:0")}}
+	b := s.fleet.NewBox(standin.Make{Name: name, Kind: "writer", Slots: 1000, Queue: 1000, Memory: 1 << 30, ReadPerS: 1e12, TokenTime: time.Microsecond, Addresses: at})
+	if err := b.Boot(false); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { b.Kill("end"); os.RemoveAll(dir) })
+	return b, s.boxes.Set(name, at, 3)
+}
+
+// trip sends one trip and returns how far it came: whether a byte went out, and the error.
+func (s *site) trip(h *reach.Host, wait time.Duration) (sent bool, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	e := kserve.Errand{Stage: kserve.StageWhole, From: "d.1", Question: uint64(s.n.Add(1)), Grade: "g", Tokens: 10, Most: 1}
+	for {
+		conn, err := h.Get(ctx)
+		if err != nil {
+			return false, err
+		}
+		r, err := kserve.NewErrand(ctx, reach.URL(h.Name), "lodge", "", e)
+		if err != nil {
+			s.t.Error(err)
+			return false, err
+		}
+		resp, err := conn.Do(ctx, r)
+		if errors.Is(err, reach.ErrNotSent) && ctx.Err() == nil {
+			continue
+		}
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			resp.Body.Close()
+		}
+		if err != nil {
+			conn.Lost()
+		} else {
+			conn.Served()
+		}
+		return conn.Sent(), err
+	}
+}
+
+// reached counts, by trip, how often boxes got it.
+func (s *site) reached() (times map[string]int, boxes map[string]int) {
+	times, boxes = map[string]int{}, map[string]int{}
+	for _, l := range s.book.Lines() {
+		if l.What == record.Trip {
+			times[l.Key]++
+			boxes[l.Box+" "+strings.SplitN(l.Address, ":", 2)[0]]++
+		}
+	}
+	return times, boxes
+}
+
+func TestFailOverCostsAConnectionAndNoTrip(t *testing.T) {
+	for mode, most := range map[string]time.Duration{
+		standin.GateRefuses: 50 * time.Millisecond, standin.GateStalls: 250 * time.Millisecond, standin.GateBlackhole: 250 * time.Millisecond,
+	} {
+		t.Run(mode, func(t *testing.T) {
+			s := newSite(t)
+			b, h := s.box("w1")
+			for _, i := range []int{0, 1} {
+				if err := b.Gate(i).Set(mode, 0, 0); err != nil {
+					t.Fatal(err)
+				}
+			}
+			began := time.Now()
+			_, err := s.trip(h, time.Second)
+			if took := time.Since(began); err != nil || took > most {
+				t.Errorf("%v after %v, at most %v are stated", err, took, most)
+			}
+			if _, by := s.reached(); by["w1 tcp4"] != 1 || len(by) != 1 {
+				t.Errorf("reached %v", by)
+			}
+		})
+	}
+}
+
+func TestAllAddressesFailingIsToldPromptly(t *testing.T) {
+	s := newSite(t)
+	b, h := s.box("w1")
+	for mode, most := range map[string]time.Duration{standin.GateRefuses: 100 * time.Millisecond, standin.GateStalls: 400 * time.Millisecond} {
+		for i := range 3 {
+			b.Gate(i).Set(mode, 0, 0)
+		}
+		began := time.Now()
+		sent, err := s.trip(h, 2*time.Second)
+		if took := time.Since(began); !errors.Is(err, reach.ErrUnreached) || sent || took > most {
+			t.Errorf("%s: sent %v, %v after %v", mode, sent, err, took)
+		}
+	}
+	// One comes back: real traffic or a background try finds it, whatever is thought of it.
+	b.Gate(2).Set(standin.GateServes, 0, 0)
+	for end := time.Now().Add(8 * time.Second); ; {
+		if _, err := s.trip(h, time.Second); err == nil {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the address that is back was not found")
+		}
+	}
+}
+
+// A connection that was proven and then rested must not take a trip into a stall that has begun meanwhile.
+func TestARestedConnectionProvesItselfAnew(t *testing.T) {
+	s := newSite(t)
+	b, h := s.box("w1")
+	for range 3 {
+		s.trip(h, time.Second)
+	}
+	time.Sleep(2 * addresses.FreshFor)
+	b.Gate(0).Set(standin.GateStalls, 0, 0)
+	began := time.Now()
+	if _, err := s.trip(h, time.Second); err != nil || time.Since(began) > 250*time.Millisecond {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+	if _, by := s.reached(); by["w1 unix"] != 3 || by["w1 tcp6"] != 1 {
+		t.Errorf("reached %v", by)
+	}
+}
+
+// What stalls after its proof takes the trip with it: that one is lost and may have run, and is never sent again.
+func TestATripThatStallsAfterTheProofIsSentOnce(t *testing.T) {
+	s := newSite(t)
+	b, h := s.box("w1")
+	b.Gate(0).Set(standin.GateStallsNext, 0, 0)
+	sent, err := s.trip(h, 300*time.Millisecond)
+	if !sent || err == nil {
+		t.Errorf("sent %v, %v", sent, err)
+	}
+	b.Gate(0).Set(standin.GateServes, 0, 0)
+	time.Sleep(100 * time.Millisecond)
+	times, _ := s.reached()
+	for key, n := range times {
+		if n > 1 {
+			t.Errorf("%s reached boxes %d times", key, n)
+		}
+	}
+}
+
+// An address that has passed to another box's process is noticed by the name that answers, and nothing is sent there.
+func TestNothingIsSentToAnotherBox(t *testing.T) {
+	s := newSite(t)
+	one, h1 := s.box("w1")
+	two, h2 := s.box("w2")
+	for range 3 {
+		s.trip(h1, time.Second)
+		s.trip(h2, time.Second)
+	}
+	for i := range 3 {
+		one.Gate(i).Swap(two.Gate(i))
+	}
+	before, _ := s.reached()
+	sent, err := s.trip(h1, time.Second)
+	after, _ := s.reached()
+	if !errors.Is(err, reach.ErrUnreached) || sent || len(after) != len(before) {
+		t.Errorf("sent %v, %v; %d trips reached a box before and %d after", sent, err, len(before), len(after))
+	}
+}
+
+func TestConnectionsToAnAddressThatIsDroppedAreNotUsedAgain(t *testing.T) {
+	s := newSite(t)
+	b, h := s.box("w1")
+	s.trip(h, time.Second)
+	s.boxes.Set("w1", b.Addresses[2:], 3)
+	if _, err := s.trip(h, time.Second); err != nil {
+		t.Error(err)
+	}
+	if _, by := s.reached(); by["w1 unix"] != 1 || by["w1 tcp4"] != 1 {
+		t.Errorf("reached %v", by)
+	}
+	s.boxes.Set("w1", nil, 3)
+	if _, err := s.trip(h, time.Second); !errors.Is(err, reach.ErrUnreached) {
+		t.Errorf("a box that is gone: %v", err)
+	}
+}
+
+// 10,000 trips while each address goes wrong and right again at random: each trip reaches one address at most, and what is
+// said not to have been sent reached none.
+func TestEachTripReachesAtMostOneAddress(t *testing.T) {
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	rng := rand.New(rand.NewPCG(seed, 1))
+	s := newSite(t)
+	b, h := s.box("w1")
+	modes := []string{standin.GateServes, standin.GateServes, standin.GateServes, standin.GateRefuses, standin.GateBlackhole, standin.GateStalls, standin.GateStallsNext,
+		standin.GateSlow, standin.GateResets, standin.GateFlaps}
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Duration(20+rng.IntN(60)) * time.Millisecond):
+			}
+			b.Gate(rng.IntN(3)).Set(modes[rng.IntN(len(modes))], time.Duration(1+rng.IntN(20))*time.Millisecond, rng.IntN(2000))
+		}
+	}()
+	const trips = 10000
+	var left atomic.Int64
+	left.Store(trips)
+	var unsent sync.Map
+	var failed atomic.Int64
+	var all sync.WaitGroup
+	for range 64 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for left.Add(-1) >= 0 {
+				// The trip's number is only known by its turn, so what was not sent is counted.
+				sent, err := s.trip(h, 60*time.Millisecond)
+				if err != nil {
+					failed.Add(1)
+				}
+				if !sent {
+					n, _ := unsent.LoadOrStore("n", new(atomic.Int64))
+					n.(*atomic.Int64).Add(1)
+				}
+			}
+		}()
+	}
+	all.Wait()
+	close(stop)
+	<-done
+	for i := range 3 {
+		b.Gate(i).Set(standin.GateServes, 0, 0)
+	}
+	time.Sleep(200 * time.Millisecond) // what was held back by a gate arrives late, or never
+	times, by := s.reached()
+	for key, n := range times {
+		if n > 1 {
+			t.Fatalf("%s reached boxes %d times", key, n)
+		}
+	}
+	n := int64(0)
+	if v, ok := unsent.Load("n"); ok {
+		n = v.(*atomic.Int64).Load()
+	}
+	if int64(len(times)) > trips-n {
+		t.Errorf("%d trips reached the box, though %d of %d were said not to have been sent", len(times), n, trips)
+	}
+	if failed.Load() == 0 || len(times) < trips/20 {
+		t.Errorf("%d trips failed and %d arrived: the faults did not do their part", failed.Load(), len(times))
+	}
+	t.Logf("%d arrived, %d failed, by %v", len(times), failed.Load(), by)
+}
+
+func TestAStaleSocketIsReplacedAndALiveOneIsNot(t *testing.T) {
+	dir, err := os.MkdirTemp("", "r")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer os.RemoveAll(dir)
+	at := filepath.Join(dir, "s")
+	spec, err := reach.ParseListen("unix:" + at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, err := reach.Listen(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := reach.Listen(spec); err == nil || !strings.Contains(err.Error(), "somebody listens") {
+		t.Errorf("a live socket: %v", err)
+	}
+	first.(*net.UnixListener).SetUnlinkOnClose(false)
+	first.Close()
+	second, err := reach.Listen(spec)
+	if err != nil {
+		t.Fatalf("a stale socket: %v", err)
+	}
+	second.Close()
+	if err := os.WriteFile(at, []byte("precious"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := reach.Listen(spec); err == nil || !strings.Contains(err.Error(), "no socket") {
+		t.Errorf("a file: %v", err)
+	}
+	if raw, _ := os.ReadFile(at); string(raw) != "precious" {
+		t.Error("the file is gone")
+	}
+}
+
+func TestAllowedRanges(t *testing.T) {
+	a, err := reach.NewAllowed([]string{"10.0.0.0/8", "fd00::/8", "192.168.1.5", "172.16.0.1-172.16.0.9", "unix:/run/boxes/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at, want := range map[string]bool{
+		"tcp4 10.2.3.4:1": true, "tcp4 11.2.3.4:1": false, "tcp6 [fd00::7]:1": true, "tcp6 [2001::7]:1": false, "tcp4 192.168.1.5:1": true, "tcp4 192.168.1.6:1": false,
+		"tcp4 172.16.0.9:1": true, "tcp4 172.16.0.10:1": false, "tcp6 [::ffff:10.0.0.1]:1": true, "unix /run/boxes/a": true, "unix /run/a": false, "unix /run/boxes/../a": false,
+	} {
+		network, where, _ := strings.Cut(at, " ")
+		if got := a.Has(addresses.Spec{Network: network, At: where}); got != want {
+			t.Errorf("%s: %v", at, got)
+		}
+	}
+	for _, bad := range []string{"10.0.0.0/99", "box-7", "unix:run"} {
+		if _, err := reach.NewAllowed([]string{bad}); err == nil {
+			t.Errorf("%s passes", bad)
+		}
+	}
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -60,6 +60,8 @@
 	AfterMs    int64   `json:"after_ms,omitempty"`
 	Took       int64   `json:"took_us,omitempty"`
 	Cold       bool    `json:"cold,omitempty"`
+	Arrived    int64   `json:"arrived,omitempty"` // when a trip's bytes reached the box's machine, if its process read them later
+	Gone       int64   `json:"gone,omitempty"`    // when the dispatcher had closed the trip's connection by then already
 }
 
 // Head is what a judge needs beside the lines.
@@ -118,6 +120,9 @@
 	return b, nil
 }
 
+// Stamp is a time on the book's clock, in microseconds.
+func (b *Book) Stamp(t time.Time) int64 { return t.Sub(b.began).Microseconds() }
+
 // Since is the book's clock.
 func (b *Book) Since() time.Duration { return time.Since(b.began) }
 
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -11,12 +11,12 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/reach"
 	"sloetrestle/internal/record"
 )
 
@@ -65,6 +65,7 @@
 	busy     int             // slots taken
 	held     int             // tokens of states and running answers
 	states   map[string]*waiting
+	letGo    map[string]releasedUpTo
 	kept     map[uint64]text
 	age      int
 	sent     []sent
@@ -120,6 +121,7 @@
 	var life context.Context
 	life, b.stop = context.WithCancel(context.Background())
 	b.Start, b.started, b.cold, b.up, b.fell, b.drains = b.fleet.start(), b.fleet.Book.Since(), cold, true, false, false
+	b.letGo = map[string]releasedUpTo{}
 	b.states, b.kept, b.sent, b.reading = map[string]*waiting{}, map[uint64]text{}, nil, &lane{}
 	b.held, b.busy, b.line, b.running = 0, 0, nil, 0
 	mux := http.NewServeMux()
@@ -135,10 +137,7 @@
 		Handler: mux, ErrorLog: log.New(io.Discard, "", 0), ReadHeaderTimeout: 5 * time.Second,
 		BaseContext: func(net.Listener) context.Context { return life },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			if g, ok := c.(*gated); ok {
-				return context.WithValue(ctx, cameBy{}, g.gate.Spec.String())
-			}
-			return ctx
+			return context.WithValue(ctx, cameBy{}, c)
 		},
 	}
 	server := b.server
@@ -393,7 +392,7 @@
 		kserve.WriteFault(w, err)
 		return
 	}
-	line := record.Line{Box: b.Name, Address: addressOf(r.Context()), Try: e.Mark, Grade: e.Grade, Key: e.Key(), Stage: e.Stage, Trip: e.Trip}
+	line := record.Line{Box: b.Name, Try: e.Mark, Grade: e.Grade, Key: e.Key(), Stage: e.Stage, Trip: e.Trip}
 	put := func(what, word string) {
 		l := line
 		l.What, l.Word = what, word
@@ -402,6 +401,18 @@
 	work := b.work(e)
 	got := line
 	got.What, got.Work = record.Trip, work
+	if c := connOf(r.Context()); c != nil {
+		got.Address = c.gate.Spec.String()
+		arrived, gone := c.times()
+		got.Arrived = b.fleet.Book.Stamp(arrived)
+		if !gone.IsZero() {
+			// Its dispatcher has closed already: such a trip is not begun.
+			got.Gone = b.fleet.Book.Stamp(gone)
+			b.fleet.Book.Put(got)
+			put(record.End, "dropped")
+			return
+		}
+	}
 	b.fleet.Book.Put(got)
 	// Whoever asked may go while the box works on: that is taken down on its own.
 	unwatch := context.AfterFunc(r.Context(), func() { put(record.Closed, "") })
@@ -510,6 +521,11 @@
 		b.mu.Unlock()
 		return
 	}
+	if l, ok := b.letGo[key]; ok && e.Trip <= l.trip {
+		b.giveBack(e.Tokens)
+		b.mu.Unlock()
+		return // it was released before it was read
+	}
 	b.held += e.Tokens // the slot is given on, the state stays
 	b.giveBack(e.Tokens)
 	s := &waiting{tokens: e.Tokens, try: e.Mark}
@@ -545,30 +561,51 @@
 }
 
 func (b *Box) release(w http.ResponseWriter, r *http.Request) {
-	keys, err := kserve.ReadKeys(http.MaxBytesReader(w, r.Body, 1<<20))
+	list, err := kserve.ReadRelease(http.MaxBytesReader(w, r.Body, 1<<20))
 	if err != nil {
 		kserve.WriteFault(w, err)
 		return
 	}
 	_, _, start := b.UpFor()
 	done := 0
-	for _, key := range keys {
-		if b.let(start, key, "released") {
+	for _, x := range list {
+		b.mu.Lock()
+		b.letGo[x.Key] = releasedUpTo{x.Trip, b.fleet.Book.Since()}
+		if len(b.letGo) > letGoMost {
+			for key, l := range b.letGo {
+				if b.fleet.Book.Since()-l.at > letGoTime {
+					delete(b.letGo, key)
+				}
+			}
+		}
+		b.mu.Unlock()
+		if b.let(start, x.Key, "released") {
 			done++
 		}
 	}
 	kserve.WriteJSON(w, http.StatusOK, map[string]int{"released": done})
 }
 
+// releasedUpTo remembers a release, for reads of the same question that come after it.
+type releasedUpTo struct {
+	trip int
+	at   time.Duration
+}
+
+const (
+	letGoMost = 4096
+	letGoTime = 30 * time.Second
+)
+
 // state gives a waiting state to a writer, which takes as long as the links need; until then it waits on.
 func (b *Box) state(w http.ResponseWriter, r *http.Request) {
-	keys, err := kserve.ReadKeys(http.MaxBytesReader(w, r.Body, 1<<20))
-	if err != nil || len(keys) != 1 {
-		kserve.WriteFault(w, fmt.Errorf("one state is given at a time: %v", err))
+	key, err := kserve.ReadFetch(http.MaxBytesReader(w, r.Body, 1<<20))
+	if err != nil {
+		kserve.WriteFault(w, err)
 		return
 	}
 	b.mu.Lock()
-	s, start := b.states[keys[0]], b.Start
+	s, start := b.states[key], b.Start
 	if s == nil || s.taking {
 		b.mu.Unlock()
 		kserve.WriteJSON(w, http.StatusNotFound, map[string]string{"error": "no such state waits"})
@@ -582,33 +619,36 @@
 		unkept := s.unkept
 		b.mu.Unlock()
 		if unkept {
-			b.let(start, keys[0], "released")
+			b.let(start, key, "released")
 		}
 		return
 	}
-	if b.let(start, keys[0], "taken") {
+	if b.let(start, key, "taken") {
 		kserve.WriteJSON(w, http.StatusOK, map[string]int{"tokens": s.tokens})
 	}
 }
 
-// fetch takes the state from the reader that the trip names.
+// fetch takes the state from the reader that the trip names, by whichever of its addresses serves.
 func (b *Box) fetch(ctx context.Context, e kserve.Errand) error {
-	if e.State == "" {
+	if len(e.State) == 0 {
 		return errors.New("no state was named")
 	}
-	if strings.HasPrefix(e.State, "unix:") {
-		return errors.New("the reader is at a socket of another machine")
+	conn, err := b.fleet.reader(e.Reader, e.State).Get(ctx)
+	if err != nil {
+		return err
 	}
-	r, err := kserve.NewFetch(ctx, "http://"+e.State, b.fleet.Terms.Model, e.Key())
+	r, err := kserve.NewFetch(ctx, reach.URL(e.Reader), b.fleet.Terms.Model, e.Key())
 	if err != nil {
 		return err
 	}
 	r.Header.Set("Rack", b.Rack)
 	r.Header.Set("Zone", b.Zone)
-	resp, err := b.fleet.client.Do(r)
+	resp, err := conn.Do(ctx, r)
 	if err != nil {
+		conn.Lost()
 		return err
 	}
+	conn.Served()
 	defer resp.Body.Close()
 	io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
 	if resp.StatusCode != http.StatusOK {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -8,12 +8,14 @@
 	"context"
 	"math"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
 
+	"sloetrestle/internal/addresses"
+	"sloetrestle/internal/reach"
 	"sloetrestle/internal/record"
 	"sloetrestle/internal/setup"
 )
@@ -37,7 +39,9 @@
 	reads    map[string]*mean // tokens left to read, by grade
 	seen     map[mark]time.Duration
 	racks    map[string]*lane
-	client   *http.Client
+	ways     *reach.Boxes // from writers to readers
+	life     context.Context
+	end      context.CancelFunc
 	starts   uint64
 	held     chan struct{} // while it is open, answers stop after their first token
 }
@@ -53,15 +57,32 @@
 
 // NewFleet makes an empty fleet.
 func NewFleet(terms setup.Terms, book *record.Book, links Links, talk map[string]Talk) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		Terms: terms, Book: book, Links: links, Talk: talk, slowLink: 1,
 		reads: map[string]*mean{}, seen: map[mark]time.Duration{}, racks: map[string]*lane{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
+	f.life, f.end = context.WithCancel(context.Background())
+	f.ways = &reach.Boxes{Limit: 500 * time.Millisecond, Most: 1024, Since: book.Since, Life: f.life, Group: &errgroup.Group{}}
+	f.ways.Group.Go(f.ways.Tend)
+	return f
 }
 
-// Close lets the fleet's idle connections go.
-func (f *Fleet) Close() { f.client.CloseIdleConnections() }
+// Close ends the ways between boxes.
+func (f *Fleet) Close() {
+	f.end()
+	f.ways.Group.Wait()
+}
+
+// reader is the way to a reader at the addresses that a trip names.
+func (f *Fleet) reader(name string, at []string) *reach.Host {
+	var specs []addresses.Spec
+	for _, a := range at {
+		if s, err := reach.ParseListen(a); err == nil {
+			specs = append(specs, s)
+		}
+	}
+	return f.ways.Set(name, specs, xxhash.Sum64String(name))
+}
 
 // SlowLinks makes all links so many times slower.
 func (f *Fleet) SlowLinks(times float64) {
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -238,7 +238,7 @@
 }
 
 func (g *Gate) admit(conn net.Conn) {
-	c := &gated{Conn: conn, gate: g, ended: make(chan struct{})}
+	c := &gated{Conn: conn, gate: g, ended: make(chan struct{}), pieces: make(chan piece, 16)}
 	g.mu.Lock()
 	if !g.open || len(g.conns) > 4096 {
 		g.mu.Unlock()
@@ -248,6 +248,8 @@
 	g.conns[c] = true
 	to := g.to
 	g.mu.Unlock()
+	g.work.Add(1)
+	go func() { defer g.work.Done(); c.pump() }()
 	select {
 	case to.conns <- c:
 	case <-to.ended:
@@ -257,14 +259,58 @@
 	}
 }
 
-// gated is a connection that does as its gate is told.
+// gated is a connection that does as its gate is told. What comes is taken off the socket at once and its time noted,
+// however late the box's process gets to read it: a trip has reached the box's machine by then.
 type gated struct {
 	net.Conn
-	gate  *Gate
-	once  sync.Once
-	ended chan struct{}
-	wrote bool
-	read  int
+	gate   *Gate
+	once   sync.Once
+	ended  chan struct{}
+	pieces chan piece
+	rest   []byte
+	passed bool // what rest holds has had its gate's delay
+	late   deadline
+	err    error
+
+	mu      sync.Mutex
+	wrote   bool
+	read    int
+	arrived time.Time // of what was read last
+	gone    time.Time // when the other side closed
+}
+
+type piece struct {
+	data []byte
+	at   time.Time
+}
+
+// pump reads ahead, by a bounded amount.
+func (c *gated) pump() {
+	defer close(c.pieces)
+	for {
+		buf := make([]byte, 8192)
+		n, err := c.Conn.Read(buf)
+		if n > 0 {
+			select {
+			case c.pieces <- piece{buf[:n], time.Now()}:
+			case <-c.ended:
+				return
+			}
+		}
+		if err != nil {
+			c.mu.Lock()
+			c.gone, c.err = time.Now(), err
+			c.mu.Unlock()
+			return
+		}
+	}
+}
+
+// times tells when what was read last had arrived, and when the other side closed, if it has.
+func (c *gated) times() (arrived, gone time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.arrived, c.gone
 }
 
 func (c *gated) Close() error {
@@ -283,17 +329,22 @@
 		c.gate.mu.Lock()
 		mode, by, changed, most := c.gate.mode, c.gate.by, c.gate.changed, c.gate.bytes
 		c.gate.mu.Unlock()
+		c.mu.Lock()
+		wrote, read := c.wrote, c.read
+		c.mu.Unlock()
 		switch {
-		case mode == GateStalls || mode == GateBlackhole || mode == GateStallsNext && c.wrote:
+		case mode == GateStalls || mode == GateBlackhole || mode == GateStallsNext && wrote:
 			select {
 			case <-changed:
+			case <-c.late.done():
+				return os.ErrDeadlineExceeded
 			case <-c.ended:
 				return net.ErrClosed
 			}
 			continue
 		case mode == GateSlow:
 			return sleepOr(c.ended, by)
-		case mode == GateResets && c.read >= most:
+		case mode == GateResets && read >= most:
 			if t, ok := c.Conn.(*net.TCPConn); ok {
 				t.SetLinger(0)
 			}
@@ -314,23 +365,109 @@
 }
 
 func (c *gated) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.read += n
-	if err != nil {
-		return n, err
+	for len(c.rest) == 0 {
+		select {
+		case next, more := <-c.pieces:
+			if !more {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				if c.err == nil {
+					return 0, net.ErrClosed
+				}
+				return 0, c.err
+			}
+			c.rest, c.passed = next.data, false
+			c.mu.Lock()
+			c.read += len(next.data)
+			c.arrived = next.at
+			c.mu.Unlock()
+		case <-c.late.done():
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+	if !c.passed {
+		if err := c.pass(); err != nil {
+			return 0, err
+		}
+		c.passed = true
 	}
-	return n, c.pass()
+	n := copy(p, c.rest)
+	c.rest = c.rest[n:]
+	return n, nil
+}
+
+// deadline is a moment after which reads end; the server uses one in the past to call its own reading off.
+type deadline struct {
+	mu    sync.Mutex
+	past  chan struct{}
+	timer *time.Timer
+}
+
+func (d *deadline) done() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.past == nil {
+		d.past = make(chan struct{})
+	}
+	return d.past
+}
+
+func (d *deadline) set(t time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.timer != nil {
+		d.timer.Stop()
+		d.timer = nil
+	}
+	over := false
+	if d.past != nil {
+		select {
+		case <-d.past:
+			over = true
+		default:
+		}
+	}
+	if d.past == nil || over {
+		d.past = make(chan struct{})
+	}
+	past := d.past
+	switch wait := time.Until(t); {
+	case t.IsZero():
+	case wait <= 0:
+		close(past)
+	default:
+		d.timer = time.AfterFunc(wait, func() {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if d.past == past {
+				select {
+				case <-past:
+				default:
+					close(past)
+				}
+			}
+		})
+	}
+}
+
+func (c *gated) SetReadDeadline(t time.Time) error { c.late.set(t); return nil }
+
+func (c *gated) SetDeadline(t time.Time) error {
+	c.late.set(t)
+	return c.Conn.SetWriteDeadline(t)
 }
 
 func (c *gated) Write(p []byte) (int, error) {
+	c.mu.Lock()
 	c.wrote = true
+	c.mu.Unlock()
 	return c.Conn.Write(p)
 }
 
-// cameBy is the key of a connection's address in its requests' context.
+// cameBy is the key of its connection in a request's context.
 type cameBy struct{}
 
-func addressOf(ctx context.Context) string {
-	s, _ := ctx.Value(cameBy{}).(string)
-	return s
+func connOf(ctx context.Context) *gated {
+	c, _ := ctx.Value(cameBy{}).(*gated)
+	return c
 }
