--- a/cmd/benchlink/same_test.go
+++ b/cmd/benchlink/same_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -123,6 +122,7 @@
 
 func (c *carrier) Carry(f *dispatch.Flight) {
 	c.flights[f.Trip.Question.ID] = f
+	f.Off = func(error) {}
 	c.note("send %d to %d for %d", f.Trip.Question.ID, f.Trip.Host.ID, f.Wait.Microseconds())
 }
 func (c *carrier) Release(*dispatch.Box, kserve.Release) {}
@@ -145,7 +145,7 @@
 	}
 	const seed = 99
 	c := &carrier{flights: map[uint64]*dispatch.Flight{}}
-	loop, err := dispatch.NewLoop(context.Background(), d.Facts(), seed, dispatch.Places{Zone: d.ZoneNumber, Kind: d.KindNumber}, c,
+	loop, err := dispatch.NewLoop(d.Facts(), seed, dispatch.Places{Zone: d.ZoneNumber, Kind: d.KindNumber}, c,
 		func() time.Duration { return c.now }, "d", slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/sloetrestle/measure.go
+++ b/cmd/sloetrestle/measure.go
@@ -31,9 +31,28 @@
 		}
 		return json.NewEncoder(cmd.OutOrStdout()).Encode(f)
 	})
+	c.AddCommand(measureWays())
 	c.Flags().IntSliceVar(&plan.Rates, "rates", []int{100, 300, 600}, "questions a second, one after the other")
 	c.Flags().Float64Var(&plan.Seconds, "seconds", 5, "length of each rate, twice")
 	c.Flags().IntVar(&plan.Streams, "streams", 1000, "streams held open at once")
 	c.Flags().BoolVar(&asJSON, "json", false, "print the figures as JSON")
 	return c
 }
+
+func measureWays() *cobra.Command {
+	var trips int
+	var asJSON bool
+	c := &cobra.Command{
+		Use: "addresses", Short: "Measure trips while one address of a box goes wrong, beside two plain diallers", Args: cobra.NoArgs,
+		RunE: works(func(cmd *cobra.Command, _ []string) error {
+			ways, err := measure.Ways(cmd.Context(), trips, func(format string, args ...any) { fmt.Fprintf(cmd.ErrOrStderr(), format+"\n", args...) })
+			if err != nil || !asJSON {
+				return err
+			}
+			return json.NewEncoder(cmd.OutOrStdout()).Encode(ways)
+		}),
+	}
+	c.Flags().IntVar(&trips, "trips", 200, "trips for each fault and dialler, one after the other")
+	c.Flags().BoolVar(&asJSON, "json", false, "print the figures as JSON")
+	return c
+}
--- /dev/null
+++ b/internal/baseline/baseline.go
@@ -0,0 +1,181 @@
+// Package baseline has plain policies to compare the module with, and nothing else: they are hosted in its place by
+// experiments, never by a running dispatcher. They keep the five rules as far as one dispatcher can without thought.
+// Begin with New.
+package baseline
+
+import (
+	"fmt"
+	"time"
+
+	"sloetrestle/brain"
+)
+
+// Names of the policies.
+var Names = []string{"random", "least_streams", "round_robin", "always_apart", "always_in_place"}
+
+// Policy is one plain dispatcher.
+type Policy struct {
+	name  string
+	door  brain.Door
+	rng   *brain.PCG
+	facts brain.Facts
+	hosts []*brain.Host
+	next  int
+	grade []*brain.Grade
+}
+
+// New makes a policy by its name.
+func New(name string, facts brain.Facts, seed uint64, door brain.Door) (*Policy, error) {
+	known := false
+	for _, n := range Names {
+		known = known || n == name
+	}
+	if !known {
+		return nil, fmt.Errorf("policy %q is none of %v", name, Names)
+	}
+	grades, err := facts.Grades()
+	return &Policy{name: name, door: door, rng: brain.NewPCG(seed), facts: facts, grade: grades}, err
+}
+
+func (p *Policy) Listed(lines []brain.Listing, whole bool) {
+	if whole {
+		for _, h := range p.hosts {
+			h.Standing = brain.Gone
+		}
+	}
+	for _, l := range lines {
+		known := false
+		for _, h := range p.hosts {
+			known = known || h == l.Host
+		}
+		if !known {
+			l.Host.Role = p.facts.RoleOf(l.Host.Kind)
+			p.hosts = append(p.hosts, l.Host)
+		}
+		l.Host.Standing, l.Host.Units = l.Standing, l.Units
+	}
+}
+
+func (p *Policy) Arrive(q *brain.Question, grade, _ int) {
+	q.Grade = p.grade[min(grade, len(p.grade)-1)]
+	q.Taken, q.Expiry = p.door.Now(), p.door.Now()+q.Left
+	q.Memory = q.Prompt + q.Most
+	p.begin(q)
+}
+
+// begin takes the first step: apart, in place, or at a mixed host, as the policy has it.
+func (p *Policy) begin(q *brain.Question) {
+	mixed, writers, readers := p.able(q, brain.Both), p.able(q, brain.Writes), p.able(q, brain.Reads)
+	whole := append(append([]*brain.Host(nil), mixed...), writers...)
+	switch {
+	case p.name == "always_in_place" && len(whole) > 0 && p.facts.Yes("familyInfo.localRead"):
+		p.send(q, p.pick(whole), brain.Whole)
+	case p.name == "always_apart" && len(readers) > 0, len(mixed) == 0 && len(readers) > 0:
+		p.send(q, p.pick(readers), brain.ToRead)
+	case len(mixed) > 0 && (len(readers) == 0 || p.rng.Float() < float64(len(mixed))/float64(len(mixed)+len(writers))):
+		p.send(q, p.pick(mixed), brain.Whole)
+	case len(readers) > 0:
+		p.send(q, p.pick(readers), brain.ToRead)
+	default:
+		p.giveUp(q)
+	}
+}
+
+// able lists hosts of a role that may take the question now.
+func (p *Policy) able(q *brain.Question, role brain.Role) []*brain.Host {
+	if p.door.Now() >= q.Expiry || len(q.Trips) >= int(p.facts.Num("policyLimits.maxAttempts", 1)) {
+		return nil
+	}
+	if t := q.MayHaveRun(); t != nil && role != brain.Reads && q.Grade.Effect != brain.Idempotent {
+		return nil
+	}
+	return brain.Only(p.hosts, func(h *brain.Host) bool { return h.Role == role && h.Standing == brain.Ready && !q.FailedAt(h) })
+}
+
+func (p *Policy) pick(hosts []*brain.Host) *brain.Host {
+	switch p.name {
+	case "round_robin":
+		p.next++
+		return hosts[p.next%len(hosts)]
+	case "least_streams":
+		start := int(p.rng.Float() * float64(len(hosts)))
+		best := hosts[start]
+		for i := range hosts {
+			h := hosts[(start+i)%len(hosts)]
+			if float64(h.Streams)+h.Unread/1000 < float64(best.Streams)+best.Unread/1000 {
+				best = h
+			}
+		}
+		return best
+	}
+	return hosts[int(p.rng.Float()*float64(len(hosts)))]
+}
+
+func (p *Policy) send(q *brain.Question, h *brain.Host, stage brain.Stage) {
+	t := &brain.Trip{Question: q, Host: h, Number: len(q.Trips), Sent: p.door.Now(), Stage: stage}
+	if stage != brain.ToWrite {
+		t.Left = q.Prompt
+	}
+	t.Weigh(1)
+	q.Trips = append(q.Trips, t)
+	p.door.Send(t, q.Expiry-t.Sent)
+}
+
+func (p *Policy) Began(t *brain.Trip, _ time.Duration) {
+	t.Began = p.door.Now()
+	t.Question.State = nil
+}
+
+func (p *Policy) Ended(t *brain.Trip, r brain.Result) {
+	q := t.Question
+	t.Ended, t.Outcome = true, r.Outcome
+	t.Weigh(-1)
+	q.Over = q.Over || r.Over
+	switch {
+	case r.Outcome == brain.Read:
+		q.State = t.Host
+	case r.Outcome == brain.Full && r.Note == 1:
+		q.State = nil
+	}
+	if q.Over {
+		p.letGo(q)
+		return
+	}
+	if q.State != nil {
+		if able := append(p.able(q, brain.Writes), p.able(q, brain.Both)...); len(able) > 0 {
+			p.send(q, p.pick(able), brain.ToWrite)
+			return
+		}
+	}
+	p.letGo(q)
+	p.begin(q)
+}
+
+func (p *Policy) letGo(q *brain.Question) {
+	if q.State != nil && q.Out() == nil {
+		q.State = nil
+		p.door.Release(q)
+	}
+}
+
+func (p *Policy) giveUp(q *brain.Question) {
+	q.Over = true
+	if q.Grade.Effect != brain.Idempotent && q.MayHaveRun() != nil {
+		p.door.Forfeit(q)
+		return
+	}
+	p.door.Decline(q, p.facts.Span("policyLimits.maxRetryAfterUs"))
+}
+
+func (p *Policy) Left(q *brain.Question) {
+	if q.Over {
+		return
+	}
+	q.Over = true
+	if t := q.Out(); t != nil && t.Began == 0 {
+		p.door.Cancel(t)
+	}
+	p.letGo(q)
+}
+
+func (p *Policy) Heard(brain.News) {}
--- /dev/null
+++ b/internal/day/makes.go
@@ -0,0 +1,67 @@
+package day
+
+import (
+	"cmp"
+	"fmt"
+	"time"
+
+	"sloetrestle/internal/engine"
+	"sloetrestle/internal/standin"
+)
+
+// Made is one box of a day.
+type Made struct {
+	Name, Kind, Role, Zone, Rack string
+	Units                        float64
+	Ignores                      bool // a cancel does not stop its work
+	Boxes                        Boxes
+	Engine                       engine.Make
+}
+
+// stateLife is how long a state waits for a dispatcher that may have been killed.
+const stateLife = 8 * time.Second
+
+// Makes lists the day's boxes with their engines.
+func (d *Day) Makes() []Made {
+	var out []Made
+	next := map[string]int{}
+	for _, b := range d.Boxes {
+		k := d.Kinds[d.KindNumber(b.Kind)]
+		e := b.Engine
+		// The presets are of published orders of magnitude for 70B-class models on one server of eight accelerators: a
+		// decoding step of 10 to 25 ms, blocks of 16 to 64 tokens, chunks of 512 to 8,192 tokens.
+		made := engine.Make{
+			Reads: k.Role != "writer", Writes: k.Role != "reader", Slots: b.Slots, Queue: b.Queue, BlockTokens: cmp.Or(e.BlockTokens, 32),
+			Chunk: cmp.Or(e.Chunk, 2048), Step: cmp.Or(e.Step.D(), 12*time.Millisecond), PerAnswer: cmp.Or(e.PerAnswer.D(), 150*time.Microsecond),
+			PerContextK: cmp.Or(e.PerContextK.D(), 40*time.Microsecond), PairsPerM: cmp.Or(e.PairsPerM.D(), 800*time.Microsecond), ReadPerS: b.ReadPerS,
+			StateLife: stateLife, ColdShare: d.Rules.ColdShare, ColdRamp: d.Rules.ColdRamp.D(), Load: e.Load.D(),
+		}
+		made.Blocks = max(k.Memory/made.BlockTokens, 1)
+		for range b.Count {
+			i := next[b.Kind]
+			next[b.Kind]++
+			zone := d.Zones[0]
+			if len(b.Zones) > 0 {
+				zone = b.Zones[i%len(b.Zones)]
+			}
+			m := Made{Name: fmt.Sprintf("%s-%d", b.Kind, i+1), Kind: b.Kind, Role: k.Role, Zone: zone, Rack: b.Racks[i%len(b.Racks)], Units: max(b.Units, 1), Boxes: b, Engine: made}
+			for _, t := range d.Troubles {
+				for _, n := range t.Boxes {
+					m.Ignores = m.Ignores || t.Kind == "no_cancel" && (n == m.Name || n == m.Kind)
+				}
+			}
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// TalkOf tells how the questions of a grade look.
+func (d *Day) TalkOf(grade string) standin.Talk {
+	for _, t := range d.Traffic {
+		if t.Grade == grade {
+			return standin.Talk{New: t.New, Answer: t.Answer, Prefix: t.Prefix}
+		}
+	}
+	return standin.Talk{New: 1, Answer: 1}
+}
--- a/internal/day/play.go
+++ b/internal/day/play.go
@@ -243,29 +243,19 @@
 
 func (r *run) makes() []standin.Make {
 	var out []standin.Make
-	next := map[string]int{}
-	for _, b := range r.day.Boxes {
-		k := r.day.Kinds[r.day.KindNumber(b.Kind)]
-		for range b.Count {
-			i := next[b.Kind]
-			next[b.Kind]++
-			zone := r.day.Zones[0]
-			if len(b.Zones) > 0 {
-				zone = b.Zones[i%len(b.Zones)]
-			}
-			var at []addresses.Spec
-			for _, network := range b.Addresses {
-				at = append(at, addresses.Spec{Network: network})
-			}
-			if len(at) == 0 {
-				at = append(at, addresses.Spec{Network: addresses.TCP4})
-			}
-			out = append(out, standin.Make{
-				Name: fmt.Sprintf("%s-%d", b.Kind, i+1), Kind: b.Kind, Role: k.Role, Zone: zone, Rack: b.Racks[i%len(b.Racks)],
-				Slots: b.Slots, Queue: b.Queue, Memory: k.Memory, ReadPerS: b.ReadPerS, TokenTime: b.TokenTime.D(), Units: max(b.Units, 1),
-				Addresses: at, Seed: r.day.Head.Seed,
-			})
+	for _, m := range r.day.Makes() {
+		var at []addresses.Spec
+		for _, network := range m.Boxes.Addresses {
+			at = append(at, addresses.Spec{Network: network})
+		}
+		if len(at) == 0 {
+			at = append(at, addresses.Spec{Network: addresses.TCP4})
 		}
+		out = append(out, standin.Make{
+			Name: m.Name, Kind: m.Kind, Role: m.Role, Zone: m.Zone, Rack: m.Rack, Slots: m.Boxes.Slots, Queue: m.Boxes.Queue,
+			Memory: r.day.Kinds[r.day.KindNumber(m.Kind)].Memory, ReadPerS: m.Boxes.ReadPerS, TokenTime: m.Boxes.TokenTime.D(), Units: m.Units,
+			Addresses: at, Seed: r.day.Head.Seed,
+		})
 	}
 	return out
 }
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -53,8 +53,9 @@
 	Ask      kserve.Ask
 	Grade    string
 	Channel  string
-	began    chan *Flight      // the trip whose stream goes to the client
-	final    chan kserve.Final // the one final answer
+	Tell     func(kserve.Final) // takes the final answer in place of the channel
+	began    chan *Flight       // the trip whose stream goes to the client
+	final    chan kserve.Final  // the one final answer
 	answered bool
 	left     bool
 	flight   *Flight // the trip that is out
@@ -74,9 +75,9 @@
 	Box    *Box
 	State  *Box // where the read state waits, for a write
 	Wait   time.Duration
+	Off    func(why error) // calls it off: ErrLate or ErrLeft; set by the carrier
 	tokens chan []byte
 	ctx    context.Context
-	cancel context.CancelCauseFunc
 	late   bool // its wait is over
 }
 
@@ -107,11 +108,10 @@
 	Epoch string // this dispatcher's name and start
 	Log   *slog.Logger
 
-	module  *brain.Dispatcher
+	module  Module
 	carrier Carrier
 	places  Places
 	since   func() time.Duration
-	life    context.Context // of the process: flights end with it
 
 	mu     sync.Mutex
 	queue  []func()
@@ -141,12 +141,12 @@
 }
 
 // NewLoop makes a loop and its module. since is the clock, a span since the start.
-func NewLoop(life context.Context, facts brain.Facts, seed uint64, places Places, carrier Carrier, since func() time.Duration, epoch string, log *slog.Logger) (*Loop, error) {
+func NewLoop(facts brain.Facts, seed uint64, places Places, carrier Carrier, since func() time.Duration, epoch string, log *slog.Logger) (*Loop, error) {
 	if places.Allows == nil {
 		places.Allows = func(addresses.Spec) bool { return true }
 	}
 	l := &Loop{
-		Epoch: epoch, Log: log, carrier: carrier, places: places, since: since, life: life, bell: make(chan struct{}, 1), ended: make(chan struct{}),
+		Epoch: epoch, Log: log, carrier: carrier, places: places, since: since, bell: make(chan struct{}, 1), ended: make(chan struct{}),
 		asked: map[*brain.Question]*Asked{}, boxes: map[string]*Box{}, byHost: map[*brain.Host]*Box{},
 		hosts: map[uint32]*brain.Host{}, starts: map[uint64]time.Duration{}, now: since(),
 	}
@@ -155,6 +155,27 @@
 	return l, err
 }
 
+// Module is what a loop hosts: brain.Dispatcher, or a baseline to compare it with.
+type Module interface {
+	Listed(lines []brain.Listing, whole bool)
+	Arrive(q *brain.Question, grade, channel int)
+	Began(t *brain.Trip, took time.Duration)
+	Ended(t *brain.Trip, r brain.Result)
+	Left(q *brain.Question)
+	Heard(n brain.News)
+}
+
+// Host puts another module in the place of the loop's, before anything has happened.
+func (l *Loop) Host(m Module) { l.module, l.wakes = m, nil }
+
+// NextDue is when the loop's next timer is due; false: it has none.
+func (l *Loop) NextDue() (time.Duration, bool) {
+	if len(l.wakes) == 0 {
+		return 0, false
+	}
+	return l.wakes[0].at, true
+}
+
 // Post hands the loop something to do; false if it has ended.
 func (l *Loop) Post(do func()) bool {
 	l.mu.Lock()
@@ -400,6 +421,10 @@
 	}
 	l.Log.Debug("question over", "question", a.Question.ID, "id", a.Ask.ID, "grade", a.Grade, "final", f.Final,
 		"trips", f.Trips, "took", l.now-a.from, "error", f.Error)
+	if a.Tell != nil {
+		a.Tell(f)
+		return
+	}
 	a.final <- f
 }
 
@@ -418,7 +443,7 @@
 	a := f.Asked
 	clear(a.waiting)
 	if a.left || a.answered {
-		f.cancel(errLeft) // a stream that nobody reads ends
+		f.Off(ErrLeft) // a stream that nobody reads ends
 	} else {
 		a.began <- f
 	}
@@ -464,12 +489,20 @@
 	a.left = true
 	l.Tally.Left++
 	if a.flight != nil && a.flight.Trip.Began > 0 {
-		a.flight.cancel(errLeft)
+		a.flight.Off(ErrLeft)
 	}
 	l.module.Left(a.Question)
 	l.forget(a)
 }
 
+// HostOf is the module's host of a box; nil: the list has not named it.
+func (l *Loop) HostOf(name string) *brain.Host {
+	if b := l.boxes[name]; b != nil {
+		return b.Host
+	}
+	return nil
+}
+
 // Heard takes a sibling's news.
 func (l *Loop) Heard(n brain.News) { l.module.Heard(n) }
 
@@ -482,13 +515,12 @@
 	if t.Stage == brain.ToWrite {
 		f.State = l.byHost[t.Question.State]
 	}
-	f.ctx, f.cancel = context.WithCancelCause(l.life)
 	a.flight = f
 	l.Tally.Trips++
 	l.Wake(wait, func() {
 		if !t.Ended && t.Began == 0 {
 			f.late = true
-			f.cancel(errLate)
+			f.Off(ErrLate)
 		}
 	})
 	l.carrier.Carry(f)
@@ -499,7 +531,7 @@
 
 func (l *Loop) Cancel(t *brain.Trip) {
 	if f := l.asked[t.Question].flight; f != nil && f.Trip == t {
-		f.cancel(errLeft)
+		f.Off(ErrLeft)
 	}
 }
 
--- a/internal/dispatch/loop_test.go
+++ b/internal/dispatch/loop_test.go
@@ -23,7 +23,10 @@
 	reached  []string
 }
 
-func (h *hand) Carry(f *Flight)                  { h.flights = append(h.flights, f) }
+func (h *hand) Carry(f *Flight) {
+	f.ctx, f.Off = context.WithCancelCause(context.Background())
+	h.flights = append(h.flights, f)
+}
 func (h *hand) Release(b *Box, _ kserve.Release) { h.released = append(h.released, b.Name) }
 func (h *hand) Tell(int, brain.News)             {}
 func (h *hand) Reach(b *Box, at []addresses.Spec) {
@@ -47,7 +50,7 @@
 	t.Helper()
 	h := &hand{now: time.Second}
 	d := terms(effect)
-	l, err := NewLoop(context.Background(), d.Facts(), 1, Places{Zone: d.ZoneNumber, Kind: d.KindNumber, Allows: func(s addresses.Spec) bool { return s.At != "10.9.9.9:1" }}, h, func() time.Duration { return h.now }, "d0.x",
+	l, err := NewLoop(d.Facts(), 1, Places{Zone: d.ZoneNumber, Kind: d.KindNumber, Allows: func(s addresses.Spec) bool { return s.At != "10.9.9.9:1" }}, h, func() time.Duration { return h.now }, "d0.x",
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
@@ -83,7 +86,7 @@
 	f := h.last()
 	h.now += f.Wait + time.Millisecond
 	l.Due()
-	if context.Cause(f.ctx) != errLate {
+	if context.Cause(f.ctx) != ErrLate {
 		t.Fatalf("the flight was called off for %v", context.Cause(f.ctx))
 	}
 	l.Do(func() { l.Ended(f, brain.Result{Outcome: brain.TimedOut}) })
@@ -121,7 +124,7 @@
 	f := h.last()
 	l.Do(func() { l.Began(f) })
 	l.Do(func() { l.Left(a) })
-	if context.Cause(f.ctx) != errLeft {
+	if context.Cause(f.ctx) != ErrLeft {
 		t.Error("the stream goes on unread")
 	}
 	l.Do(func() { l.Ended(f, brain.Result{Outcome: brain.Cancelled}) })
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return err
 	}
-	loop, err := NewLoop(life, d.Facts(), chance, Places{d.ZoneNumber, d.KindNumber, may.Has}, trips, since, epoch, log)
+	loop, err := NewLoop(d.Facts(), chance, Places{d.ZoneNumber, d.KindNumber, may.Has}, trips, since, epoch, log)
 	if err != nil {
 		return err
 	}
@@ -181,7 +181,7 @@
 			l.module.Left(q)
 		}
 		if a.flight != nil {
-			a.flight.cancel(errLeft)
+			a.flight.Off(ErrLeft)
 		}
 		l.forget(a)
 	}
--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -22,8 +22,8 @@
 
 // Why a flight was called off.
 var (
-	errLate    = errors.New("its time was up")
-	errLeft    = errors.New("nobody waits for it")
+	ErrLate    = errors.New("its time was up")
+	ErrLeft    = errors.New("nobody waits for it")
 	errStalled = errors.New("the stream stalled")
 )
 
@@ -51,13 +51,13 @@
 		return brain.Failed, 0
 	}
 	switch {
-	case !s.Connected && errors.Is(s.Cause, errLeft):
+	case !s.Connected && errors.Is(s.Cause, ErrLeft):
 		return brain.Cancelled, 0
 	case !s.Connected:
 		return brain.Unreached, 0
-	case errors.Is(s.Cause, errLate):
+	case errors.Is(s.Cause, ErrLate):
 		return brain.TimedOut, 0
-	case errors.Is(s.Cause, errLeft):
+	case errors.Is(s.Cause, ErrLeft):
 		return brain.Cancelled, 0
 	}
 	return brain.Broken, 0
@@ -93,6 +93,7 @@
 
 // Carry starts a trip.
 func (c *Trips) Carry(f *Flight) {
+	f.ctx, f.Off = context.WithCancelCause(c.life)
 	q, a := f.Trip.Question, f.Asked
 	e := kserve.Errand{
 		Stage: [...]string{brain.ToRead: kserve.StageRead, brain.ToWrite: kserve.StageWrite, brain.Whole: kserve.StageWhole}[f.Trip.Stage],
@@ -107,7 +108,7 @@
 	host, text := f.Box.reach, a.Ask.Text
 	c.group.Go(func() error {
 		seen := c.fly(f, host, text, e)
-		f.cancel(nil)
+		f.Off(nil)
 		outcome, note := seen.Outcome(f.Trip.Stage)
 		result := brain.Result{Outcome: outcome, Note: note}
 		if seen.Told != nil {
@@ -149,7 +150,7 @@
 		// A trip that ended without a word speaks against the way it took, unless it was called off for its client.
 		if seen.Told != nil {
 			conn.Served()
-		} else if !errors.Is(seen.Cause, errLeft) {
+		} else if !errors.Is(seen.Cause, ErrLeft) {
 			conn.Lost()
 		}
 	}()
@@ -168,7 +169,7 @@
 		seen.Told = told(resp)
 		return seen
 	}
-	stall := time.AfterFunc(c.Stall, func() { f.cancel(errStalled) })
+	stall := time.AfterFunc(c.Stall, func() { f.Off(errStalled) })
 	defer stall.Stop()
 	events := kserve.NewEvents(resp.Body)
 	for begun := false; ; {
--- a/internal/dispatch/trips_test.go
+++ b/internal/dispatch/trips_test.go
@@ -17,12 +17,12 @@
 		note  int
 	}{
 		{Seen{}, brain.Whole, brain.Unreached, 0},
-		{Seen{Cause: errLate}, brain.Whole, brain.Unreached, 0},
-		{Seen{Cause: errLeft}, brain.Whole, brain.Cancelled, 0},
+		{Seen{Cause: ErrLate}, brain.Whole, brain.Unreached, 0},
+		{Seen{Cause: ErrLeft}, brain.Whole, brain.Cancelled, 0},
 		{Seen{Connected: true}, brain.Whole, brain.Broken, 0},
 		{Seen{Connected: true, Cause: errStalled}, brain.Whole, brain.Broken, 0},
-		{Seen{Connected: true, Cause: errLate}, brain.ToWrite, brain.TimedOut, 0},
-		{Seen{Connected: true, Cause: errLeft}, brain.ToWrite, brain.Cancelled, 0},
+		{Seen{Connected: true, Cause: ErrLate}, brain.ToWrite, brain.TimedOut, 0},
+		{Seen{Connected: true, Cause: ErrLeft}, brain.ToWrite, brain.Cancelled, 0},
 		{Seen{Connected: true, Told: told(kserve.OutcomeRead)}, brain.ToRead, brain.Read, 5},
 		{Seen{Connected: true, Told: told(kserve.OutcomeRead)}, brain.Whole, brain.Failed, 0},
 		{Seen{Connected: true, Told: told(kserve.OutcomeAnswered)}, brain.ToWrite, brain.Answered, 5},
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,489 @@
+// Package fleet plays a scripted day in virtual time: many dispatchers, each the real loop with the real module, and many
+// engines in one process, with no sockets and no clock. The same script and seed give the same record to the last line.
+// It decides nothing; what it leaves is a record for internal/judge. Begin with Play.
+package fleet
+
+import (
+	"container/heap"
+	"fmt"
+	"hash"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sloetrestle/internal/addresses"
+	"sloetrestle/internal/baseline"
+	"sloetrestle/internal/boxlist"
+	"sloetrestle/internal/day"
+	"sloetrestle/internal/dispatch"
+	"sloetrestle/internal/engine"
+	"sloetrestle/internal/judge"
+	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/record"
+	"sloetrestle/internal/setup"
+	"sloetrestle/internal/standin"
+)
+
+const (
+	hop      = 200 * time.Microsecond // one way between any two, a hall's network
+	beat     = 2 * time.Millisecond   // how often a dispatcher's timers are looked at, as on the bench
+	unreach  = 1 * time.Millisecond   // for a refused connection
+	dialTime = 250 * time.Millisecond
+)
+
+// Outcome is what a run comes to, beside its verdict.
+type Outcome struct {
+	judge.Verdict
+	Digest    string                   `json:"digest"` // of the record
+	Questions int                      `json:"questions"`
+	Engines   map[string]engine.Counts `json:"engines"`
+}
+
+// Play plays a day with a policy: "module", or one of the baselines.
+func Play(d day.Day, policy string) (Outcome, error) {
+	return PlayLines(d, policy, nil)
+}
+
+// PlayLines does the same and hands on each line of the record.
+func PlayLines(d day.Day, policy string, each func(record.Line)) (Outcome, error) {
+	w := &world{day: d, policy: policy, rng: rand.New(rand.NewPCG(d.Head.Seed, 77)), boxes: map[string]*box{}, by: map[string]*box{}, each: each, slowLink: 1,
+		racks: map[string]time.Duration{}, sum: xxhash.New(), seen: map[string]time.Duration{}, reads: map[string]*[2]float64{}}
+	if err := w.build(); err != nil {
+		return Outcome{}, err
+	}
+	wishes := d.Plan()
+	for i := range wishes {
+		w.at(wishes[i].At, func() { w.ask(&wishes[i], 0) })
+	}
+	for _, t := range d.Troubles {
+		w.at(t.At.D(), func() { w.trouble(t) })
+	}
+	w.run(d.Head.Length.D() + tail)
+	head := record.Head{Day: d.Head.Name, Seed: d.Head.Seed, Terms: d.Terms}
+	out := Outcome{Verdict: judge.Judge(head, w.lines), Digest: fmt.Sprintf("%x", w.sum.Sum64()), Questions: len(wishes), Engines: map[string]engine.Counts{}}
+	for _, b := range w.order {
+		sum := out.Engines[b.make.Kind]
+		sum.Add(b.engine.Counts)
+		out.Engines[b.make.Kind] = sum
+	}
+	return out, nil
+}
+
+// tail is how long a day runs on after its last question.
+const tail = 40 * time.Second
+
+type event struct {
+	at    time.Duration
+	order uint64
+	do    func()
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*e = old[:len(old)-1]
+	return last
+}
+
+type world struct {
+	day    day.Day
+	policy string
+	now    time.Duration
+	events events
+	number uint64
+	rng    *rand.Rand
+	lines  []record.Line
+	each   func(record.Line)
+	sum    hash.Hash64
+
+	boxes       map[string]*box // by name
+	by          map[string]*box // by address
+	order       []*box
+	dispatchers []*dispatcher
+	list        []boxlist.Push // one change each
+	lateList    time.Duration
+	slowLink    float64
+	racks       map[string]time.Duration // when a rack's link is free
+	seen        map[string]time.Duration // marks, by group
+	reads       map[string]*[2]float64   // tokens left to read by grade: sum and number
+	starts      uint64
+}
+
+func (w *world) at(at time.Duration, do func()) {
+	w.number++
+	heap.Push(&w.events, &event{max(at, w.now), w.number, do})
+}
+
+func (w *world) after(d time.Duration, do func()) { w.at(w.now+d, do) }
+
+func (w *world) run(until time.Duration) {
+	for len(w.events) > 0 && w.events[0].at <= until {
+		e := heap.Pop(&w.events).(*event)
+		w.now = e.at
+		e.do()
+	}
+}
+
+func (w *world) put(l record.Line) {
+	l.At = w.now.Microseconds()
+	w.lines = append(w.lines, l)
+	fmt.Fprintf(w.sum, "%d %s %s %s %s %s %d %s\n", l.At, l.What, l.Box, l.Try, l.Word, l.Key, l.Trip, l.Dispatcher)
+	if w.each != nil {
+		w.each(l)
+	}
+}
+
+// box is one engine and its process.
+type box struct {
+	w       *world
+	make    day.Made
+	engine  *engine.Engine
+	start   uint64
+	started time.Duration
+	cold    bool
+	up      bool
+	busy    bool
+	hang    bool
+	fail    float64
+	failOf  string
+	resets  float64
+	trips   map[*trip]bool
+	letGo   map[string]int
+	sent    []sent
+	fell    bool
+}
+
+type sent struct {
+	at   time.Duration
+	work float64
+}
+
+// kick has an engine go on with its steps.
+func (b *box) kick() {
+	if b.busy || !b.up {
+		return
+	}
+	if load := b.engine.Loading(b.w.now); load > 0 {
+		b.busy = true
+		b.w.after(load, func() { b.busy = false; b.kick() })
+		return
+	}
+	took, ok := b.engine.Begin(b.w.now)
+	if !ok {
+		return
+	}
+	b.busy = true
+	e := b.engine
+	b.w.after(took, func() {
+		b.busy = false
+		if b.engine != e { // it was killed meanwhile
+			b.kick()
+			return
+		}
+		e.Finish(b.w.now)
+		b.kick()
+	})
+}
+
+func (b *box) boot(cold bool) {
+	b.w.starts++
+	b.start, b.started, b.cold, b.up, b.busy, b.fell, b.sent = b.w.starts, b.w.now, cold, true, false, false, nil
+	b.engine = engine.New(b.make.Engine, b.w.now, cold)
+	b.trips, b.letGo = map[*trip]bool{}, map[string]int{}
+	b.w.put(record.Line{What: record.Up, Box: b.make.Name, Start: b.start, Cold: cold})
+}
+
+func (b *box) kill(why string) {
+	if !b.up {
+		return
+	}
+	b.up = false
+	b.w.put(record.Line{What: record.Down, Box: b.make.Name, Start: b.start, Word: why})
+	trips := make([]*trip, 0, len(b.trips))
+	for t := range b.trips {
+		trips = append(trips, t)
+	}
+	slices.SortFunc(trips, func(x, y *trip) int { return strings.Compare(x.id(), y.id()) })
+	for _, t := range trips {
+		t.broke()
+	}
+	b.engine.Stop()
+}
+
+// build makes boxes, list and dispatchers.
+func (w *world) build() error {
+	for _, m := range w.day.Makes() {
+		if err := m.Engine.Check(); err != nil {
+			return fmt.Errorf("box %s: %w", m.Name, err)
+		}
+		b := &box{w: w, make: m}
+		w.boxes[m.Name] = b
+		w.by[m.Name] = b
+		w.order = append(w.order, b)
+		b.boot(false)
+		w.publish(b, boxlist.Ready, 0)
+	}
+	for i := range w.day.Head.Dispatchers {
+		d := &dispatcher{w: w, number: i, name: fmt.Sprintf("d%d", i)}
+		w.dispatchers = append(w.dispatchers, d)
+		if err := d.boot(nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// publish says of a box what dispatchers hear after a while.
+func (w *world) publish(b *box, standing string, after time.Duration) {
+	line := boxlist.Box{Name: b.make.Name, Addresses: []addresses.Spec{{Network: addresses.TCP4, At: "127.0.0.1:1"}}, Kind: b.make.Kind, Zone: b.make.Zone,
+		Rack: b.make.Rack, Standing: standing, Units: b.make.Units, Start: b.start, UpMs: -1}
+	started, cold := b.started, b.cold
+	w.after(after+w.lateList, func() {
+		l := line
+		if cold {
+			l.UpMs = (w.now - started).Milliseconds()
+		}
+		for _, d := range w.dispatchers {
+			d.hear([]boxlist.Box{l}, false)
+		}
+	})
+}
+
+// dispatcher is the real loop with the real module, in virtual time.
+type dispatcher struct {
+	w      *world
+	number int
+	name   string
+	loop   *dispatch.Loop
+	up     bool
+	front  bool
+	starts int
+	known  map[string]boxlist.Box
+	due    time.Duration
+	set    bool
+	open   map[*client]bool
+	of     map[*dispatch.Asked]*client
+}
+
+func (d *dispatcher) boot(kept map[string]boxlist.Box) error {
+	w := d.w
+	file := setup.DefaultDispatcher()
+	file.Terms = w.day.Terms
+	file.Place.Name, file.Place.Number, file.Place.Siblings = d.name, d.number, len(w.dispatchers)
+	file.Place.Siblings = max(w.day.Head.Dispatchers, 1)
+	file.Place.Zone = w.day.Zones[d.number%len(w.day.Zones)]
+	d.starts++
+	seed := w.day.Head.Seed*1000 + uint64(d.number) + 1 + uint64(d.starts-1)*7919
+	facts := file.Facts()
+	loop, err := dispatch.NewLoop(facts, seed, dispatch.Places{Zone: file.ZoneNumber, Kind: file.KindNumber}, (*carrier)(d), func() time.Duration { return w.now },
+		fmt.Sprintf("%s.%d", d.name, d.starts), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		return err
+	}
+	if w.policy != "module" && w.policy != "" {
+		p, err := baseline.New(w.policy, facts, seed, loop)
+		if err != nil {
+			return err
+		}
+		loop.Host(p)
+	}
+	d.loop, d.up, d.front, d.set = loop, true, true, false
+	d.open, d.of = map[*client]bool{}, map[*dispatch.Asked]*client{}
+	d.known = map[string]boxlist.Box{}
+	w.put(record.Line{What: record.Up, Dispatcher: d.name})
+	if kept != nil {
+		lines := make([]boxlist.Box, 0, len(kept))
+		for _, l := range kept {
+			lines = append(lines, l)
+		}
+		slices.SortFunc(lines, func(a, b boxlist.Box) int { return strings.Compare(a.Name, b.Name) })
+		d.hear(lines, true)
+	}
+	d.wind()
+	return nil
+}
+
+func (d *dispatcher) hear(lines []boxlist.Box, whole bool) {
+	if !d.up {
+		return
+	}
+	for _, l := range lines {
+		d.known[l.Name] = l
+		if !whole {
+			d.w.put(record.Line{What: record.Told, Dispatcher: d.name, Box: l.Name, Word: l.Standing, Start: l.Start})
+		}
+	}
+	d.do(func() { d.loop.Listed(lines, whole) })
+}
+
+// do runs one thing in the loop, and winds its timers.
+func (d *dispatcher) do(f func()) {
+	d.loop.Do(f)
+	d.wind()
+}
+
+func (d *dispatcher) wind() {
+	due, ok := d.loop.NextDue()
+	if !ok || !d.up {
+		return
+	}
+	due = (due + beat - 1) / beat * beat
+	if d.set && d.due <= due {
+		return
+	}
+	d.set, d.due = true, due
+	loop := d.loop
+	d.w.at(due, func() {
+		if d.loop != loop || !d.up || !d.set || d.due != due {
+			return
+		}
+		d.set = false
+		loop.Due()
+		d.wind()
+	})
+}
+
+// kill ends a dispatcher outright; its clients notice at once, the front after a while.
+func (d *dispatcher) kill() {
+	w := d.w
+	w.put(record.Line{What: record.Down, Dispatcher: d.name, Word: "killed"})
+	d.up = false
+	open := make([]*client, 0, len(d.open))
+	for c := range d.open {
+		open = append(open, c)
+	}
+	slices.SortFunc(open, func(a, b *client) int { return strings.Compare(a.id, b.id) })
+	for _, c := range open {
+		c.cut("the connection broke")
+	}
+	for _, b := range w.order {
+		var gone []*trip
+		for t := range b.trips {
+			if t.from == d {
+				gone = append(gone, t)
+			}
+		}
+		slices.SortFunc(gone, func(x, y *trip) int { return strings.Compare(x.id(), y.id()) })
+		for _, t := range gone {
+			t.closed()
+		}
+	}
+	w.after(w.day.Head.FrontNotice.D(), func() { d.front = d.front && d.up })
+}
+
+// client is one try.
+type client struct {
+	w     *world
+	wish  *standin.Wish
+	try   int
+	id    string
+	d     *dispatcher
+	asked *dispatch.Asked
+	over  bool
+	first bool
+}
+
+func (c *client) put(what, word string, more func(*record.Line)) {
+	l := record.Line{What: what, Word: word, Try: c.id, Question: c.wish.Name, Grade: c.wish.Grade, Dispatcher: c.d.name}
+	if more != nil {
+		more(&l)
+	}
+	c.w.put(l)
+}
+
+// ask makes one try of a question.
+func (w *world) ask(wish *standin.Wish, try int) {
+	var up []*dispatcher
+	for _, d := range w.dispatchers {
+		if d.front {
+			up = append(up, d)
+		}
+	}
+	if len(up) == 0 {
+		up = w.dispatchers
+	}
+	d := up[(uint64(wish.At)+uint64(try)*7919)*0x9e3779b97f4a7c15>>33%uint64(len(up))]
+	c := &client{w: w, wish: wish, try: try, id: fmt.Sprintf("%s.%d", wish.Name, try), d: d}
+	left := time.Duration(float64(wish.Expiry) * wish.Patience)
+	c.put(record.Asked, "", func(l *record.Line) {
+		l.ExpiryUs, l.PromiseUs, l.Tokens = left.Microseconds(), wish.Promised.Microseconds(), wish.Tokens
+	})
+	if !d.up {
+		c.cut("unreached: the dispatcher is down")
+		return
+	}
+	if wish.Leaves > 0 {
+		w.after(wish.Leaves, func() {
+			if !c.over {
+				c.over = true
+				c.put(record.Quit, "", nil)
+				if d.up && d.open[c] {
+					delete(d.open, c)
+					delete(d.of, c.asked)
+					d.do(func() { d.loop.Left(c.asked) })
+				}
+			}
+		})
+	}
+	d.open[c] = true
+	c.asked = &dispatch.Asked{Ask: kserve.Ask{ID: c.id, Session: wish.Session, Shared: wish.Shared, Tokens: wish.Tokens, Prefix: wish.Prefix, Most: wish.Most,
+		Again: try > 0}, Grade: wish.Grade, Channel: wish.Channel}
+	d.of[c.asked] = c
+	c.asked.Tell = func(f kserve.Final) { w.after(hop, func() { c.final(f) }) }
+	grade, channel := w.day.GradeNumber(wish.Grade), max(w.day.ChannelNumber(wish.Channel), 0)
+	w.after(hop, func() {
+		if c.over && wish.Leaves == 0 || !d.open[c] {
+			return
+		}
+		d.do(func() { d.loop.Arrive(c.asked, grade, channel, left-2*hop) })
+	})
+}
+
+func (c *client) final(f kserve.Final) {
+	if c.over {
+		return
+	}
+	c.over = true
+	delete(c.d.open, c)
+	delete(c.d.of, c.asked)
+	c.put(record.Final, f.Final, func(l *record.Line) { l.AfterMs, l.Trips = f.AfterMs, f.Trips })
+	if f.Final != kserve.Satisfied && (f.Final == kserve.Declined || c.wish.Safe) {
+		wait := c.wish.Wait
+		if c.wish.Honours && f.AfterMs > 0 {
+			wait = time.Duration(f.AfterMs) * time.Millisecond
+		}
+		c.again(wait)
+	}
+}
+
+func (c *client) cut(why string) {
+	if c.over {
+		return
+	}
+	c.over = true
+	delete(c.d.open, c)
+	c.put(record.Cut, why, nil)
+	if strings.HasPrefix(why, "unreached") || c.wish.Safe {
+		c.again(c.wish.Wait)
+	}
+}
+
+func (c *client) again(wait time.Duration) {
+	if c.try < c.wish.Retries {
+		c.w.after(wait, func() { c.w.ask(c.wish, c.try+1) })
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"os"
+	"runtime"
+	"testing"
+
+	"sloetrestle/internal/baseline"
+	"sloetrestle/internal/day"
+	"sloetrestle/internal/setup"
+)
+
+func load(t testing.TB, name string) day.Day {
+	t.Helper()
+	raw, err := os.ReadFile("../../examples/" + name + ".toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := day.Parse(name, raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// The days that processes play on sockets keep the rules in virtual time too, with engines in place of simple boxes.
+func TestDaysKeepTheRulesInVirtualTime(t *testing.T) {
+	for _, name := range []string{"quiet", "demo", "crash-after-read", "reset", "failing", "grade-failing", "hang", "drain", "restart", "list-stale", "kill-dispatcher",
+		"leave", "no-cancel", "link-slow", "forget", "burst", "long-prompts", "shared-text", "stale-cold", "overlap-kill-in-burst"} {
+		d := load(t, name)
+		out, err := Play(d, "module")
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if !out.Kept() || out.Tries < 100 || out.Effects < 100 {
+			t.Errorf("%s: %d tries, %d effects\n%s", name, out.Tries, out.Effects, out.Text())
+		}
+	}
+}
+
+func TestTheSameSeedGivesTheSameRecord(t *testing.T) {
+	d := load(t, "demo")
+	var digests []string
+	for _, procs := range []int{1, 2, 4} {
+		old := runtime.GOMAXPROCS(procs)
+		out, err := Play(d, "module")
+		runtime.GOMAXPROCS(old)
+		if err != nil {
+			t.Fatal(err)
+		}
+		digests = append(digests, out.Digest)
+	}
+	d.Head.Seed++
+	other, err := Play(d, "module")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if digests[0] != digests[1] || digests[1] != digests[2] || other.Digest == digests[0] {
+		t.Errorf("digests %v, with another seed %s", digests, other.Digest)
+	}
+}
+
+func TestBaselinesKeepTheRulesOnAQuietDay(t *testing.T) {
+	d := load(t, "quiet")
+	for _, name := range baseline.Names {
+		out, err := Play(d, name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !out.Kept() || out.Service < 0.5 {
+			t.Errorf("%s\n%s", name, out.Text())
+		}
+	}
+	if _, err := Play(d, "astrology"); err == nil {
+		t.Error("a policy that is none plays")
+	}
+}
+
+// Load that comes to 2.5 times what the engines can do must end: once it has passed, questions are satisfied again.
+func TestTheFleetComesBackAfterAnOverload(t *testing.T) {
+	d := load(t, "quiet")
+	d.Head.Length, d.Head.PerS = setup.Span(40e9), 60
+	d.Troubles = []day.Trouble{{Kind: "burst", At: setup.Span(5e9), Length: setup.Span(10e9), Size: 6}}
+	out, err := Play(d, "module")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lost := 0
+	for _, r := range out.Rows {
+		lost += r.Declined + r.Forfeited + r.Late
+	}
+	if !out.Kept() || lost == 0 || out.Service < 0.4 {
+		t.Errorf("%d were not satisfied in time\n%s", lost, out.Text())
+	}
+}
+
+func BenchmarkFleet31(b *testing.B) {
+	d := load(b, "quiet")
+	d.Boxes[0].Count, d.Boxes[1].Count, d.Boxes[2].Count = 13, 15, 3
+	d.Head.PerS, d.Head.Dispatchers = 100, 33
+	b.ReportAllocs()
+	questions := 0
+	for b.Loop() {
+		out, err := Play(d, "module")
+		if err != nil {
+			b.Fatal(err)
+		}
+		questions += out.Questions
+	}
+	b.ReportMetric(float64(questions)/b.Elapsed().Seconds(), "questions/s")
+}
--- /dev/null
+++ b/internal/fleet/trip.go
@@ -0,0 +1,385 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/addresses"
+	"sloetrestle/internal/dispatch"
+	"sloetrestle/internal/engine"
+	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/record"
+	"sloetrestle/internal/standin"
+)
+
+// carrier takes a dispatcher's trips to the engines.
+type carrier dispatcher
+
+func (c *carrier) Reach(*dispatch.Box, []addresses.Spec) {}
+
+func (c *carrier) Tell(peer int, n brain.News) {
+	d := (*dispatcher)(c)
+	if peer < 0 || peer >= len(d.w.dispatchers) {
+		return
+	}
+	to, name := d.w.dispatchers[peer], ""
+	for _, b := range d.w.order {
+		if dispatch.HostID(b.make.Name) == n.Host.ID {
+			name = b.make.Name
+		}
+	}
+	d.w.after(2*time.Millisecond, func() {
+		if !to.up {
+			return
+		}
+		to.do(func() {
+			if h := to.loop.HostOf(name); h != nil {
+				n := n
+				n.Host = h // each dispatcher has its own
+				to.loop.Heard(n)
+			}
+		})
+	})
+}
+
+func (c *carrier) Release(b *dispatch.Box, r kserve.Release) {
+	w := c.w
+	to := w.boxes[b.Name]
+	w.after(hop, func() {
+		if to.up {
+			to.letGo[r.Key] = r.Trip
+			to.release(r.Key, "released")
+		}
+	})
+}
+
+func (b *box) release(key, why string) {
+	if b.engine.Release(key) {
+		b.w.put(record.Line{What: record.Let, Box: b.make.Name, Key: key, Word: why})
+		b.kick()
+	}
+}
+
+// trip is one trip on its way, at both ends.
+type trip struct {
+	w      *world
+	from   *dispatcher
+	loop   *dispatch.Loop
+	flight *dispatch.Flight
+	to     *box
+	start  uint64
+	job    *engine.Job
+	line   record.Line
+	off    error
+	told   bool // the dispatcher knows how it ended
+	ended  bool // the box is done with it
+	came   bool
+}
+
+func (t *trip) id() string { return fmt.Sprintf("%s/%d", t.line.Key, t.line.Trip) }
+
+func (c *carrier) Carry(f *dispatch.Flight) {
+	d := (*dispatcher)(c)
+	w := d.w
+	t := &trip{w: w, from: d, loop: d.loop, flight: f, to: w.boxes[f.Box.Name]}
+	stage := [...]string{brain.ToRead: kserve.StageRead, brain.ToWrite: kserve.StageWrite, brain.Whole: kserve.StageWhole}[f.Trip.Stage]
+	t.line = record.Line{Box: t.to.make.Name, Try: f.Asked.Ask.ID, Grade: f.Asked.Grade, Key: fmt.Sprintf("%s/%d", d.loop.Epoch, f.Trip.Question.ID), Stage: stage, Trip: f.Trip.Number}
+	f.Off = func(why error) {
+		if t.off != nil || t.told {
+			return
+		}
+		t.off = why
+		// The connection is closed: this end knows at once, the other a hop later.
+		o := brain.TimedOut
+		if why == dispatch.ErrLeft {
+			o = brain.Cancelled
+		}
+		w.after(0, func() { t.tell(brain.Result{Outcome: o}) })
+		w.after(hop, t.closed)
+	}
+	if !t.to.up {
+		wait := unreach
+		if t.to.fell {
+			wait = dialTime // its machine is stuck, nobody refuses
+		}
+		w.after(wait, func() { t.tell(brain.Result{Outcome: brain.Unreached}) })
+		return
+	}
+	w.after(hop, t.arrive)
+}
+
+// tell gives the dispatcher a trip's end.
+func (t *trip) tell(r brain.Result) {
+	if t.told || !t.from.up || t.from.loop != t.loop {
+		return
+	}
+	t.told = true
+	t.from.do(func() { t.loop.Ended(t.flight, r) })
+}
+
+func (t *trip) back(r brain.Result) {
+	r.Load = t.to.load()
+	t.w.after(hop, func() { t.tell(r) })
+}
+
+func (b *box) load() []float64 {
+	values := b.engine.Report()
+	var out []float64
+	for _, name := range b.w.day.Report {
+		out = append(out, values[name])
+	}
+	return out
+}
+
+// end is the box's end of a trip.
+func (t *trip) end(word string) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	delete(t.to.trips, t)
+	l := t.line
+	l.What, l.Word = record.End, word
+	t.w.put(l)
+}
+
+// broke is a trip whose box died.
+func (t *trip) broke() {
+	t.end("broke")
+	t.w.after(hop, func() { t.tell(brain.Result{Outcome: brain.Broken}) })
+}
+
+// closed is a trip whose dispatcher has closed the connection.
+func (t *trip) closed() {
+	if t.ended || !t.came {
+		t.ended = t.ended || !t.came
+		return
+	}
+	l := t.line
+	l.What = record.Closed
+	t.w.put(l)
+	b := t.to
+	if b.up && b.start == t.start && t.job != nil && !b.make.Ignores {
+		b.engine.Cancel(t.job)
+		b.kick()
+	}
+	t.end("closed")
+}
+
+// work is what a trip asks of a box, in seconds of its full capacity.
+func (b *box) work(grade, stage string) float64 {
+	m, talk := b.make.Engine, b.w.day.TalkOf(grade)
+	sum := b.w.reads[grade]
+	if sum == nil {
+		sum = &[2]float64{talk.New + float64(talk.Prefix)/4, 1}
+		b.w.reads[grade] = sum
+	}
+	read := sum[0] / sum[1] / m.ReadPerS
+	step := m.Step.Seconds() + float64(m.Slots)*m.PerAnswer.Seconds() + float64(m.Slots)*m.PerContextK.Seconds()
+	write := talk.Answer * step / float64(m.Slots)
+	switch stage {
+	case kserve.StageRead:
+		return read
+	case kserve.StageWrite:
+		return write
+	}
+	return read + write
+}
+
+// weigh counts work against what a cold box bears, and tells whether it falls over.
+func (b *box) weigh(work float64) bool {
+	r, now := b.w.day.Rules, b.w.now
+	up := now - b.started
+	if !b.cold || up > r.ColdRamp.D() {
+		return false
+	}
+	b.sent = append(b.sent, sent{now, work})
+	sum := 0.0
+	for _, s := range b.sent {
+		if s.at >= now-r.ColdWindow.D() {
+			sum += s.work
+		}
+	}
+	share := r.ColdShare + (1-r.ColdShare)*float64(up)/float64(r.ColdRamp.D())
+	return sum > 1.1*r.ColdMultiple*share*r.ColdWindow.D().Seconds()
+}
+
+// arrive is a trip's bytes at its box.
+func (t *trip) arrive() {
+	b, w := t.to, t.w
+	if t.ended {
+		return
+	}
+	if !b.up {
+		t.w.after(hop, func() { t.tell(brain.Result{Outcome: brain.Broken}) })
+		return
+	}
+	t.came, t.start = true, b.start
+	b.trips[t] = true
+	work := b.work(t.line.Grade, t.line.Stage)
+	l := t.line
+	l.What, l.Work = record.Trip, work
+	w.put(l)
+	if b.weigh(work) {
+		b.fell = true
+		w.put(record.Line{What: record.Fell, Box: b.make.Name, Start: b.start})
+		b.kill("pushed over")
+		return
+	}
+	if b.hang {
+		return
+	}
+	if b.fail > 0 && (b.failOf == "" || b.failOf == t.line.Grade) && w.rng.Float64() < b.fail {
+		if t.line.Stage != kserve.StageRead {
+			t.ran()
+		}
+		t.end("failed")
+		t.back(brain.Result{Outcome: brain.Failed})
+		return
+	}
+	q := t.flight.Trip.Question
+	j := &engine.Job{Key: t.line.Key, Session: q.Session, Shared: q.Shared, Prompt: int(q.Prompt), Prefix: int(q.Prefix)}
+	t.job = j
+	switch t.line.Stage {
+	case kserve.StageRead:
+		j.Stage = engine.Read
+	case kserve.StageWrite:
+		j.Stage = engine.Write
+		state := w.boxes[t.flight.State.Name]
+		j.Fetch = func(arrived func(bool)) { w.fetch(state, b, t, arrived) }
+	default:
+		j.Stage = engine.Whole
+	}
+	j.Answer = standin.AnswerTokens(w.day.TalkOf(t.line.Grade).Answer, t.line.Try, int(q.Most))
+	if j.Stage == engine.Read {
+		j.Answer = 1
+	}
+	j.Token = func(n int) {
+		if n > 1 {
+			if n == 2 && b.resets > 0 && w.rng.Float64() < b.resets {
+				b.engine.Cancel(j)
+				t.broke()
+			}
+			return
+		}
+		t.ran()
+		w.after(hop, t.began)
+	}
+	j.Ended = func(e engine.End, kept int) { t.done(e, kept) }
+	b.engine.Submit(w.now, j)
+	b.kick()
+}
+
+func (t *trip) ran() {
+	l, w := t.line, t.w
+	l.What = record.Ran
+	if i := w.day.GradeNumber(l.Grade); i >= 0 && w.day.Grades[i].Effect == "deduplicated" {
+		g := w.day.Grades[i]
+		key := map[string]string{"zone": t.to.make.Zone, "rack": t.to.make.Rack}[g.Reach] + " " + l.Try
+		if at, known := w.seen[key]; known && w.now-at < g.Window.D() {
+			l.What = record.Repeat
+		} else {
+			w.seen[key] = w.now
+		}
+	}
+	w.put(l)
+}
+
+// began is the first token at the dispatcher, and a hop later at the client.
+func (t *trip) began() {
+	if t.told || !t.from.up || t.from.loop != t.loop {
+		return
+	}
+	t.from.do(func() { t.loop.Began(t.flight) })
+	if t.off != nil || t.flight.Trip.Began == 0 {
+		return
+	}
+	if c := t.from.of[t.flight.Asked]; c != nil {
+		t.w.after(hop, func() {
+			if !c.over && !c.first {
+				c.first = true
+				c.put(record.First, "", nil)
+			}
+		})
+	}
+}
+
+// done is the engine's end of a job.
+func (t *trip) done(e engine.End, kept int) {
+	b, w := t.to, t.w
+	if t.ended {
+		return
+	}
+	switch e {
+	case engine.Done:
+		if t.line.Stage != kserve.StageWrite {
+			left := float64(t.job.Prompt - kept)
+			b.work(t.line.Grade, t.line.Stage) // its mean has begun
+			w.reads[t.line.Grade][0] += left
+			w.reads[t.line.Grade][1]++
+		}
+		if t.line.Stage != kserve.StageRead {
+			t.end(kserve.OutcomeAnswered)
+			t.back(brain.Result{Outcome: brain.Answered, Note: kept})
+			return
+		}
+		if upTo, ok := b.letGo[t.line.Key]; ok && t.line.Trip <= upTo {
+			b.engine.Release(t.line.Key)
+			t.end("dropped")
+			return
+		}
+		w.put(record.Line{What: record.Held, Box: b.make.Name, Key: t.line.Key, Try: t.line.Try, Grade: t.line.Grade})
+		t.end(kserve.OutcomeRead)
+		t.back(brain.Result{Outcome: brain.Read, Note: kept})
+	case engine.Full, engine.TooBig:
+		t.end(kserve.OutcomeFull)
+		t.back(brain.Result{Outcome: brain.Full})
+	case engine.NoState:
+		t.end(kserve.OutcomeNoState)
+		t.back(brain.Result{Outcome: brain.Full, Note: 1})
+	}
+}
+
+// fetch moves a state from its reader to a writer, over the reader's own port within a rack, else over the rack's link.
+func (w *world) fetch(from, to *box, t *trip, arrived func(bool)) {
+	key := t.line.Key
+	w.after(hop, func() {
+		tokens, ok := 0, false
+		if from.up {
+			tokens, ok = from.engine.Waits(key)
+		}
+		if !ok {
+			w.after(hop, func() { arrived(false); to.kick() })
+			return
+		}
+		from.engine.Moving(key, true)
+		start, took := from.start, time.Duration(float64(tokens)/w.day.Links.Near*float64(time.Second))
+		if from.make.Rack != to.make.Rack {
+			times := w.slowLink
+			if from.make.Zone != to.make.Zone {
+				times *= max(w.day.Links.Zone, 1)
+			}
+			free := max(w.racks[from.make.Rack], w.now) + time.Duration(float64(tokens)/w.day.Links.Far*times*float64(time.Second))
+			w.racks[from.make.Rack] = free
+			took = free - w.now
+		}
+		w.after(took, func() {
+			if !from.up || from.start != start {
+				arrived(false)
+				to.kick()
+				return
+			}
+			if t.ended || !to.up || to.start != t.start { // nobody fetches any more: it waits on
+				from.engine.Moving(key, false)
+				if upTo, ok := from.letGo[key]; ok && upTo >= t.line.Trip {
+					from.release(key, "released")
+				}
+				return
+			}
+			from.release(key, "taken")
+			arrived(true)
+			to.kick()
+		})
+	})
+}
--- /dev/null
+++ b/internal/fleet/trouble.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"sloetrestle/internal/boxlist"
+	"sloetrestle/internal/day"
+	"sloetrestle/internal/record"
+)
+
+func (w *world) hit(t day.Trouble) []*box {
+	var hit []*box
+	for _, b := range w.order {
+		if slices.ContainsFunc(t.Boxes, func(n string) bool { return n == b.make.Name || n == b.make.Kind }) {
+			hit = append(hit, b)
+		}
+	}
+	return hit
+}
+
+// trouble begins a trouble and sets its end. Those of the questions themselves are in the plan; those of single addresses
+// have no meaning without sockets.
+func (w *world) trouble(t day.Trouble) {
+	w.put(record.Line{What: record.Note, Word: t.Kind + " begins"})
+	hit, length, notice := w.hit(t), t.Length.D(), w.day.List.Notice.D()
+	each := func(do func(*box)) {
+		for _, b := range hit {
+			do(b)
+		}
+	}
+	back := func() {
+		each(func(b *box) {
+			if !b.up {
+				b.boot(true)
+				w.publish(b, boxlist.Ready, notice)
+				b.kick()
+			}
+		})
+	}
+	later := func(do func()) { w.after(length, do) }
+	switch t.Kind {
+	case "slow":
+		each(func(b *box) { b.engine.Slow = t.Size })
+		later(func() { each(func(b *box) { b.engine.Slow = 0 }) })
+	case "neighbour":
+		each(func(b *box) { b.engine.Neighbour = t.Share })
+		later(func() { each(func(b *box) { b.engine.Neighbour = 0 }) })
+	case "ageing":
+		each(func(b *box) { b.engine.Age(w.now, t.Share) })
+		later(func() {
+			each(func(b *box) { b.kill("aged"); w.publish(b, boxlist.Gone, w.day.List.Silent.D()) })
+			w.after(2*time.Second, back)
+		})
+	case "evict_fresh":
+		each(func(b *box) { b.engine.EvictFresh = true })
+		later(func() { each(func(b *box) { b.engine.EvictFresh = false }) })
+	case "failing", "grade_failing":
+		each(func(b *box) { b.fail, b.failOf = t.Share, t.Grade })
+		later(func() { each(func(b *box) { b.fail = 0 }) })
+	case "hang":
+		each(func(b *box) { b.hang = true })
+		later(func() { each(func(b *box) { b.hang = false }) })
+	case "reset":
+		each(func(b *box) { b.resets = t.Share })
+		later(func() { each(func(b *box) { b.resets = 0 }) })
+	case "forget":
+		each(func(b *box) { b.engine.Forget() })
+	case "crash":
+		each(func(b *box) {
+			b.kill("crashed")
+			if silent := w.day.List.Silent.D(); length > silent {
+				w.publish(b, boxlist.Gone, silent)
+			}
+		})
+		later(back)
+	case "restart":
+		each(func(b *box) { b.kill("restarted") })
+		back()
+	case "drain":
+		each(func(b *box) { w.publish(b, boxlist.Draining, notice) })
+		later(func() {
+			each(func(b *box) { b.kill("drained"); w.publish(b, boxlist.Gone, notice) })
+			w.after(time.Second, back)
+		})
+	case "list_stale":
+		w.lateList = t.By.D()
+		later(func() { w.lateList = 0 })
+	case "link_slow":
+		w.slowLink = t.Size
+		later(func() { w.slowLink = 1 })
+	case "kill_dispatcher":
+		for _, n := range t.Dispatchers {
+			w.dispatchers[n].kill()
+		}
+		later(func() {
+			for _, n := range t.Dispatchers {
+				d := w.dispatchers[n]
+				d.boot(d.known)
+			}
+		})
+	}
+	if !strings.HasPrefix(t.Kind, "address_") {
+		later(func() { w.put(record.Line{What: record.Note, Word: t.Kind + " ends"}) })
+	}
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -166,10 +166,15 @@
 	return true
 }
 
-// answerTokens is how long the answer to a try truly is: the same at every box, and told to no one.
+// answerTokens is how long the answer to a try truly is.
 func (f *Fleet) answerTokens(grade, try string, most int) int {
+	return AnswerTokens(f.Talk[grade].Answer, try, most)
+}
+
+// AnswerTokens draws an answer's length about a mean: the same for a try at every box, and told to no one.
+func AnswerTokens(mean float64, try string, most int) int {
 	rng := rand.New(rand.NewPCG(xxhash.Sum64String(try), 7))
-	n := int(math.Round(f.Talk[grade].Answer * (0.4 + 1.2*rng.Float64())))
+	n := int(math.Round(mean * (0.4 + 1.2*rng.Float64())))
 	return min(max(n, 1), max(most, 1))
 }
 
