Emulated engines behind the box protocol; experiments that resume; load and trace tools

Change: the stand-in boxes run internal/engine in real time, with the code that they had for slots, kept texts and states gone; internal/experiment varies one key at a time, keeps runs in an embedded store, resumes, compares and draws; sloetrestle box, load and experiment.

--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -79,7 +79,7 @@
 type Engine struct {
 	BlockTokens int        `toml:"block_tokens,omitempty"`     // tokens to a block of memory; 32
 	Chunk       int        `toml:"chunk_tokens,omitempty"`     // prompt tokens read in one step at most; 2048
-	Step        setup.Span `toml:"step,omitempty"`             // one that does nothing else; 12 ms
+	Step        setup.Span `toml:"step,omitempty"`             // one that does nothing else; token_time
 	PerAnswer   setup.Span `toml:"step_per_answer,omitempty"`  // for each running answer; 0.15 ms
 	PerContextK setup.Span `toml:"step_per_1000,omitempty"`    // for each 1,000 tokens of context; 0.04 ms
 	PairsPerM   setup.Span `toml:"step_per_m_pairs,omitempty"` // for each million pairs of tokens read; 0.8 ms
@@ -134,9 +134,9 @@
 	{"no_cancel", "a cancel or a time-out does not stop work at the boxes", []string{"boxes"}},
 	{"drain", "boxes drain; after length they are gone, and back cold a second later", []string{"boxes"}},
 	{"restart", "boxes restart cold, and the list says so as late as it is", []string{"boxes"}},
-	{"neighbour", "another program takes a share of the boxes' machines (engines only)", []string{"boxes", "share"}},
-	{"ageing", "boxes lose a share of their pace each second, then crash (engines only)", []string{"boxes", "share"}},
-	{"evict_fresh", "boxes under pressure evict states that were just sent to them (engines only)", []string{"boxes"}},
+	{"neighbour", "another program takes a share of the boxes' machines", []string{"boxes", "share"}},
+	{"ageing", "boxes lose a share of their pace each second, then crash", []string{"boxes", "share"}},
+	{"evict_fresh", "boxes under pressure evict states that were just sent to them", []string{"boxes"}},
 	{"list_stale", "the list is later than usual by so much", []string{"by"}},
 	{"list_gap", "the next push of the list is lost", nil},
 	{"list_down", "the list is away", nil},
@@ -189,7 +189,7 @@
 // The bounds of what one machine plays.
 const (
 	mostBoxes       = 200
-	mostDispatchers = 64
+	mostDispatchers = 200
 	mostLength      = 30 * time.Minute
 	mostQuestions   = 500_000
 )
--- a/internal/day/makes.go
+++ b/internal/day/makes.go
@@ -32,7 +32,7 @@
 		// decoding step of 10 to 25 ms, blocks of 16 to 64 tokens, chunks of 512 to 8,192 tokens.
 		made := engine.Make{
 			Reads: k.Role != "writer", Writes: k.Role != "reader", Slots: b.Slots, Queue: b.Queue, BlockTokens: cmp.Or(e.BlockTokens, 32),
-			Chunk: cmp.Or(e.Chunk, 2048), Step: cmp.Or(e.Step.D(), 12*time.Millisecond), PerAnswer: cmp.Or(e.PerAnswer.D(), 150*time.Microsecond),
+			Chunk: cmp.Or(e.Chunk, 2048), Step: cmp.Or(e.Step.D(), b.TokenTime.D()), PerAnswer: cmp.Or(e.PerAnswer.D(), 150*time.Microsecond),
 			PerContextK: cmp.Or(e.PerContextK.D(), 40*time.Microsecond), PairsPerM: cmp.Or(e.PairsPerM.D(), 800*time.Microsecond), ReadPerS: b.ReadPerS,
 			StateLife: stateLife, ColdShare: d.Rules.ColdShare, ColdRamp: d.Rules.ColdRamp.D(), Load: e.Load.D(),
 		}
--- a/internal/day/play.go
+++ b/internal/day/play.go
@@ -251,11 +251,8 @@
 		if len(at) == 0 {
 			at = append(at, addresses.Spec{Network: addresses.TCP4})
 		}
-		out = append(out, standin.Make{
-			Name: m.Name, Kind: m.Kind, Role: m.Role, Zone: m.Zone, Rack: m.Rack, Slots: m.Boxes.Slots, Queue: m.Boxes.Queue,
-			Memory: r.day.Kinds[r.day.KindNumber(m.Kind)].Memory, ReadPerS: m.Boxes.ReadPerS, TokenTime: m.Boxes.TokenTime.D(), Units: m.Units,
-			Addresses: at, Seed: r.day.Head.Seed,
-		})
+		out = append(out, standin.Make{Name: m.Name, Kind: m.Kind, Role: m.Role, Zone: m.Zone, Rack: m.Rack, Units: m.Units, Addresses: at,
+			Seed: r.day.Head.Seed, Engine: m.Engine})
 	}
 	return out
 }
--- a/internal/day/troubles.go
+++ b/internal/day/troubles.go
@@ -60,6 +60,23 @@
 		faults(func(f *standin.Faults) { f.Ignore = true })
 		wait(length)
 		faults(func(f *standin.Faults) { f.Ignore = false })
+	case "neighbour":
+		faults(func(f *standin.Faults) { f.Neighbour = t.Share })
+		wait(length)
+		faults(func(f *standin.Faults) { f.Neighbour = 0 })
+	case "evict_fresh":
+		faults(func(f *standin.Faults) { f.EvictFresh = true })
+		wait(length)
+		faults(func(f *standin.Faults) { f.EvictFresh = false })
+	case "ageing":
+		faults(func(f *standin.Faults) { f.AgeBy = t.Share })
+		wait(length)
+		faults(func(f *standin.Faults) { f.AgeBy = 0 })
+		for _, b := range hit {
+			r.lose(b, "aged", time.Hour)
+		}
+		wait(length + 2*time.Second)
+		err = r.back(hit)
 	case "forget":
 		for _, b := range hit {
 			b.Forget()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -589,6 +589,12 @@
 	return h.job.Prompt, true
 }
 
+// Moves tells whether a state is on its way.
+func (e *Engine) Moves(key string) bool {
+	h := e.states[key]
+	return h != nil && h.taken
+}
+
 // Moving marks a state as on its way, or, if the move failed, as waiting again.
 func (e *Engine) Moving(key string, on bool) {
 	if h := e.states[key]; h != nil {
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,145 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"sloetrestle/internal/day"
+)
+
+func plan(t *testing.T, text string) (*Plan, error) {
+	t.Helper()
+	dir := t.TempDir()
+	base, err := os.ReadFile("../../examples/quiet.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	small := strings.Replace(string(base), `length = "10s"`, `length = "2s"`, 1)
+	if err := os.WriteFile(filepath.Join(dir, "day.toml"), []byte(small), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(dir, "plan.toml")
+	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return LoadPlan(file)
+}
+
+const text = `
+[experiment]
+name = "t"
+base = "day.toml"
+repeats = 3
+policies = ["module", "random"]
+
+[[vary]]
+key = "day.questions_a_second"
+values = [10, 40]
+
+[[vary]]
+key = "box.0.count"
+values = [2]
+`
+
+func TestAnInterruptedExperimentGoesOnWhereItStopped(t *testing.T) {
+	p, err := plan(t, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "e.db")
+	s, err := OpenStore(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	lines := 0
+	err = Do(ctx, s, p, "v", day.Stage{}, func(string, ...any) {
+		if lines++; lines == 4 {
+			cancel()
+		}
+	})
+	if err == nil {
+		t.Error("an interrupted experiment tells nothing")
+	}
+	s.Close()
+	if s, err = OpenStore(file); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	before, err := s.Runs("t")
+	if err != nil || len(before) == 0 || len(before) == 12 {
+		t.Fatalf("%d runs are kept, %v", len(before), err)
+	}
+	again := 0
+	if err := Do(context.Background(), s, p, "v", day.Stage{}, func(string, ...any) { again++ }); err != nil {
+		t.Fatal(err)
+	}
+	after, _ := s.Runs("t")
+	if len(after) != 12 || again-1 != 12-len(before) {
+		t.Errorf("%d runs are kept after %d more; %d were before", len(after), again-1, len(before))
+	}
+	if other, err := plan(t, strings.Replace(text, "repeats = 3", "repeats = 2", 1)); err != nil || s.Begin(other) == nil {
+		t.Errorf("another plan goes on under the same name (%v)", err)
+	}
+	var table, csv bytes.Buffer
+	if err := Table(&table, after, []string{"service", "first_p99_ms"}); err != nil || strings.Count(table.String(), "\n") != 5 {
+		t.Errorf("%v\n%s", err, table.String())
+	}
+	if err := CSV(&csv, after); err != nil || strings.Count(csv.String(), "\n") != 13 {
+		t.Errorf("%v\n%s", err, csv.String())
+	}
+	chart := filepath.Join(t.TempDir(), "c.svg")
+	if err := Chart(after, "day.questions_a_second", "service", "policy", chart, "t"); err != nil {
+		t.Error(err)
+	}
+	if raw, err := os.ReadFile(chart); err != nil || !bytes.Contains(raw, []byte("<svg")) {
+		t.Errorf("no chart: %v", err)
+	}
+	if err := Chart(after, "policy", "service", "repeat", chart, "t"); err == nil {
+		t.Error("a chart over words")
+	}
+}
+
+func TestPlansThatCannotBePlayedAreNamed(t *testing.T) {
+	for old, c := range map[string][2]string{
+		"repeats = 3":                {"repeats = 0", "experiment.repeats"},
+		`base = "day.toml"`:          {`base = "night.toml"`, "night.toml"},
+		`key = "box.0.count"`:        {`key = "box.9.count"`, "box.9.count"},
+		"values = [2]":               {"values = [0]", "box.0.count"},
+		`policies = ["module", "r`:   {`polices = ["module", "r`, "no such key"},
+		`key = "day.questions_a_sec`: {`key = "day.questions_an_hour", values = [1]` + "\n#", "plan.toml"},
+	} {
+		if _, err := plan(t, strings.Replace(text, old, c[0], 1)); err == nil || !strings.Contains(err.Error(), c[1]) {
+			t.Errorf("%s: %v", c[0], err)
+		}
+	}
+}
+
+func TestCompareTellsADifferenceFromNoise(t *testing.T) {
+	var runs []Run
+	add := func(policy, repeat string, service float64) {
+		runs = append(runs, Run{Setting: Setting{"policy": policy, "repeat": repeat}, Figures: map[string]float64{"service": service}, Kept: true})
+	}
+	for i, seed := range []string{"0", "1", "2", "3"} {
+		noise := []float64{0.05, -0.04, 0.02, -0.03}[i]
+		add("module", seed, 0.8+noise)
+		add("worse", seed, 0.7+noise+0.002*float64(i)) // less on each seed
+		add("alike", seed, 0.8-noise)                  // as much more as less
+	}
+	diffs, err := Compare(runs, "policy", "service")
+	if err != nil || len(diffs) != 2 {
+		t.Fatalf("%v %v", diffs, err)
+	}
+	for _, d := range diffs {
+		if d.Than != "module" || d.Beyond != (d.This == "worse") {
+			t.Errorf("%+v", d)
+		}
+	}
+	if _, err := Compare(runs, "moon", "service"); err == nil {
+		t.Error("a key that is not varied")
+	}
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,273 @@
+// Package load asks a running dispatcher open loop: arrivals are drawn ahead or read from a trace and never wait for
+// answers, and times count from when a question was due, so that a slow dispatcher can't hide by being asked less. It
+// judges nothing. Begin with Run.
+package load
+
+import (
+	"bufio"
+	"context"
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sloetrestle/internal/record"
+	"sloetrestle/internal/setup"
+	"sloetrestle/internal/standin"
+)
+
+// Arrival is one line of a trace.
+type Arrival struct {
+	AtMs    float64 `json:"at_ms"`
+	Grade   string  `json:"grade"`
+	Tokens  int     `json:"tokens"`
+	Shared  string  `json:"shared"`
+	Prefix  int     `json:"shared_tokens"`
+	Session string  `json:"session"`
+	Most    int     `json:"max_tokens"`
+	Channel string  `json:"channel"`
+}
+
+// mostLine bounds a line of a trace, and mostArrivals a trace.
+const (
+	mostLine     = 64 << 10
+	mostArrivals = 2_000_000
+)
+
+// ReadTrace reads arrivals from CSV with a header, or from JSON lines; the file's ending says which. Times need not be in
+// order. What is wrong is named with its line.
+func ReadTrace(file string, terms setup.Terms) ([]standin.Wish, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var all []Arrival
+	if strings.HasSuffix(file, ".csv") {
+		all, err = readCSV(f)
+	} else {
+		all, err = readLines(f)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s:%w", file, err)
+	}
+	wishes := make([]standin.Wish, len(all))
+	for i, a := range all {
+		n := max(terms.GradeNumber(a.Grade), 0)
+		if a.Grade != "" && terms.GradeNumber(a.Grade) < 0 {
+			return nil, fmt.Errorf("%s: arrival %d: grade %q is unknown", file, i+1, a.Grade)
+		}
+		if a.AtMs < 0 || a.Tokens < 1 || a.Prefix < 0 || a.Prefix > a.Tokens || a.Most < 0 {
+			return nil, fmt.Errorf("%s: arrival %d: senseless: %+v", file, i+1, a)
+		}
+		g := terms.Grades[n]
+		k := float64(a.Tokens) / 1000
+		w := standin.Wish{At: time.Duration(a.AtMs * float64(time.Millisecond)), Name: fmt.Sprint("t", i), Grade: g.Name, Channel: a.Channel, Session: a.Session,
+			Shared: a.Shared, Prefix: a.Prefix, Tokens: a.Tokens, Most: a.Most, Promised: g.Promised.D() + time.Duration(k*float64(g.PerK)),
+			Expiry: g.Expiry.D() + 2*time.Duration(k*float64(g.PerK)), Patience: 1, Safe: g.Effect == "idempotent"}
+		if w.Most == 0 {
+			w.Most = g.Most
+		}
+		wishes[i] = w
+	}
+	slices.SortStableFunc(wishes, func(a, b standin.Wish) int { return int(a.At - b.At) })
+	return wishes, nil
+}
+
+func readCSV(r io.Reader) ([]Arrival, error) {
+	in := csv.NewReader(r)
+	in.ReuseRecord = true
+	head, err := in.Read()
+	if err != nil {
+		return nil, fmt.Errorf("1: no header: %w", err)
+	}
+	names := slices.Clone(head)
+	for _, n := range names {
+		if !slices.Contains([]string{"at_ms", "grade", "tokens", "shared", "shared_tokens", "session", "max_tokens", "channel"}, n) {
+			return nil, fmt.Errorf("1: column %q is unknown", n)
+		}
+	}
+	var all []Arrival
+	for line := 2; ; line++ {
+		row, err := in.Read()
+		if err == io.EOF {
+			return all, nil
+		}
+		if err != nil || len(all) >= mostArrivals {
+			return nil, fmt.Errorf("%d: %v (at most %d arrivals)", line, err, mostArrivals)
+		}
+		var a Arrival
+		for i, n := range names {
+			var bad error
+			switch n {
+			case "at_ms":
+				a.AtMs, bad = strconv.ParseFloat(row[i], 64)
+			case "tokens":
+				a.Tokens, bad = strconv.Atoi(row[i])
+			case "shared_tokens":
+				a.Prefix, bad = strconv.Atoi(row[i])
+			case "max_tokens":
+				a.Most, bad = strconv.Atoi(row[i])
+			case "grade":
+				a.Grade = strings.Clone(row[i])
+			case "shared":
+				a.Shared = strings.Clone(row[i])
+			case "session":
+				a.Session = strings.Clone(row[i])
+			case "channel":
+				a.Channel = strings.Clone(row[i])
+			}
+			if bad != nil {
+				return nil, fmt.Errorf("%d: %s: %q is no number", line, n, row[i])
+			}
+		}
+		all = append(all, a)
+	}
+}
+
+func readLines(r io.Reader) ([]Arrival, error) {
+	var all []Arrival
+	in := bufio.NewScanner(r)
+	in.Buffer(nil, mostLine)
+	for line := 1; in.Scan(); line++ {
+		if len(strings.TrimSpace(in.Text())) == 0 {
+			continue
+		}
+		var a Arrival
+		d := json.NewDecoder(strings.NewReader(in.Text()))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&a); err != nil {
+			return nil, fmt.Errorf("%d: %w", line, err)
+		}
+		if all = append(all, a); len(all) > mostArrivals {
+			return nil, fmt.Errorf("%d: more than %d arrivals", line, mostArrivals)
+		}
+	}
+	return all, in.Err()
+}
+
+// Figures are what came of it, by grade and in all.
+type Figures struct {
+	Grade                                                    string
+	Asked, Satisfied, InTime, Declined, Forfeited, Cut, Quit int
+	P50, P90, P99, Most                                      float64 // ms from when it was due to the first token
+	first                                                    *hdrhistogram.Histogram
+}
+
+// Run asks and reports; say is told of progress each second.
+func Run(ctx context.Context, model string, to []string, wishes []standin.Wish, say func(string, ...any)) ([]Figures, error) {
+	if len(to) == 0 || len(wishes) == 0 {
+		return nil, fmt.Errorf("there is nobody to ask, or nothing to ask for")
+	}
+	book, err := record.Open("", record.Head{})
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	due, promise := map[string]time.Duration{}, map[string]time.Duration{}
+	by := map[string]*Figures{}
+	of := func(grade string) *Figures {
+		if by[grade] == nil {
+			by[grade] = &Figures{Grade: grade, first: hdrhistogram.New(1, 600_000_000, 3)}
+		}
+		return by[grade]
+	}
+	for _, w := range wishes {
+		promise[w.Name] = w.Promised
+		of(w.Grade)
+	}
+	of("all")
+	began := time.Now()
+	open := 0
+	book.Watch = func(l record.Line) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, f := range []*Figures{of(l.Grade), of("all")} {
+			switch {
+			case l.What == record.Asked && strings.HasSuffix(l.Try, ".0"):
+				f.Asked++
+			case l.What == record.First:
+				took := time.Since(began) - due[l.Question]
+				f.first.RecordValue(max(took.Microseconds(), 1))
+				if took <= promise[l.Question] {
+					f.InTime++
+				}
+			case l.What == record.Final && l.Word == "satisfied":
+				f.Satisfied++
+			case l.What == record.Final && l.Word == "declined":
+				f.Declined++
+			case l.What == record.Final:
+				f.Forfeited++
+			case l.What == record.Cut:
+				f.Cut++
+			case l.What == record.Quit:
+				f.Quit++
+			}
+		}
+	}
+	clients := standin.NewClients(book, model, func(seed uint64) (string, string) { at := to[seed%uint64(len(to))]; return at, at })
+	defer clients.Close()
+	stop := make(chan struct{})
+	var watching sync.WaitGroup
+	watching.Add(1)
+	go func() {
+		defer watching.Done()
+		tick := time.NewTicker(time.Second)
+		defer tick.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-tick.C:
+				mu.Lock()
+				f := of("all")
+				say("%4.0f s  asked %6d  satisfied %6d  declined %5d  forfeited %4d  cut %4d  open %5d  first token p50 %.0f p99 %.0f ms", time.Since(began).Seconds(),
+					f.Asked, f.Satisfied, f.Declined, f.Forfeited, f.Cut, open, float64(f.first.ValueAtQuantile(50))/1000, float64(f.first.ValueAtQuantile(99))/1000)
+				mu.Unlock()
+			}
+		}
+	}()
+	var all sync.WaitGroup
+	for _, w := range wishes {
+		if wait := w.At - time.Since(began); wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		mu.Lock()
+		due[w.Name] = w.At
+		open++
+		mu.Unlock()
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			clients.Ask(ctx, w)
+			mu.Lock()
+			open--
+			mu.Unlock()
+		}()
+	}
+	all.Wait()
+	close(stop)
+	watching.Wait()
+	var out []Figures
+	for _, f := range by {
+		ms := func(q float64) float64 { return float64(f.first.ValueAtQuantile(q)) / 1000 }
+		f.P50, f.P90, f.P99, f.Most = ms(50), ms(90), ms(99), float64(f.first.Max())/1000
+		out = append(out, *f)
+	}
+	slices.SortFunc(out, func(a, b Figures) int { return strings.Compare(a.Grade, b.Grade) })
+	return out, ctx.Err()
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,40 @@
+package load
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"sloetrestle/internal/setup"
+)
+
+func TestTracesAreReadInBothFormsAndFaultsNamed(t *testing.T) {
+	terms := setup.DefaultTerms()
+	terms.Grades = []setup.Grade{{Name: "quick", Effect: "idempotent", Promised: setup.Span(time.Second), Expiry: setup.Span(4 * time.Second), Most: 70},
+		{Name: "booking", Effect: "unrepeatable", Promised: setup.Span(time.Second), Expiry: setup.Span(4 * time.Second), Most: 50}}
+	for _, c := range []struct{ name, text, says string }{
+		{"a.csv", "at_ms,grade,tokens,max_tokens\n200,booking,900,20\n100,quick,500,\n", "max_tokens"},
+		{"b.csv", "at_ms,grade,tokens\n200,booking,900\n100,quick,500\n", ""},
+		{"c.jsonl", "{\"at_ms\":200,\"grade\":\"booking\",\"tokens\":900}\n\n{\"at_ms\":100,\"tokens\":500}\n", ""},
+		{"d.csv", "at_ms,tokens,colour\n1,2,3\n", "colour"},
+		{"e.csv", "at_ms,tokens\n1,many\n", "e.csv:2: tokens"},
+		{"f.jsonl", "{\"at_ms\":1,\"tokens\":5}\n{\"at_ms\":1,\"tokens\":5,\"x\":1}\n", "f.jsonl:2"},
+		{"g.jsonl", "{\"at_ms\":-1,\"tokens\":5}\n", "arrival 1"},
+		{"h.csv", "at_ms,tokens,grade\n1,2,slow\n", "slow"},
+	} {
+		file := filepath.Join(t.TempDir(), c.name)
+		os.WriteFile(file, []byte(c.text), 0o644)
+		wishes, err := ReadTrace(file, terms)
+		if c.says != "" {
+			if err == nil || !strings.Contains(err.Error(), c.says) {
+				t.Errorf("%s: %v", c.name, err)
+			}
+			continue
+		}
+		if err != nil || len(wishes) != 2 || wishes[0].Grade != "quick" || wishes[0].At != 100*time.Millisecond || wishes[0].Most != 70 || wishes[1].Safe {
+			t.Errorf("%s: %v %+v", c.name, err, wishes)
+		}
+	}
+}
--- a/internal/measure/ways.go
+++ b/internal/measure/ways.go
@@ -103,7 +103,7 @@
 		s.Prefer = len(at) // the one that goes wrong comes first for all of them
 		at = append(at, s)
 	}
-	b := fleet.NewBox(standin.Make{Name: "w1", Kind: "writer", Slots: 1000, Queue: 1000, Memory: 1 << 30, ReadPerS: 1e12, TokenTime: time.Microsecond, Addresses: at})
+	b := fleet.NewBox(standin.Make{Name: "w1", Kind: "writer", Addresses: at, Engine: standin.Instant})
 	if err := b.Boot(false); err != nil {
 		return w, err
 	}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -76,7 +76,7 @@
 	}
 	at := []addresses.Spec{{Network: addresses.Unix, At: filepath.Join(dir, name)}, {Network: addresses.TCP6, At: free(s.t, "tcp6", "[::1]:0")},
 		{Network: addresses.TCP4, At: free(s.t, "tcp4", "127.0.0.1:0")}}
-	b := s.fleet.NewBox(standin.Make{Name: name, Kind: "writer", Slots: 1000, Queue: 1000, Memory: 1 << 30, ReadPerS: 1e12, TokenTime: time.Microsecond, Addresses: at})
+	b := s.fleet.NewBox(standin.Make{Name: name, Kind: "writer", Addresses: at, Engine: standin.Instant})
 	if err := b.Boot(false); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -90,6 +90,8 @@
 	out   *bufio.Writer
 	err   error
 	Watch func(Line) // called with each line, under no promise of speed
+
+	Forgets bool // lines are handed to Watch and the file only
 }
 
 const (
@@ -131,7 +133,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l.At = b.Since().Microseconds()
-	b.lines = append(b.lines, l)
+	if !b.Forgets {
+		b.lines = append(b.lines, l)
+	}
 	if b.out != nil && b.err == nil {
 		raw, err := json.Marshal(l)
 		if err == nil {
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -10,11 +10,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sloetrestle/internal/addresses"
+	"sloetrestle/internal/engine"
 	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/reach"
 	"sloetrestle/internal/record"
@@ -23,14 +24,16 @@
 // Make is how a box is built.
 type Make struct {
 	Name, Kind, Role, Zone, Rack string
-	Slots, Queue, Memory         int
-	ReadPerS                     float64       // tokens
-	TokenTime                    time.Duration // between tokens of an idle box
 	Units                        float64
 	Addresses                    []addresses.Spec
 	Seed                         uint64
+	Engine                       engine.Make
 }
 
+// Instant is an engine that takes next to no time, for what is not about engines.
+var Instant = engine.Make{Reads: true, Writes: true, Slots: 1 << 20, Queue: 1 << 20, Blocks: 1 << 40, BlockTokens: 1 << 20, Chunk: 1 << 30, Step: time.Microsecond,
+	ReadPerS: 1e12, StateLife: 8 * time.Second}
+
 // Faults are what a box does wrong just now.
 type Faults struct {
 	Slow           float64 // times; 0 and 1: none
@@ -41,6 +44,9 @@
 	ResetAtOnce    float64 // share of writes cut off when they have begun to run, before a token
 	CrashAfterRead float64 // share of reads after which it dies
 	Ignore         bool    // a cancel does not stop its work
+	Neighbour      float64 // share of its machine that another program takes
+	AgeBy          float64 // share by which its pace falls each second
+	EvictFresh     bool    // memory pressure takes a state that has just been fetched
 }
 
 // Box is one stand-in model host.
@@ -53,6 +59,7 @@
 	faults   Faults
 	server   *http.Server
 	stop     context.CancelFunc
+	life     context.Context
 	gates    []*Gate
 	Start    uint64
 	started  time.Duration // on the record's clock
@@ -60,39 +67,20 @@
 	up       bool
 	fell     bool
 	drains   bool
-	running  int
-	line     []chan struct{} // waiting for a slot, first come first
-	busy     int             // slots taken
-	held     int             // tokens of states and running answers
-	states   map[string]*waiting
+	engine   *engine.Engine
+	wake     chan struct{}     // the engine may have something to do
+	tries    map[string]string // of the states that wait, by key
+	unkept   map[string]bool   // states to be let go of once the fetch that is on has failed
 	letGo    map[string]releasedUpTo
-	kept     map[uint64]text
-	age      int
 	sent     []sent
-	reading  *lane
 	handlers sync.WaitGroup
-
-	Changed func(*Box) // tells the list
 }
 
-type waiting struct {
-	tokens int
-	try    string
-	timer  *time.Timer
-	taking bool
-	unkept bool // to be let go of once the fetch that is on has failed
-}
-
-type text struct{ tokens, age int }
-
 type sent struct {
 	at   time.Duration
 	work float64
 }
 
-// stateLife is how long a state waits for a dispatcher that may have been killed.
-const stateLife = 8 * time.Second
-
 // NewBox adds a box to the fleet; Boot starts it.
 func (f *Fleet) NewBox(m Make) *Box {
 	b := &Box{Make: m, fleet: f, rng: chanceOf(m.Seed, m.Name)}
@@ -120,10 +108,13 @@
 	}
 	var life context.Context
 	life, b.stop = context.WithCancel(context.Background())
+	b.life = life
 	b.Start, b.started, b.cold, b.up, b.fell, b.drains = b.fleet.start(), b.fleet.Book.Since(), cold, true, false, false
-	b.letGo = map[string]releasedUpTo{}
-	b.states, b.kept, b.sent, b.reading = map[string]*waiting{}, map[uint64]text{}, nil, &lane{}
-	b.held, b.busy, b.line, b.running = 0, 0, nil, 0
+	b.letGo, b.tries, b.unkept, b.sent = map[string]releasedUpTo{}, map[string]string{}, map[string]bool{}, nil
+	b.engine, b.wake = engine.New(b.Engine, b.started, cold), make(chan struct{}, 1)
+	b.apply()
+	b.handlers.Add(1)
+	go b.drive(life, b.engine, b.wake)
 	mux := http.NewServeMux()
 	at := "POST /v2/models/" + b.fleet.Terms.Model
 	mux.HandleFunc(at+"/generate", b.trip)
@@ -172,11 +163,11 @@
 	}
 	b.up = false
 	b.fleet.Book.Put(record.Line{What: record.Down, Box: b.Name, Start: b.Start, Word: why})
-	for key, s := range b.states {
-		s.timer.Stop()
-		b.fleet.Book.Put(record.Line{What: record.Let, Box: b.Name, Key: key, Try: s.try, Word: "lost"})
+	for key, try := range b.tries {
+		b.fleet.Book.Put(record.Line{What: record.Let, Box: b.Name, Key: key, Try: try, Word: "lost"})
 	}
-	b.states = map[string]*waiting{}
+	clear(b.tries)
+	b.engine.Stop()
 	b.stop()
 	server := b.server
 	b.mu.Unlock()
@@ -205,9 +196,22 @@
 func (b *Box) Do(change func(*Faults)) {
 	b.mu.Lock()
 	change(&b.faults)
+	b.apply()
 	b.mu.Unlock()
 }
 
+// apply hands the engine those faults that are its own; the box is locked.
+func (b *Box) apply() {
+	if b.engine == nil {
+		return
+	}
+	now := b.fleet.Book.Since()
+	b.engine.Slow, b.engine.Neighbour, b.engine.EvictFresh = b.faults.Slow, b.faults.Neighbour, b.faults.EvictFresh
+	if b.engine.AgeBy != b.faults.AgeBy {
+		b.engine.Age(now, b.faults.AgeBy)
+	}
+}
+
 // Drain makes it refuse what is new, as the list will tell.
 func (b *Box) Drain(on bool) {
 	b.mu.Lock()
@@ -218,8 +222,10 @@
 // Forget drops the kept texts.
 func (b *Box) Forget() {
 	b.mu.Lock()
-	b.kept = map[uint64]text{}
-	b.mu.Unlock()
+	defer b.mu.Unlock()
+	if b.up {
+		b.engine.Forget()
+	}
 }
 
 // share is which part of its capacity the box can do now.
@@ -232,17 +238,76 @@
 	return r.ColdShare + (1-r.ColdShare)*float64(since)/float64(r.ColdRamp.D())
 }
 
-// pace is how many times longer work takes now.
-func (b *Box) pace() float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return max(b.faults.Slow, 1) / b.share()
+// drive runs an engine's steps in real time until its process ends.
+func (b *Box) drive(ctx context.Context, e *engine.Engine, wake chan struct{}) {
+	defer b.handlers.Done()
+	var due time.Duration // when the step that is on ends, by plan: what a timer oversleeps is not added up
+	for {
+		b.mu.Lock()
+		now := b.fleet.Book.Since()
+		wait, ok := e.Loading(now), false
+		if wait == 0 {
+			wait, ok = e.Begin(max(due, now-maxBehind))
+		}
+		b.expired()
+		b.mu.Unlock()
+		switch {
+		case ok:
+			if due < now-maxBehind {
+				due = now
+			}
+			due += wait
+			if sleep(ctx, due-b.fleet.Book.Since()) != nil {
+				return
+			}
+			b.mu.Lock()
+			if ctx.Err() == nil {
+				e.Finish(due)
+			}
+			b.mu.Unlock()
+		case wait > 0:
+			if sleep(ctx, wait) != nil {
+				return
+			}
+		default:
+			select {
+			case <-wake:
+			case <-time.After(time.Second): // states may expire
+			case <-ctx.Done():
+				return
+			}
+			due = b.fleet.Book.Since()
+		}
+	}
+}
+
+// maxBehind is how far a step may lag behind its plan; a machine that lags more plays slower engines.
+const maxBehind = 20 * time.Millisecond
+
+// nudge has the engine look for something to do.
+func (b *Box) nudge() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// expired takes down the states that the engine has dropped by itself; the box is locked.
+func (b *Box) expired() {
+	for key, try := range b.tries {
+		if _, waits := b.engine.Waits(key); !waits && !b.engine.Moves(key) {
+			delete(b.tries, key)
+			b.fleet.Book.Put(record.Line{What: record.Let, Box: b.Name, Key: key, Try: try, Word: "expired"})
+		}
+	}
 }
 
 // work is what a trip asks of the box, in seconds of its full capacity: the mean of its grade.
 func (b *Box) work(e kserve.Errand) float64 {
-	read := b.fleet.leftToRead(e.Grade) / b.ReadPerS
-	write := b.fleet.Talk[e.Grade].Answer * b.TokenTime.Seconds() / float64(b.Slots)
+	m := b.Engine
+	read := b.fleet.leftToRead(e.Grade) / m.ReadPerS
+	step := m.Step.Seconds() + float64(m.Slots)*m.PerAnswer.Seconds() + float64(m.Slots)*m.PerContextK.Seconds()
+	write := b.fleet.Talk[e.Grade].Answer * step / float64(m.Slots)
 	switch e.Stage {
 	case kserve.StageRead:
 		return read
@@ -278,10 +343,7 @@
 func (b *Box) load() []float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	values := map[string]float64{
-		"util": float64(b.busy) / float64(b.Slots), "queue": float64(len(b.line)),
-		"x0": float64(b.held) / float64(b.Memory), "inflight": float64(b.busy + len(b.line) + len(b.states)),
-	}
+	values := b.engine.Report()
 	var out []float64
 	for _, name := range b.fleet.Terms.Report {
 		out = append(out, values[name])
@@ -289,100 +351,21 @@
 	return out
 }
 
-// Why work stops.
-var (
-	errFull   = errors.New("slots and queue are full")
-	errKilled = errors.New("the box was killed")
-)
-
-// slot waits for a place among those served at once; tokens of memory go with it.
-func (b *Box) slot(ctx context.Context, tokens int) error {
-	b.mu.Lock()
-	if b.held+tokens > b.Memory {
-		b.mu.Unlock()
-		return errFull
-	}
-	if b.busy < b.Slots && len(b.line) == 0 {
-		b.busy++
-		b.held += tokens
-		b.mu.Unlock()
-		return nil
-	}
-	if len(b.line) >= b.Queue {
-		b.mu.Unlock()
-		return errFull
-	}
-	turn := make(chan struct{})
-	b.line = append(b.line, turn)
-	b.held += tokens
-	b.mu.Unlock()
-	select {
-	case <-turn:
-		return nil
-	case <-ctx.Done():
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if i := slices.Index(b.line, turn); i >= 0 {
-		b.line = slices.Delete(b.line, i, i+1)
-		b.held -= tokens
-		return ctx.Err()
-	}
-	b.giveBack(tokens) // its turn came in the same moment
-	return ctx.Err()
-}
-
-// leave gives a slot on.
-func (b *Box) leave(start uint64, tokens int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.Start == start {
-		b.giveBack(tokens)
-	}
-}
-
-func (b *Box) giveBack(tokens int) {
-	b.held -= tokens
-	if len(b.line) > 0 {
-		close(b.line[0])
-		b.line = b.line[1:]
-		return
-	}
-	b.busy--
+// run is a job in an engine, as its handler sees it. The engine's calls must not wait: tokens are counted, and written out
+// by the handler at the client's pace.
+type run struct {
+	job    engine.Job
+	tokens atomic.Int64
+	kept   atomic.Int64
+	end    atomic.Int64 // 1 + engine.End
+	bell   chan struct{}
 }
 
-// keep remembers the texts of a prompt and tells how much of it was kept before.
-func (b *Box) keep(e kserve.Errand) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	found := 0
-	for _, key := range []uint64{e.Session, e.Shared} {
-		if t, ok := b.kept[key]; ok && key != 0 {
-			found = max(found, min(t.tokens, e.Tokens))
-		}
-	}
-	b.age++
-	if e.Session != 0 {
-		b.kept[e.Session] = text{e.Tokens, b.age}
-	}
-	if e.Shared != 0 {
-		b.kept[e.Shared] = text{e.Prefix, b.age}
-	}
-	sum := 0
-	for _, t := range b.kept {
-		sum += t.tokens
-	}
-	for sum > b.Memory/2 { // the longest unused goes first
-		oldest, at := uint64(0), text{}
-		for key, t := range b.kept {
-			if oldest == 0 || t.age < at.age {
-				oldest, at = key, t
-			}
-		}
-		delete(b.kept, oldest)
-		sum -= at.tokens
+func (r *run) ring() {
+	select {
+	case r.bell <- struct{}{}:
+	default:
 	}
-	return found
 }
 
 // trip serves one trip from its bytes to its end.
@@ -421,7 +404,7 @@
 	defer func() { put(record.End, word) }()
 
 	b.mu.Lock()
-	start, faults, drains := b.Start, b.faults, b.drains
+	start, faults, drains, life := b.Start, b.faults, b.drains, b.life
 	fails := b.rng.Float64() < faults.Fail && (faults.FailGrade == "" || faults.FailGrade == e.Grade)
 	resets, resetsNow := b.rng.Float64() < faults.Reset, b.rng.Float64() < faults.ResetAtOnce
 	crashes := b.rng.Float64() < faults.CrashAfterRead
@@ -459,85 +442,130 @@
 		return
 	}
 	if faults.Ignore {
-		ctx = context.WithoutCancel(ctx)
-	}
-	tokens := e.Tokens
-	if e.Stage != kserve.StageRead {
-		tokens += e.Most / 4
-	}
-	if err := b.slot(ctx, tokens); err == errFull {
-		answer(http.StatusServiceUnavailable, kserve.Told{Outcome: kserve.OutcomeFull, Error: err.Error()})
-		return
-	} else if err != nil {
-		return
-	}
-	if e.Stage == kserve.StageRead {
-		b.read(ctx, w, e, start, crashes, answer)
-		return
+		ctx = life
 	}
-	defer b.leave(start, tokens)
-	kept := 0
-	if e.Stage == kserve.StageWrite {
-		err := b.fetch(ctx, e)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			answer(http.StatusServiceUnavailable, kserve.Told{Outcome: kserve.OutcomeNoState, Error: err.Error()})
-			return
-		}
-		b.keep(e)
-	} else if kept, err = b.readHere(ctx, e); err != nil {
-		return
+	j := &run{bell: make(chan struct{}, 1)}
+	j.job = engine.Job{Key: e.Key(), Session: e.Session, Shared: e.Shared, Prompt: e.Tokens, Prefix: e.Prefix, Answer: 1}
+	switch e.Stage {
+	case kserve.StageRead:
+		j.job.Stage = engine.Read
+	case kserve.StageWrite:
+		j.job.Stage = engine.Write
+	default:
+		j.job.Stage = engine.Whole
 	}
-	effect()
-	if resetsNow {
-		panic(http.ErrAbortHandler)
+	if e.Stage != kserve.StageRead {
+		j.job.Answer = b.fleet.answerTokens(e.Grade, e.Mark, e.Most)
 	}
-	word = b.stream(ctx, w, e, kept, resets)
-}
-
-// readHere reads what is not kept, one prompt after the other.
-func (b *Box) readHere(ctx context.Context, e kserve.Errand) (kept int, err error) {
-	kept = b.keep(e)
-	left := float64(e.Tokens - kept)
-	b.fleet.sawRead(e.Grade, left)
-	b.mu.Lock()
-	reading := b.reading
-	b.mu.Unlock()
-	return kept, reading.use(ctx, seconds(left/b.ReadPerS*b.pace()))
-}
-
-// read keeps the state of a prompt until it is taken or let go.
-func (b *Box) read(ctx context.Context, w http.ResponseWriter, e kserve.Errand, start uint64, crashes bool, answer func(int, kserve.Told)) {
-	kept, err := b.readHere(ctx, e)
-	if err != nil {
-		b.leave(start, e.Tokens)
-		return
+	j.job.Token = func(n int) { j.tokens.Store(int64(n)); j.ring() }
+	j.job.Ended = func(how engine.End, kept int) {
+		j.kept.Store(int64(kept))
+		j.end.Store(1 + int64(how))
+		j.ring()
 	}
-	key := e.Key()
 	b.mu.Lock()
 	if !b.up || b.Start != start {
 		b.mu.Unlock()
 		return
 	}
-	if l, ok := b.letGo[key]; ok && e.Trip <= l.trip {
-		b.giveBack(e.Tokens)
-		b.mu.Unlock()
-		return // it was released before it was read
+	eng := b.engine
+	j.job.Fetch = func(arrived func(bool)) {
+		b.handlers.Add(1)
+		go func() {
+			defer b.handlers.Done()
+			err := b.fetch(ctx, e)
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			if b.engine == eng && b.up {
+				arrived(err == nil)
+				b.nudge()
+			}
+		}()
 	}
-	b.held += e.Tokens // the slot is given on, the state stays
-	b.giveBack(e.Tokens)
-	s := &waiting{tokens: e.Tokens, try: e.Mark}
-	s.timer = time.AfterFunc(stateLife, func() { b.let(start, key, "expired") })
-	b.states[key] = s
+	if e.Stage == kserve.StageRead {
+		ended := j.job.Ended
+		j.job.Ended = func(how engine.End, kept int) { // the box is locked
+			if how == engine.Done {
+				if l, ok := b.letGo[e.Key()]; ok && e.Trip <= l.trip {
+					eng.Release(e.Key()) // it was released before it was read
+					how = engine.Dropped
+				} else {
+					b.tries[e.Key()] = e.Mark
+					b.fleet.Book.Put(record.Line{What: record.Held, Box: b.Name, Key: e.Key(), Try: e.Mark, Grade: e.Grade})
+				}
+			}
+			ended(how, kept)
+		}
+	}
+	eng.Submit(b.fleet.Book.Since(), &j.job)
+	b.nudge()
 	b.mu.Unlock()
-	b.fleet.Book.Put(record.Line{What: record.Held, Box: b.Name, Key: key, Try: e.Mark, Grade: e.Grade})
-	answer(http.StatusOK, kserve.Told{Outcome: kserve.OutcomeRead, Kept: kept})
-	http.NewResponseController(w).Flush()
-	if crashes {
-		// A moment later, so that the dispatcher knows of the read and sends on.
-		time.AfterFunc(2*time.Millisecond, func() { b.Kill("crashed after reading") })
+	defer func() {
+		b.mu.Lock()
+		if b.engine == eng && b.up {
+			eng.Cancel(&j.job)
+			b.nudge()
+		}
+		b.mu.Unlock()
+	}()
+	out, ctl := 0, http.NewResponseController(w)
+	for {
+		select {
+		case <-j.bell:
+		case <-ctx.Done():
+			return
+		}
+		end := engine.End(j.end.Load() - 1)
+		for n := int(j.tokens.Load()); out < n; out++ {
+			if out == 0 {
+				effect()
+				if resetsNow {
+					panic(http.ErrAbortHandler)
+				}
+				w.Header().Set("Content-Type", "text/event-stream")
+			}
+			if resets && out == (j.job.Answer+1)/2 {
+				panic(http.ErrAbortHandler)
+			}
+			if kserve.WriteEvent(w, "", kserve.Token{Model: b.fleet.Terms.Model, Text: " word"}) != nil {
+				return
+			}
+			if out == 0 || out+1 == n {
+				if ctl.Flush() != nil {
+					return
+				}
+			}
+			if out == 0 {
+				b.fleet.holds(ctx)
+			}
+		}
+		if end < 0 {
+			continue
+		}
+		kept := int(j.kept.Load())
+		if e.Stage != kserve.StageWrite && end == engine.Done {
+			b.fleet.sawRead(e.Grade, float64(e.Tokens-kept))
+		}
+		switch {
+		case end == engine.Done && e.Stage == kserve.StageRead:
+			answer(http.StatusOK, kserve.Told{Outcome: kserve.OutcomeRead, Kept: kept})
+			ctl.Flush()
+			if crashes {
+				// A moment later, so that the dispatcher knows of the read and sends on.
+				time.AfterFunc(2*time.Millisecond, func() { b.Kill("crashed after reading") })
+			}
+		case end == engine.Done:
+			if kserve.WriteEvent(w, "end", kserve.Told{Outcome: kserve.OutcomeAnswered, Kept: kept, Load: b.load()}) == nil && ctl.Flush() == nil {
+				word = kserve.OutcomeAnswered
+			}
+		case end == engine.Full || end == engine.TooBig:
+			answer(http.StatusServiceUnavailable, kserve.Told{Outcome: kserve.OutcomeFull, Error: end.String()})
+		case end == engine.NoState:
+			answer(http.StatusServiceUnavailable, kserve.Told{Outcome: kserve.OutcomeNoState, Error: "no state could be fetched"})
+		default: // the process died, or the work was dropped: the connection says so
+			panic(http.ErrAbortHandler)
+		}
+		return
 	}
 }
 
@@ -545,18 +573,22 @@
 func (b *Box) let(start uint64, key, why string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.states[key]
-	if s == nil || b.Start != start || !b.up {
+	if b.Start != start || !b.up {
+		return false
+	}
+	try, held := b.tries[key]
+	if !held {
 		return false
 	}
-	if s.taking && why != "taken" {
-		s.unkept = true
+	if b.engine.Moves(key) && why != "taken" {
+		b.unkept[key] = true
 		return true
 	}
-	s.timer.Stop()
-	delete(b.states, key)
-	b.held -= s.tokens
-	b.fleet.Book.Put(record.Line{What: record.Let, Box: b.Name, Key: key, Try: s.try, Word: why})
+	delete(b.tries, key)
+	delete(b.unkept, key)
+	b.engine.Release(key)
+	b.nudge()
+	b.fleet.Book.Put(record.Line{What: record.Let, Box: b.Name, Key: key, Try: try, Word: why})
 	return true
 }
 
@@ -605,18 +637,24 @@
 		return
 	}
 	b.mu.Lock()
-	s, start := b.states[key], b.Start
-	if s == nil || s.taking {
+	start := b.Start
+	tokens, ok := 0, false
+	if b.up {
+		tokens, ok = b.engine.Waits(key)
+	}
+	if !ok {
 		b.mu.Unlock()
 		kserve.WriteJSON(w, http.StatusNotFound, map[string]string{"error": "no such state waits"})
 		return
 	}
-	s.taking = true
+	b.engine.Moving(key, true)
 	b.mu.Unlock()
-	if b.fleet.move(r.Context(), b, r.Header.Get("Rack"), r.Header.Get("Zone"), float64(s.tokens)) != nil {
+	if b.fleet.move(r.Context(), b, r.Header.Get("Rack"), r.Header.Get("Zone"), float64(tokens)) != nil {
 		b.mu.Lock()
-		s.taking = false
-		unkept := s.unkept
+		unkept := b.unkept[key]
+		if b.Start == start && b.up {
+			b.engine.Moving(key, false)
+		}
 		b.mu.Unlock()
 		if unkept {
 			b.let(start, key, "released")
@@ -624,7 +662,7 @@
 		return
 	}
 	if b.let(start, key, "taken") {
-		kserve.WriteJSON(w, http.StatusOK, map[string]int{"tokens": s.tokens})
+		kserve.WriteJSON(w, http.StatusOK, map[string]int{"tokens": tokens})
 	}
 }
 
@@ -656,34 +694,3 @@
 	}
 	return nil
 }
-
-// stream answers token by token and returns how it ended.
-func (b *Box) stream(ctx context.Context, w http.ResponseWriter, e kserve.Errand, kept int, resets bool) string {
-	w.Header().Set("Content-Type", "text/event-stream")
-	ctl := http.NewResponseController(w)
-	n := b.fleet.answerTokens(e.Grade, e.Mark, e.Most)
-	for i := range n {
-		if resets && i == n/2 {
-			panic(http.ErrAbortHandler)
-		}
-		if kserve.WriteEvent(w, "", kserve.Token{Model: b.fleet.Terms.Model, Text: " word"}) != nil || ctl.Flush() != nil {
-			return "broke"
-		}
-		b.fleet.holds(ctx)
-		b.mu.Lock()
-		share := float64(b.busy) / float64(b.Slots)
-		reading := b.reading
-		b.mu.Unlock()
-		took := time.Duration(float64(b.TokenTime) * (0.6 + 0.8*share) * b.pace())
-		if reading.waits() > 0 {
-			took += took / 2 // a prompt is read between its steps
-		}
-		if sleep(ctx, took) != nil {
-			return "broke"
-		}
-	}
-	if kserve.WriteEvent(w, "end", kserve.Told{Outcome: kserve.OutcomeAnswered, Kept: kept, Load: b.load()}) != nil || ctl.Flush() != nil {
-		return "broke"
-	}
-	return kserve.OutcomeAnswered
-}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -223,13 +223,6 @@
 	return err
 }
 
-// waits is how long the lane is taken already.
-func (l *lane) waits() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return max(time.Until(l.free), 0)
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func sleep(ctx context.Context, d time.Duration) error {
