--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -26,7 +26,7 @@
 // The days that processes play on sockets keep the rules in virtual time too, with engines in place of simple boxes.
 func TestDaysKeepTheRulesInVirtualTime(t *testing.T) {
 	for _, name := range []string{"quiet", "demo", "crash-after-read", "reset", "failing", "grade-failing", "hang", "drain", "restart", "list-stale", "kill-dispatcher",
-		"leave", "no-cancel", "link-slow", "forget", "burst", "long-prompts", "shared-text", "stale-cold", "overlap-kill-in-burst"} {
+		"leave", "no-cancel", "link-slow", "forget", "burst", "long-prompts", "shared-text", "stale-cold", "overlap-kill-in-burst", "ageing", "neighbour", "evict-fresh"} {
 		d := load(t, name)
 		out, err := Play(d, "module")
 		if err != nil {
@@ -94,10 +94,16 @@
 	}
 }
 
-func BenchmarkFleet31(b *testing.B) {
+func BenchmarkFleet31(b *testing.B) { benchmark(b, 1, 33) }
+func BenchmarkFleet79(b *testing.B) { benchmark(b, 2.55, 160) }
+
+// benchmark plays a day of 31 boxes, so many times larger.
+func benchmark(b *testing.B, times float64, dispatchers int) {
 	d := load(b, "quiet")
-	d.Boxes[0].Count, d.Boxes[1].Count, d.Boxes[2].Count = 13, 15, 3
-	d.Head.PerS, d.Head.Dispatchers = 100, 33
+	for i, n := range []float64{13, 15, 3} {
+		d.Boxes[i].Count = int(n * times)
+	}
+	d.Head.PerS, d.Head.Dispatchers = 100*times, dispatchers
 	b.ReportAllocs()
 	questions := 0
 	for b.Loop() {
