Retry storms: recognised, damped, returns booked in what can be served; connections limited

Change: internal/storm decides, without I/O, whether a storm is on, how many returns are let in by channel, and when each declined client is to come back, with a ticket that holds its place; a door for connections, fair by block of addresses; client/ follows the advice.

--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,176 @@
+// Package client asks a sloetrestle dispatcher and follows its advice: it comes back when it was told to, with the ticket
+// that holds its place, waits longer each time where it was told nothing, and never repeats a question that may have run
+// unless that does no harm. Begin with Client.Ask.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"sloetrestle/internal/kserve"
+)
+
+// Question is what is asked.
+type Question struct {
+	Text    string
+	Session string
+	Shared  string // name of the beginning that it shares with others
+	Grade   string
+	Channel string
+	Most    int           // tokens of the answer
+	Time    time.Duration // that the client will wait in all; required
+	Safe    bool          // it may run twice without harm: asked again after any failure
+}
+
+// Client asks dispatchers in turn. The zero value of all but To is fine.
+type Client struct {
+	To    []string // such as http://127.0.0.1:8100
+	Model string   // lodge where it is empty
+	HTTP  *http.Client
+	Least time.Duration // before asking again where nothing was told; 200 ms
+	Tries int           // 5
+	next  int
+}
+
+// Answer is how a question ended.
+type Answer struct {
+	Final string // satisfied, declined or forfeited
+	Tries int
+	Error string
+}
+
+// ErrTime says that the question's time was up.
+var ErrTime = errors.New("the question's time is up")
+
+// Ask asks, and hands on each piece of the answer as it comes. After the first piece nothing is asked again.
+func (c *Client) Ask(ctx context.Context, q Question, piece func(text string)) (Answer, error) {
+	if len(c.To) == 0 || q.Time <= 0 {
+		return Answer{}, errors.New("client: there is nobody to ask, or no time to wait")
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, q.Time+time.Second, ErrTime)
+	defer cancel()
+	deadline := time.Now().Add(q.Time)
+	least := c.Least
+	if least <= 0 {
+		least = 200 * time.Millisecond
+	}
+	tries := c.Tries
+	if tries <= 0 {
+		tries = 5
+	}
+	ticket := uint64(0)
+	a := Answer{}
+	for try := 0; ; try++ {
+		a.Tries++
+		f, begun, err := c.try(ctx, q, try, ticket, time.Until(deadline), piece)
+		a.Final, a.Error = f.Final, f.Error
+		// Asking again is harmless after a decline, or where nothing was sent; else only if the question is safe.
+		harmless := f.Final == kserve.Declined && f.Harmless || errors.Is(err, errUnsent) || q.Safe && f.Final != kserve.Satisfied
+		switch {
+		case f.Final == kserve.Satisfied:
+			return a, nil
+		case begun || !harmless || try+1 >= tries || errors.Is(err, errRefused):
+			if err == nil {
+				err = fmt.Errorf("client: %s: %s", f.Final, f.Error)
+			}
+			return a, err
+		}
+		ticket = f.Ticket
+		wait := time.Duration(f.AfterMs) * time.Millisecond
+		if wait <= 0 {
+			wait = time.Duration(float64(least<<min(try, 6)) * (0.5 + rand.Float64()/2))
+		}
+		if time.Until(deadline) <= wait {
+			return a, ErrTime
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return a, context.Cause(ctx)
+		}
+	}
+}
+
+var (
+	errUnsent  = errors.New("nothing was sent")
+	errRefused = errors.New("the question makes no sense to the dispatcher")
+)
+
+func (c *Client) try(ctx context.Context, q Question, try int, ticket uint64, left time.Duration, piece func(string)) (f kserve.Final, begun bool, err error) {
+	params := kserve.Params{"timeout": left.Microseconds(), "again": try > 0}
+	for name, v := range map[string]string{"session": q.Session, "shared": q.Shared, "grade": q.Grade, "channel": q.Channel} {
+		if v != "" {
+			params[name] = v
+		}
+	}
+	if q.Most > 0 {
+		params["max_tokens"] = q.Most
+	}
+	if ticket != 0 {
+		params["ticket"] = fmt.Sprint(ticket)
+	}
+	raw, err := json.Marshal(kserve.Prompt{Text: q.Text, Parameters: params})
+	if err != nil {
+		return f, false, err
+	}
+	model := c.Model
+	if model == "" {
+		model = "lodge"
+	}
+	at := c.To[c.next%len(c.To)]
+	c.next++
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, at+"/v2/models/"+model+"/generate_stream", bytes.NewReader(raw))
+	if err != nil {
+		return f, false, err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	h := c.HTTP
+	if h == nil {
+		h = http.DefaultClient
+	}
+	resp, err := h.Do(r)
+	if err != nil {
+		if kserve.Unsent(err) {
+			err = fmt.Errorf("%w: %w", errUnsent, err)
+		}
+		return f, false, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		raw, err := io.ReadAll(io.LimitReader(resp.Body, 64<<10))
+		if err != nil {
+			return f, false, err
+		}
+		if json.Unmarshal(raw, &f) != nil || f.Final == "" {
+			return f, false, fmt.Errorf("%w: %s: %.300s", errRefused, resp.Status, raw)
+		}
+		return f, false, nil
+	}
+	events := kserve.NewEvents(resp.Body)
+	for {
+		ev, err := events.Next()
+		if err != nil {
+			return f, begun, fmt.Errorf("client: the stream broke: %w", err)
+		}
+		if ev.Name == "" {
+			var t kserve.Token
+			if err := json.Unmarshal(ev.Data, &t); err != nil {
+				return f, begun, err
+			}
+			begun = true
+			piece(t.Text)
+			continue
+		}
+		if err := json.Unmarshal(ev.Data, &f); err != nil {
+			return f, begun, err
+		}
+		return f, begun, nil
+	}
+}
--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,101 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"sloetrestle/internal/kserve"
+)
+
+// script answers one try after the other.
+type script struct {
+	mu    sync.Mutex
+	steps []func(w http.ResponseWriter)
+	asked []kserve.Ask
+	at    []time.Time
+}
+
+func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ask, err := kserve.ReadPrompt(r.Body)
+	if err != nil {
+		kserve.WriteFault(w, err)
+		return
+	}
+	s.mu.Lock()
+	s.asked, s.at = append(s.asked, ask), append(s.at, time.Now())
+	step := s.steps[min(len(s.asked)-1, len(s.steps)-1)]
+	s.mu.Unlock()
+	step(w)
+}
+
+func declined(ms int64, ticket uint64) func(http.ResponseWriter) {
+	return func(w http.ResponseWriter) {
+		kserve.WriteFinal(w, kserve.Final{Final: kserve.Declined, Harmless: true, AfterMs: ms, Ticket: ticket})
+	}
+}
+
+func forfeited(w http.ResponseWriter) { kserve.WriteFinal(w, kserve.Final{Final: kserve.Forfeited}) }
+
+func answered(w http.ResponseWriter) {
+	kserve.WriteEvent(w, "", kserve.Token{Text: "yes"})
+	kserve.WriteEvent(w, "end", kserve.Final{Final: kserve.Satisfied})
+}
+
+func broken(w http.ResponseWriter) {
+	kserve.WriteEvent(w, "", kserve.Token{Text: "y"})
+	http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func TestTheAdviceIsFollowedAndHarmIsNotDone(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		steps []func(http.ResponseWriter)
+		safe  bool
+		tries int
+		final string
+	}{
+		{"declined, then answered", []func(http.ResponseWriter){declined(150, 77), answered}, false, 2, kserve.Satisfied},
+		{"forfeited, not safe", []func(http.ResponseWriter){forfeited, answered}, false, 1, kserve.Forfeited},
+		{"forfeited, safe", []func(http.ResponseWriter){forfeited, answered}, true, 2, kserve.Satisfied},
+		{"broken mid-stream", []func(http.ResponseWriter){broken, answered}, true, 1, ""},
+		{"declined for ever", []func(http.ResponseWriter){declined(20, 5)}, true, 5, kserve.Declined},
+		{"no time to come back", []func(http.ResponseWriter){declined(60_000, 5)}, true, 1, kserve.Declined},
+		{"senseless", []func(http.ResponseWriter){func(w http.ResponseWriter) { kserve.WriteFault(w, &kserve.Fault{Status: 400, Text: "no"}) }}, true, 1, ""},
+	} {
+		s := &script{steps: c.steps}
+		server := httptest.NewServer(s)
+		text := ""
+		a, err := (&Client{To: []string{server.URL}, Least: 10 * time.Millisecond}).Ask(context.Background(),
+			Question{Text: "free?", Time: 2 * time.Second, Safe: c.safe}, func(p string) { text += p })
+		server.Close()
+		if a.Tries != c.tries || a.Final != c.final || (err == nil) != (c.final == kserve.Satisfied) {
+			t.Errorf("%s: %+v, %v", c.name, a, err)
+		}
+		if c.name == "declined, then answered" {
+			if wait := s.at[1].Sub(s.at[0]); wait < 150*time.Millisecond || s.asked[1].Ticket != 77 || !s.asked[1].Again || text != "yes" {
+				t.Errorf("came back after %v with ticket %d, again %v, and got %q", wait, s.asked[1].Ticket, s.asked[1].Again, text)
+			}
+			raw, _ := json.Marshal(s.asked[1].Left)
+			if s.asked[1].Left > 1900*time.Millisecond {
+				t.Errorf("said it had %s left", raw)
+			}
+		}
+	}
+}
+
+func TestWhereNobodyListensAnotherIsAsked(t *testing.T) {
+	s := &script{steps: []func(http.ResponseWriter){answered}}
+	server := httptest.NewServer(s)
+	defer server.Close()
+	a, err := (&Client{To: []string{"http://127.0.0.1:1", server.URL}, Least: time.Millisecond}).Ask(context.Background(),
+		Question{Text: "free?", Time: 2 * time.Second}, func(string) {})
+	if err != nil || a.Tries != 2 {
+		t.Errorf("%+v, %v", a, err)
+	}
+}
--- a/internal/day/plan.go
+++ b/internal/day/plan.go
@@ -88,7 +88,7 @@
 		}
 		long := 1.0
 		w := standin.Wish{At: at, Name: fmt.Sprintf("q%d", len(wishes)), Grade: tr.Grade, Channel: s.channel, Session: s.name, Shared: s.shared,
-			Prefix: s.prefix, Retries: d.Clients.Retries, Wait: d.Clients.Wait.D(), Honours: rng.Float64() < d.Clients.Honour}
+			Prefix: s.prefix, Retries: d.Clients.Retries, Wait: d.Clients.Wait.D(), Doubles: d.Clients.Doubles, Honours: rng.Float64() < d.Clients.Honour}
 		g := d.Grades[d.GradeNumber(tr.Grade)]
 		quit, slowly := false, time.Duration(0)
 		for _, t := range d.Troubles {
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -21,6 +21,7 @@
 	"sloetrestle/internal/boxlist"
 	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/reach"
+	"sloetrestle/internal/storm"
 )
 
 // Carrier takes trips and messages out. Its methods are called by the loop and must not wait.
@@ -58,6 +59,7 @@
 	final    chan kserve.Final  // the one final answer
 	answered bool
 	left     bool
+	channel  int
 	flight   *Flight // the trip that is out
 	waiting  map[*Box]bool
 	from     time.Duration
@@ -132,12 +134,14 @@
 
 	further map[string][]addresses.Spec // of boxes, from the own file
 	Tally   Tally
+
+	Guard *storm.Guard // in front of the module; nil: every try goes to it, and its own advice to clients
 }
 
 // Tally counts what a loop has seen; it is read by the loop's goroutine only.
 type Tally struct {
-	Taken, Satisfied, Declined, Forfeited, Left, Overdue, Trips int64
-	Outcomes                                                    [brain.Moot + 1]int64
+	Taken, Satisfied, Declined, Forfeited, Left, Overdue, Trips, Damped int64
+	Outcomes                                                            [brain.Moot + 1]int64
 }
 
 // NewLoop makes a loop and its module. since is the clock, a span since the start.
@@ -376,8 +380,17 @@
 		ID: l.lastID, Session: Number(k.Session), Shared: Number(k.Shared), Prompt: float64(k.Tokens), Prefix: float64(k.Prefix),
 		Most: float64(k.Most), Again: k.Again, Resumed: k.Resumed, Left: left,
 	}
-	l.asked[a.Question] = a
 	l.Tally.Taken++
+	a.channel = channel
+	if l.Guard != nil {
+		if admit, after, ticket := l.Guard.Arrive(l.now, k.Again, channel, k.Ticket); !admit {
+			a.Question.Over = true
+			l.Tally.Damped++
+			l.answer(a, kserve.Final{Final: kserve.Declined, Error: "too many ask again just now", Harmless: true, AfterMs: after.Milliseconds(), Ticket: ticket})
+			return
+		}
+	}
+	l.asked[a.Question] = a
 	// The module answers every question in its time; if ever it did not, its client must not be left hanging.
 	l.Wake(left+overdue, func() {
 		begun := a.flight != nil && a.flight.Trip.Began > 0
@@ -411,6 +424,9 @@
 	}
 	a.answered = true
 	f.Trips = len(a.Question.Trips)
+	if l.Guard != nil && f.Trips+int(f.AfterMs) > 0 {
+		l.Guard.Answered(l.now, f.Final == kserve.Satisfied, a.channel)
+	}
 	switch f.Final {
 	case kserve.Satisfied:
 		l.Tally.Satisfied++
@@ -544,7 +560,11 @@
 }
 
 func (l *Loop) Decline(q *brain.Question, after time.Duration) {
-	l.answer(l.asked[q], kserve.Final{Final: kserve.Declined, Error: "not taken on: too much is asked just now", Harmless: true, AfterMs: after.Milliseconds()})
+	ticket := uint64(0)
+	if l.Guard != nil && after > 0 {
+		after, ticket = l.Guard.Book(l.now)
+	}
+	l.answer(l.asked[q], kserve.Final{Ticket: ticket, Final: kserve.Declined, Error: "not taken on: too much is asked just now", Harmless: true, AfterMs: after.Milliseconds()})
 }
 
 func (l *Loop) Forfeit(q *brain.Question) {
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -9,6 +9,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -18,6 +20,7 @@
 	"sloetrestle/internal/boxlist"
 	"sloetrestle/internal/reach"
 	"sloetrestle/internal/setup"
+	"sloetrestle/internal/storm"
 )
 
 // Version is the program's.
@@ -58,11 +61,15 @@
 		return err
 	}
 	trips.loop = loop
+	if d.Limits.Storms {
+		loop.Guard = storm.New(d.Limits.RetryAfter.D(), len(d.Channels), chance^0x5709)
+	}
 	for _, f := range d.Further {
 		loop.Further(f.Box, f.Spec)
 	}
 	var listeners []net.Listener
-	for _, at := range d.Place.Listen {
+	door, doorMu := &storm.Door{PerS: d.Place.ConnPerS, Burst: max(d.Place.ConnPerS, 1), MostOpen: d.Place.ConnOpen}, &sync.Mutex{}
+	for i, at := range append(slices.Clone(d.Place.Listen), d.Place.Control...) {
 		spec, err := reach.ParseListen(at)
 		if err != nil {
 			return fmt.Errorf("dispatcher.listen: %w", err)
@@ -72,6 +79,9 @@
 			return fmt.Errorf("dispatcher.listen: %w", err)
 		}
 		defer l.Close()
+		if i < len(d.Place.Listen) && d.Place.ConnPerS > 0 {
+			l = &guarded{l, doorMu, door, since}
+		}
 		listeners = append(listeners, l)
 	}
 	if d.Limits.Siblings {
@@ -91,7 +101,13 @@
 	group.Go(func() error { return list.Follow(life) })
 
 	server := &Server{Terms: d.Terms, Place: d.Place, Loop: loop, Log: log}
-	server.State = func() map[string]any { return state(ctx, loop, list, trips, server, since()) }
+	server.State = func() map[string]any {
+		out := state(ctx, loop, list, trips, server, since())
+		doorMu.Lock()
+		defer doorMu.Unlock()
+		out["connections_taken"], out["connections_refused"] = door.Taken, door.Refused
+		return out
+	}
 	server.Ready = func() bool {
 		ready := false
 		loop.Call(ctx, func() { ready = loop.answers() })
@@ -201,6 +217,10 @@
 		t := l.Tally
 		out["taken"], out["satisfied"], out["declined"], out["forfeited"] = t.Taken, t.Satisfied, t.Declined, t.Forfeited
 		out["left"], out["overdue"], out["trips"], out["held_timers"] = t.Left, t.Overdue, t.Trips, len(l.wakes)
+		out["damped"] = t.Damped
+		if g := l.Guard; g != nil {
+			out["storm"] = map[string]any{"on": g.On(l.now), "again_share": g.Again(l.now), "promised_returns": g.Promised(l.now), "rate": g.Rate(l.now), "counts": g.Counts}
+		}
 		outcomes := map[string]int64{}
 		for i, n := range t.Outcomes {
 			outcomes[outcomeWords[i]] = n
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -138,6 +138,7 @@
 type Engine struct {
 	Make
 	Cache func(CacheEvent)
+	Gone  func(key string) // a state that nobody let go of waits no more: it expired, or the engine stopped
 
 	queue   []*Job // by when they came; those put back first
 	active  []*Job // that have a slot, by when they came
@@ -357,7 +358,7 @@
 		e.end(e.queue[0], Lost)
 	}
 	for _, key := range slices.Clone(e.order) {
-		e.Release(key)
+		e.drop(key)
 	}
 	e.Forget()
 }
@@ -576,7 +577,7 @@
 			return
 		}
 		e.Counts.StatesExpired++
-		e.Release(e.order[0])
+		e.drop(e.order[0])
 	}
 }
 
@@ -614,6 +615,13 @@
 	return true
 }
 
+// drop lets go of a state by the engine's own doing.
+func (e *Engine) drop(key string) {
+	if e.Release(key) && e.Gone != nil {
+		e.Gone(key)
+	}
+}
+
 // Report is what a load report may hold.
 func (e *Engine) Report() map[string]float64 {
 	waiting := 0
--- a/internal/experiment/store.go
+++ b/internal/experiment/store.go
@@ -28,6 +28,8 @@
 	Form    string             `json:"form"`
 	At      time.Time          `json:"at"`
 	TookS   float64            `json:"took_s"`
+	Share   []float64          `json:"share,omitempty"` // answered in time of those asked in each second
+	Tries   []float64          `json:"tries,omitempty"`
 }
 
 // Store keeps experiments in one file.
@@ -189,6 +191,17 @@
 		}
 		v, r.Digest = out.Verdict, out.Digest
 		r.Figures = figures(v)
+		r.Figures["followers"], r.Figures["others"] = out.Followers, out.Others
+		r.Share, r.Tries = out.Share, out.Again
+		for _, t := range d.Troubles {
+			if t.Kind == "crash" { // not back within the run counts as the whole of it
+				s, ok := judge.Recovered(out.Share, out.Asked, t.At.D(), (t.At + t.Length).D())
+				if !ok {
+					s = (d.Head.Length - t.At - t.Length).D().Seconds()
+				}
+				r.Figures["recovered_s"], r.Figures["recovered"] = s, map[bool]float64{true: 1}[ok]
+			}
+		}
 		for _, c := range out.Engines {
 			r.Figures["preempted"] += float64(c.Preempted)
 			r.Figures["engine_refused"] += float64(c.Refused)
--- a/internal/experiment/tables.go
+++ b/internal/experiment/tables.go
@@ -284,3 +284,43 @@
 	p.Add(plotter.NewGrid())
 	return p.Save(18*vg.Centimeter, 11*vg.Centimeter, file)
 }
+
+// Over draws a figure over the seconds of a run: share, or tries; a line for each value of a key, the mean of its runs.
+func Over(runs []Run, of, lines, file, title string) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "second of the day", of
+	sums, counts := map[string][]float64{}, map[string]float64{}
+	var order []string
+	for _, r := range runs {
+		name, v := r.Setting[lines], r.Share
+		if of == "tries" {
+			v = r.Tries
+		}
+		if counts[name] == 0 {
+			order = append(order, name)
+		}
+		counts[name]++
+		for i, x := range v {
+			if i >= len(sums[name]) {
+				sums[name] = append(sums[name], 0)
+			}
+			sums[name][i] += x
+		}
+	}
+	slices.SortFunc(order, natural)
+	for i, name := range order {
+		var pts plotter.XYs
+		for at, x := range sums[name] {
+			pts = append(pts, plotter.XY{X: float64(at), Y: x / counts[name]})
+		}
+		line, err := plotter.NewLine(pts)
+		if err != nil {
+			return err
+		}
+		line.Color = plotutil.Color(i)
+		p.Add(line)
+		p.Legend.Add(name, line)
+	}
+	p.Add(plotter.NewGrid())
+	return p.Save(18*vg.Centimeter, 9*vg.Centimeter, file)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"sloetrestle/internal/record"
 	"sloetrestle/internal/setup"
 	"sloetrestle/internal/standin"
+	"sloetrestle/internal/storm"
 )
 
 const (
@@ -42,6 +43,9 @@
 	Digest    string                   `json:"digest"` // of the record
 	Questions int                      `json:"questions"`
 	Engines   map[string]engine.Counts `json:"engines"`
+	Share     []float64                `json:"share"` // answered in time of those first asked in each second
+	Asked     []float64                `json:"asked"`
+	Again     []float64                `json:"again"`     // tries in each second
 }
 
 // Play plays a day with a policy: "module", or one of the baselines.
@@ -58,7 +62,7 @@
 	}
 	wishes := d.Plan()
 	for i := range wishes {
-		w.at(wishes[i].At, func() { w.ask(&wishes[i], 0) })
+		w.at(wishes[i].At, func() { w.ask(&wishes[i], 0, 0) })
 	}
 	for _, t := range d.Troubles {
 		w.at(t.At.D(), func() { w.trouble(t) })
@@ -66,6 +70,7 @@
 	w.run(d.Head.Length.D() + tail)
 	head := record.Head{Day: d.Head.Name, Seed: d.Head.Seed, Terms: d.Terms}
 	out := Outcome{Verdict: judge.Judge(head, w.lines), Digest: fmt.Sprintf("%x", w.sum.Sum64()), Questions: len(wishes), Engines: map[string]engine.Counts{}}
+	out.Share, out.Asked, out.Again = judge.Timeline(head, w.lines)
 	for _, b := range w.order {
 		sum := out.Engines[b.make.Kind]
 		sum.Add(b.engine.Counts)
@@ -203,6 +208,13 @@
 	b.w.starts++
 	b.start, b.started, b.cold, b.up, b.busy, b.fell, b.sent = b.w.starts, b.w.now, cold, true, false, false, nil
 	b.engine = engine.New(b.make.Engine, b.w.now, cold)
+	b.engine.Gone = func(key string) {
+		word := "expired"
+		if !b.up {
+			word = "lost"
+		}
+		b.w.put(record.Line{What: record.Let, Box: b.make.Name, Key: key, Word: word})
+	}
 	b.trips, b.letGo = map[*trip]bool{}, map[string]int{}
 	b.w.put(record.Line{What: record.Up, Box: b.make.Name, Start: b.start, Cold: cold})
 }
@@ -301,6 +313,9 @@
 		}
 		loop.Host(p)
 	}
+	if file.Limits.Storms {
+		loop.Guard = storm.New(file.Limits.RetryAfter.D(), len(file.Channels), seed^0x5709)
+	}
 	d.loop, d.up, d.front, d.set = loop, true, true, false
 	d.open, d.of = map[*client]bool{}, map[*dispatch.Asked]*client{}
 	d.known = map[string]boxlist.Box{}
@@ -406,7 +421,7 @@
 }
 
 // ask makes one try of a question.
-func (w *world) ask(wish *standin.Wish, try int) {
+func (w *world) ask(wish *standin.Wish, try int, ticket uint64) {
 	var up []*dispatcher
 	for _, d := range w.dispatchers {
 		if d.front {
@@ -419,7 +434,11 @@
 	d := up[(uint64(wish.At)+uint64(try)*7919)*0x9e3779b97f4a7c15>>33%uint64(len(up))]
 	c := &client{w: w, wish: wish, try: try, id: fmt.Sprintf("%s.%d", wish.Name, try), d: d}
 	left := time.Duration(float64(wish.Expiry) * wish.Patience)
-	c.put(record.Asked, "", func(l *record.Line) {
+	follows := ""
+	if wish.Honours {
+		follows = "follows"
+	}
+	c.put(record.Asked, follows, func(l *record.Line) {
 		l.ExpiryUs, l.PromiseUs, l.Tokens = left.Microseconds(), wish.Promised.Microseconds(), wish.Tokens
 	})
 	if !d.up {
@@ -441,7 +460,7 @@
 	}
 	d.open[c] = true
 	c.asked = &dispatch.Asked{Ask: kserve.Ask{ID: c.id, Session: wish.Session, Shared: wish.Shared, Tokens: wish.Tokens, Prefix: wish.Prefix, Most: wish.Most,
-		Again: try > 0}, Grade: wish.Grade, Channel: wish.Channel}
+		Again: try > 0, Ticket: ticket}, Grade: wish.Grade, Channel: wish.Channel}
 	d.of[c.asked] = c
 	c.asked.Tell = func(f kserve.Final) { w.after(hop, func() { c.final(f) }) }
 	grade, channel := w.day.GradeNumber(wish.Grade), max(w.day.ChannelNumber(wish.Channel), 0)
@@ -462,11 +481,11 @@
 	delete(c.d.of, c.asked)
 	c.put(record.Final, f.Final, func(l *record.Line) { l.AfterMs, l.Trips = f.AfterMs, f.Trips })
 	if f.Final != kserve.Satisfied && (f.Final == kserve.Declined || c.wish.Safe) {
-		wait := c.wish.Wait
-		if c.wish.Honours && f.AfterMs > 0 {
-			wait = time.Duration(f.AfterMs) * time.Millisecond
+		ticket := f.Ticket
+		if !c.wish.Honours {
+			ticket = 0
 		}
-		c.again(wait)
+		c.again(time.Duration(f.AfterMs)*time.Millisecond, ticket)
 	}
 }
 
@@ -478,12 +497,12 @@
 	delete(c.d.open, c)
 	c.put(record.Cut, why, nil)
 	if strings.HasPrefix(why, "unreached") || c.wish.Safe {
-		c.again(c.wish.Wait)
+		c.again(0, 0)
 	}
 }
 
-func (c *client) again(wait time.Duration) {
+func (c *client) again(told time.Duration, ticket uint64) {
 	if c.try < c.wish.Retries {
-		c.w.after(wait, func() { c.w.ask(c.wish, c.try+1) })
+		c.w.after(c.wish.NextWait(c.try, told), func() { c.w.ask(c.wish, c.try+1, ticket) })
 	}
 }
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -70,6 +70,8 @@
 	Tries     int      `json:"tries"`
 	Notes     []string `json:"notes,omitempty"`
 	Effects   int      `json:"effects"`
+	Followers float64  `json:"followers"` // share satisfied in the end, of clients that follow the advice; -1: there are none
+	Others    float64  `json:"others"`
 	ColdWorst float64  `json:"cold_worst"` // of what a cold box bears, the most that one was sent
 	PinWorst  float64  `json:"pinned_worst_ms"`
 }
@@ -124,6 +126,7 @@
 		v.Rules[i].Kept = v.Rules[i].Broken == 0
 	}
 	rd.table(&v)
+	v.Followers, v.Others = Followers(lines)
 	return v
 }
 
@@ -535,6 +538,9 @@
 	}
 	fmt.Fprintf(&b, "service %.3f (benefit answered in time over benefit asked for); %.2f trips a question; first token p50 %.0f ms, p99 %.0f ms\n",
 		v.Service, v.Trips, v.FirstP50, v.FirstP99)
+	if v.Followers >= 0 && v.Others >= 0 {
+		fmt.Fprintf(&b, "satisfied in the end: %.3f of those that follow the advice when to come back, %.3f of the others\n", v.Followers, v.Others)
+	}
 	fmt.Fprintf(&b, "cold boxes were sent %.0f%% of what they bear at most; states waited %.0f ms at most with no trip out\n", 100*v.ColdWorst, v.PinWorst)
 	for _, r := range v.Rules {
 		word := "kept"
--- /dev/null
+++ b/internal/judge/timeline.go
@@ -0,0 +1,111 @@
+package judge
+
+import (
+	"time"
+
+	"sloetrestle/internal/record"
+)
+
+// Timeline is, for each second of a run, the share of the questions first asked in it that were answered in their
+// promised time, counted from the first try; and how many were asked, and how many tries came.
+func Timeline(head record.Head, lines []record.Line) (share, asked, tries []float64) {
+	type question struct {
+		at, promise int64
+		seen        bool
+	}
+	first := map[string]*question{}
+	of := map[string]string{}
+	second := int64(time.Second / time.Microsecond)
+	grow := func(at int64) int {
+		for int64(len(asked)) <= at/second {
+			share, asked, tries = append(share, 0), append(asked, 0), append(tries, 0)
+		}
+		return int(at / second)
+	}
+	for _, l := range lines {
+		switch l.What {
+		case record.Asked:
+			of[l.Try] = l.Question
+			tries[grow(l.At)]++
+			if first[l.Question] == nil {
+				first[l.Question] = &question{at: l.At, promise: l.PromiseUs}
+				asked[l.At/second]++
+			}
+		case record.First:
+			if q := first[of[l.Try]]; q != nil && !q.seen {
+				q.seen = true
+				if l.At-q.at <= q.promise {
+					share[q.at/second]++
+				}
+			}
+		}
+	}
+	for i := range share {
+		if asked[i] > 0 {
+			share[i] /= asked[i]
+		}
+	}
+	return share, asked, tries
+}
+
+// Recovered tells after how many seconds from back on questions are answered as they were before the outage: in every
+// three seconds from there, at least 95% of that. False: not within the run.
+func Recovered(share, asked []float64, outage, back time.Duration) (float64, bool) {
+	from, to := int(outage/time.Second), int(back/time.Second)
+	before, n := 0.0, 0.0
+	for i := 2; i < from && i < len(share); i++ {
+		before, n = before+share[i]*asked[i], n+asked[i]
+	}
+	if n == 0 {
+		return 0, false
+	}
+	before /= n
+	last := len(asked)
+	for last > 0 && asked[last-1] == 0 {
+		last--
+	}
+	recovered := -1
+	for i := to; i+3 <= last; i++ {
+		sum, of := 0.0, 0.0
+		for j := i; j < i+3; j++ {
+			sum, of = sum+share[j]*asked[j], of+asked[j]
+		}
+		if of == 0 || sum/of < 0.95*before {
+			recovered = -1
+		} else if recovered < 0 {
+			recovered = i
+		}
+	}
+	return float64(recovered - to), recovered >= 0
+}
+
+// Followers is the share of questions satisfied in the end, of clients that follow the advice and of the others; of an
+// empty crowd it is -1.
+func Followers(lines []record.Line) (followers, others float64) {
+	follows, done, of := map[string]bool{}, map[string]bool{}, map[string]string{}
+	for _, l := range lines {
+		switch {
+		case l.What == record.Asked:
+			of[l.Try], follows[l.Question] = l.Question, l.Word == "follows"
+		case l.What == record.Final && l.Word == "satisfied":
+			done[of[l.Try]] = true
+		}
+	}
+	var n, well [2]float64
+	for q, f := range follows {
+		i := 1
+		if f {
+			i = 0
+		}
+		n[i]++
+		if done[q] {
+			well[i]++
+		}
+	}
+	for i := range n {
+		if n[i] == 0 {
+			n[i], well[i] = 1, -1
+		}
+	}
+	return well[0] / n[0], well[1] / n[1]
+}
--- a/internal/kserve/kserve.go
+++ b/internal/kserve/kserve.go
@@ -10,7 +10,9 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -118,6 +120,7 @@
 	Left    time.Duration
 	Again   bool
 	Resumed bool
+	Ticket  uint64 // of an earlier decline: whoever comes when it was told to has a place
 }
 
 // MostTokens is the largest prompt or answer that is taken for meant.
@@ -200,6 +203,13 @@
 			return a, err
 		}
 	}
+	if text, err := p.text("ticket"); err != nil {
+		return a, err
+	} else if text != "" {
+		if a.Ticket, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return a, bad("parameters.ticket", "is none that was given")
+		}
+	}
 	left, err := p.count("timeout", 3.6e9)
 	a.Left = time.Duration(left) * time.Microsecond
 	if err == nil && a.Text == "" && a.Tokens == 0 {
@@ -223,6 +233,7 @@
 	Harmless bool   `json:"harmless"`
 	AfterMs  int64  `json:"retry_after_ms,omitempty"`
 	Trips    int    `json:"trips"`
+	Ticket   uint64 `json:"ticket,omitempty,string"` // to be sent along when coming back
 }
 
 // Status is the HTTP status of a final answer before any token was sent.
@@ -244,6 +255,12 @@
 	WriteJSON(w, f.Status(), f)
 }
 
+// Unsent tells whether a request failed before a connection was made, so that nothing of it was sent.
+func Unsent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // WriteJSON answers with one value.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/measure/ways.go
+++ b/internal/measure/ways.go
@@ -207,8 +207,7 @@
 		}
 		resp, err := client.Do(req)
 		if err != nil {
-			var op *net.OpError
-			return !(errors.As(err, &op) && op.Op == "dial"), err
+			return !kserve.Unsent(err), err
 		}
 		defer resp.Body.Close()
 		if resp.StatusCode != http.StatusOK {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -106,6 +106,7 @@
 	BoxConns   int     `toml:"connections_a_box"`
 	Stall      Span    `toml:"stall"`       // a running answer without a token for so long is taken for broken
 	RetryAfter Span    `toml:"retry_after"` // the longest that clients heed; 0: they are told nothing
+	Storms     bool    `toml:"damp_storms"` // spread and damp what asks again; clients are told when to come back
 	Cancel     bool    `toml:"cancel"`
 	Siblings   bool    `toml:"sibling_news"`
 	NewsPrice  float64 `toml:"news_price"`
@@ -137,7 +138,7 @@
 		},
 		Limits: Limits{
 			Trips: 4, Dial: Span(250 * time.Millisecond), Open: 20000, BoxConns: 512, Stall: Span(20 * time.Second), RetryAfter: Span(500 * time.Millisecond),
-			Cancel: true, OverShare: 0.1, ByWork: true, LocalRead: true,
+			Storms: true, Cancel: true, OverShare: 0.1, ByWork: true, LocalRead: true,
 		},
 	}
 }
@@ -148,18 +149,21 @@
 	Number   int      `toml:"number"`
 	Siblings int      `toml:"siblings"` // dispatchers, itself among them
 	Zone     string   `toml:"zone"`
-	Listen   []string `toml:"listen"`          // host:port, tcp4:, tcp6: or unix: with a path
-	Allow    []string `toml:"allow,omitempty"` // where boxes may be: ranges such as 10.0.0.0/8, and unix:/folder/; none: anywhere
-	Keep     string   `toml:"keep,omitempty"`  // folder for the last list
-	Boxes    string   `toml:"boxes"`           // address of the box list
-	News     string   `toml:"news,omitempty"`  // UDP address for messages of siblings
-	Peers    []string `toml:"peers,omitempty"` // theirs, by number
-	Seed     uint64   `toml:"seed,omitempty"`  // of its chance; 0: a fresh one at each start
-	Margin   Span     `toml:"margin"`          // taken off a client's time for the way back
-	Body     int64    `toml:"body_limit"`      // bytes of a request
-	BodyTime Span     `toml:"body_time"`       // for a request to arrive
-	Write    Span     `toml:"write_time"`      // for a client to take a piece of its answer
-	Stop     Span     `toml:"stop_time"`       // for running questions to end after SIGTERM
+	Listen   []string `toml:"listen"`               // host:port, tcp4:, tcp6: or unix: with a path
+	Allow    []string `toml:"allow,omitempty"`      // where boxes may be: ranges such as 10.0.0.0/8, and unix:/folder/; none: anywhere
+	Keep     string   `toml:"keep,omitempty"`       // folder for the last list
+	Boxes    string   `toml:"boxes"`                // address of the box list
+	News     string   `toml:"news,omitempty"`       // UDP address for messages of siblings
+	Peers    []string `toml:"peers,omitempty"`      // theirs, by number
+	Seed     uint64   `toml:"seed,omitempty"`       // of its chance; 0: a fresh one at each start
+	Margin   Span     `toml:"margin"`               // taken off a client's time for the way back
+	Body     int64    `toml:"body_limit"`           // bytes of a request
+	BodyTime Span     `toml:"body_time"`            // for a request to arrive
+	Write    Span     `toml:"write_time"`           // for a client to take a piece of its answer
+	Stop     Span     `toml:"stop_time"`            // for running questions to end after SIGTERM
+	Control  []string `toml:"operators,omitempty"`  // addresses for operators and health, past the limits on connections
+	ConnPerS float64  `toml:"connections_a_second"` // from clients; 0: no limit
+	ConnOpen int      `toml:"connections_open"`
 }
 
 // BoxAddress is a further address of a box, beside those that the list names.
@@ -179,7 +183,7 @@
 func DefaultDispatcher() Dispatcher {
 	return Dispatcher{Terms: DefaultTerms(), Place: Place{
 		Name: "dispatcher", Siblings: 1, Zone: "here", Listen: []string{"127.0.0.1:8100"}, Margin: Span(10 * time.Millisecond),
-		Body: 8 << 20, BodyTime: Span(10 * time.Second), Write: Span(10 * time.Second), Stop: Span(30 * time.Second),
+		Body: 8 << 20, BodyTime: Span(10 * time.Second), Write: Span(10 * time.Second), Stop: Span(30 * time.Second), ConnPerS: 1000, ConnOpen: 20000,
 	}}
 }
 
@@ -325,6 +329,14 @@
 			return Wrong("dispatcher.listen", "%v", err)
 		}
 	}
+	for _, at := range p.Control {
+		if _, err := reach.ParseListen(at); err != nil {
+			return Wrong("dispatcher.operators", "%v", err)
+		}
+	}
+	if p.ConnPerS < 0 || p.ConnOpen < 1 {
+		return Wrong("dispatcher.connections_open", "must be at least 1, and connections_a_second not negative")
+	}
 	if _, err := reach.NewAllowed(p.Allow); err != nil {
 		return Wrong("dispatcher.allow", "%v", err)
 	}
