What was out when a jam began halves the window at most

Cause: in virtual time (31 emulated boxes, 3 dispatchers, half the boxes away for 20 s at 0.9 of capacity) dozens of late first tokens of one moment closed each dispatcher's window to 0.05; it then let one question out every half minute and stayed down after the boxes were back. Change: outcomes of questions let out before the jam was told of narrow the window to half at most; after that a new flight counts. It also catches any burst that ends many trips at once; it may hurt where load doubles several times within one flight. Windows under one, at full size, are untouched.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -50,6 +50,8 @@
 	streams, answering float64       // own streams, and how many hosts may have them
 	window             float64       // how many own questions may be out without a first token
 	unbegun            int           // how many are
+	jam                time.Duration // since when first tokens come late, by a question let out after the last such time
+	least              float64       // to which what was out by then may narrow the window
 	paced              time.Duration // when the next may go out where the window is under one
 	listeners          int           // how many others hear of each trip, by what that costs
 	held               []*Question
@@ -601,9 +603,17 @@
 	if t := q.Trips[len(q.Trips)-1]; t.Outcome == Full {
 		x = 1
 	}
+	if x > calm && q.LetOut >= d.jam {
+		d.jam, d.least = now, d.window/2
+	}
 	if x > calm || len(d.held) > 0 {
 		d.window *= math.Exp(0.5 * (calm - x))
 	}
+	// All that was out when a jam began tells of the one jam, and halves the window at most: half a fleet dying under a
+	// few dispatchers would else close it to nearly nothing at once, and a closed window learns nothing for minutes.
+	if x > calm {
+		d.window = max(d.window, d.least)
+	}
 	d.window = max(d.window, 0.05)
 	if d.window < 1 {
 		d.paced = now + time.Duration(float64(out)*(1/d.window-1))
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -501,3 +501,29 @@
 		t.Errorf("a minute after a hundred failures it got %d of 1000", given)
 	}
 }
+
+// Half a fleet dying under a few dispatchers ends dozens of trips late in one moment: they tell of one jam. Were each
+// to narrow the window, it would close to nothing, and learn nothing for minutes.
+func TestWhatWasOutWhenAJamBeganHalvesTheWindowAtMost(t *testing.T) {
+	d, out := begin(t)
+	d.window = 80
+	for range 60 {
+		q := ask(d)
+		q.Unbegun, q.LetOut = true, out.now-2*time.Second
+		went(q, d.hosts[0], TimedOut, out.now)
+		d.unbegun++
+		q.Promised = out.now + time.Second
+		d.tell(q)
+	}
+	out.now += 3 * time.Second
+	if d.window != 40 {
+		t.Errorf("the window is %g", d.window)
+	}
+	q := ask(d) // one let out after the jam was told of another
+	q.Unbegun, q.LetOut, d.unbegun = true, out.now-2*time.Second, d.unbegun+1
+	went(q, d.hosts[0], Full, out.now)
+	d.tell(q)
+	if d.window >= 40 || d.window < 20 {
+		t.Errorf("after the next one it is %g", d.window)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -45,7 +45,7 @@
 	Engines   map[string]engine.Counts `json:"engines"`
 	Share     []float64                `json:"share"` // answered in time of those first asked in each second
 	Asked     []float64                `json:"asked"`
-	Again     []float64                `json:"again"`     // tries in each second
+	Again     []float64                `json:"again"` // tries in each second
 }
 
 // Play plays a day with a policy: "module", or one of the baselines.
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -244,6 +244,7 @@
 			if !unreached && !rd.fell(t.asked.Dispatcher, t.asked.At, t.cut.At+int64(time.Second/time.Microsecond)) {
 				r.offence("try %s: no final answer of %s, which was up: %s", id, t.asked.Dispatcher, t.cut.Word)
 			}
+		case t.first != nil && rd.end-t.first.At < rd.head.Terms.Limits.Stall.D().Microseconds(): // still streaming when the record ends
 		default:
 			if !rd.fell(t.asked.Dispatcher, t.asked.At, rd.end) && rd.end > due {
 				r.offence("try %s: nothing came of it", id)
