A cold host's part is 1, not 1.4, of multiple x cold share x what warm hosts ended

Change: the factor is gone. It also guards whole roles that jam together; it may leave cold hosts idler after mass restarts.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -290,7 +290,8 @@
 }
 
 // coldBudget is this dispatcher's part of what a cold host may be sent in a window. What warm hosts of its
-// role ended well over five windows is well under their capacity, however hard they are pushed just now.
+// role ended well over five windows is their capacity at the most, however hard they are pushed just now: with the
+// stated multiple and cold share of that, and no more, a saturated role does not push its cold hosts over.
 func (d *Dispatcher) coldBudget(h *Host) float64 {
 	var sum, n [2]float64 // of warm hosts, and of cold ones, which serve where none is warm
 	for _, o := range d.hosts {
@@ -306,7 +307,7 @@
 	if n[0] == 0 {
 		sum[0], n[0] = sum[1], n[1]
 	}
-	part := 1.4 * d.facts.Num("rules.tipMultiple", 1) * d.facts.Num("rules.coldFrom", 0)
+	part := d.facts.Num("rules.tipMultiple", 1) * d.facts.Num("rules.coldFrom", 0)
 	return part * sum[0] / max(n[0], 1) * h.Units
 }
 
