--- a/brain/brain.go
+++ b/brain/brain.go
@@ -50,7 +50,7 @@
 	streams, answering float64       // own streams, and how many hosts may have them
 	window             float64       // how many own questions may be out without a first token
 	unbegun            int           // how many are
-	jam                time.Duration // since when first tokens come late, by a question let out after the last such time
+	jam                time.Duration // when a question that was let out after the last such time came late
 	least              float64       // to which what was out by then may narrow the window
 	paced              time.Duration // when the next may go out where the window is under one
 	listeners          int           // how many others hear of each trip, by what that costs
@@ -290,8 +290,8 @@
 }
 
 // coldBudget is this dispatcher's part of what a cold host may be sent in a window. What warm hosts of its
-// role ended well over five windows is their capacity at the most, however hard they are pushed just now: with the
-// stated multiple and cold share of that, and no more, a saturated role does not push its cold hosts over.
+// role ended well over five windows is their capacity at the most, however hard they are pushed just now: with
+// the stated multiple and cold share of that, and no more, a saturated role does not push its cold hosts over.
 func (d *Dispatcher) coldBudget(h *Host) float64 {
 	var sum, n [2]float64 // of warm hosts, and of cold ones, which serve where none is warm
 	for _, o := range d.hosts {
@@ -610,8 +610,8 @@
 	if x > calm || len(d.held) > 0 {
 		d.window *= math.Exp(0.5 * (calm - x))
 	}
-	// All that was out when a jam began tells of the one jam, and halves the window at most: half a fleet dying under a
-	// few dispatchers would else close it to nearly nothing at once, and a closed window learns nothing for minutes.
+	// All that was out when a jam began tells of the one jam, and halves the window at most: half a fleet dying
+	// under a few dispatchers would else close it to nearly nothing, and a closed window learns nothing for minutes.
 	if x > calm {
 		d.window = max(d.window, d.least)
 	}
