--- a/brain/brain.go
+++ b/brain/brain.go
@@ -290,8 +290,8 @@
 }
 
 // coldBudget is this dispatcher's part of what a cold host may be sent in a window. What warm hosts of its
-// role ended well over five windows is their capacity at the most, however hard they are pushed just now: with
-// the stated multiple and cold share of that, and no more, a saturated role does not push its cold hosts over.
+// role ended well over five windows is their capacity at most, however hard they are pushed just now: with the
+// stated multiple and cold share of that, and no more, a saturated role pushes none of its cold hosts over.
 func (d *Dispatcher) coldBudget(h *Host) float64 {
 	var sum, n [2]float64 // of warm hosts, and of cold ones, which serve where none is warm
 	for _, o := range d.hosts {
@@ -611,7 +611,7 @@
 		d.window *= math.Exp(0.5 * (calm - x))
 	}
 	// All that was out when a jam began tells of the one jam, and halves the window at most: half a fleet dying
-	// under a few dispatchers would else close it to nearly nothing, and a closed window learns nothing for minutes.
+	// under a few dispatchers would else close it to nearly nothing, and it would learn nothing for minutes.
 	if x > calm {
 		d.window = max(d.window, d.least)
 	}
