--- a/brain/brain.go
+++ b/brain/brain.go
@@ -291,7 +291,7 @@
 
 // coldBudget is this dispatcher's part of what a cold host may be sent in a window. What warm hosts of its
 // role ended well over five windows is their capacity at most, however hard they are pushed just now. With
-// the stated multiple and cold share of that, and no more, a saturated role pushes none of its cold hosts over.
+// the stated multiple and cold share of that, and no more, a saturated role pushes no cold host over.
 func (d *Dispatcher) coldBudget(h *Host) float64 {
 	var sum, n [2]float64 // of warm hosts, and of cold ones, which serve where none is warm
 	for _, o := range d.hosts {
