One Send over proven connections, one way to answer whole; fields that nothing read are gone

The loop that sends a request over connections until a byte of it went out stood in the dispatcher, in measure and in a test: it is reach.Host.Send now, which also closes a connection whose request could not be made. generate and infer share what they did alike. Dead fields of the virtual fleet, the stand-in list and the import are gone.

--- a/internal/day/import.go
+++ b/internal/day/import.go
@@ -30,7 +30,6 @@
 		Backoff    string
 		Backoff_us float64
 		Honour     float64
-		Impatient  float64
 	}
 	Discovery struct {
 		Notice, Silent_notice int64
@@ -45,15 +44,13 @@
 	Fall_multiple float64
 	Fall_for      int64
 	Classes       []struct {
-		Name           string
-		Share          float64
-		Aim, Deadline  int64
-		Worth          float64
-		Late_worth     float64
-		Effect, Group  string
-		Window         int64
-		Attempt_noise  float64
-		Stream, Write_ bool
+		Name          string
+		Share         float64
+		Aim, Deadline int64
+		Worth         float64
+		Late_worth    float64
+		Effect, Group string
+		Window        int64
 	}
 	Tenants []struct {
 		Name         string
@@ -77,14 +74,13 @@
 	}
 	Balancers []struct{ Zone int }
 	Troubles  []struct {
-		Kind     string
-		At, Len  int64
-		Size     float64
-		Extra    float64
-		On       []int
-		Which    int
-		Steps    json.RawMessage
-		Resolved bool
+		Kind    string
+		At, Len int64
+		Size    float64
+		Extra   float64
+		On      []int
+		Which   int
+		Steps   json.RawMessage
 	}
 	Fam struct {
 		Engines []struct {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -273,8 +273,9 @@
 	}
 }
 
-func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
-	a := s.take(w, r, false)
+// whole answers with all of an answer at once, as write has it; any other end is a plain final answer.
+func (s *Server) whole(w http.ResponseWriter, r *http.Request, inference bool, write func(a *Asked, text []byte, f kserve.Final)) {
+	a := s.take(w, r, inference)
 	if a == nil {
 		return
 	}
@@ -285,22 +286,18 @@
 	case f.Final != kserve.Satisfied:
 		kserve.WriteFinal(w, f)
 	default:
-		kserve.WriteJSON(w, http.StatusOK, map[string]any{"model_name": s.Terms.Model, "id": a.Ask.ID, "text_output": string(text), "final": f.Final, "trips": f.Trips})
+		write(a, text, f)
 	}
 }
 
+func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
+	s.whole(w, r, false, func(a *Asked, text []byte, f kserve.Final) {
+		kserve.WriteJSON(w, http.StatusOK, map[string]any{"model_name": s.Terms.Model, "id": a.Ask.ID, "text_output": string(text), "final": f.Final, "trips": f.Trips})
+	})
+}
+
 func (s *Server) infer(w http.ResponseWriter, r *http.Request) {
-	a := s.take(w, r, true)
-	if a == nil {
-		return
-	}
-	defer s.open.Add(-1)
-	text, f, ok := s.gather(r, a)
-	switch {
-	case !ok:
-	case f.Final != kserve.Satisfied:
-		kserve.WriteFinal(w, f)
-	default:
+	s.whole(w, r, true, func(a *Asked, text []byte, f kserve.Final) {
 		data, err := json.Marshal([]string{string(text)})
 		if err != nil {
 			kserve.WriteFault(w, err)
@@ -310,5 +307,5 @@
 			Model: s.Terms.Model, Version: "1", ID: a.Ask.ID, Parameters: kserve.Params{"final": f.Final, "trips": f.Trips},
 			Outputs: []kserve.Tensor{{Name: "text_output", Shape: []int64{1}, Datatype: "BYTES", Data: data}},
 		})
-	}
+	})
 }
--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -120,25 +120,6 @@
 	})
 }
 
-// connected gets connections until a request went out over one: nothing of it was sent over those before.
-func connected(ctx context.Context, host *reach.Host, r func() (*http.Request, error)) (*reach.Conn, *http.Response, error) {
-	for {
-		conn, err := host.Get(ctx)
-		if err != nil {
-			return nil, nil, err
-		}
-		req, err := r()
-		if err != nil {
-			return nil, nil, err
-		}
-		resp, err := conn.Do(ctx, req)
-		if errors.Is(err, reach.ErrNotSent) && ctx.Err() == nil {
-			continue
-		}
-		return conn, resp, err
-	}
-}
-
 // fly is one trip from its connection to its end. It is bound to one connection, of one address.
 func (c *Trips) fly(f *Flight, host *reach.Host, text string, e kserve.Errand) (seen Seen) {
 	var conn *reach.Conn
@@ -157,7 +138,7 @@
 	if host == nil {
 		return seen
 	}
-	conn, resp, err := connected(f.ctx, host, func() (*http.Request, error) {
+	conn, resp, err := host.Send(f.ctx, func() (*http.Request, error) {
 		return kserve.NewErrand(f.ctx, reach.URL(host.Name), c.Model, text, e)
 	})
 	seen.Connected = conn != nil && conn.Sent()
@@ -295,7 +276,7 @@
 	if host == nil {
 		return reach.ErrUnreached
 	}
-	conn, resp, err := connected(ctx, host, func() (*http.Request, error) {
+	conn, resp, err := host.Send(ctx, func() (*http.Request, error) {
 		return kserve.NewRelease(ctx, reach.URL(host.Name), c.Model, keys)
 	})
 	if err != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,7 +55,7 @@
 
 // PlayLines does the same and hands on each line of the record.
 func PlayLines(d day.Day, policy string, each func(record.Line)) (Outcome, error) {
-	w := &world{day: d, policy: policy, rng: rand.New(rand.NewPCG(d.Head.Seed, 77)), boxes: map[string]*box{}, by: map[string]*box{}, each: each, slowLink: 1,
+	w := &world{day: d, policy: policy, rng: rand.New(rand.NewPCG(d.Head.Seed, 77)), boxes: map[string]*box{}, each: each, slowLink: 1,
 		racks: map[string]time.Duration{}, sum: xxhash.New(), seen: map[string]time.Duration{}, reads: map[string]*[2]float64{}}
 	if err := w.build(); err != nil {
 		return Outcome{}, err
@@ -116,7 +116,6 @@
 	sum    hash.Hash64
 
 	boxes       map[string]*box // by name
-	by          map[string]*box // by address
 	order       []*box
 	dispatchers []*dispatcher
 	list        []boxlist.Push // one change each
@@ -244,7 +243,6 @@
 		}
 		b := &box{w: w, make: m}
 		w.boxes[m.Name] = b
-		w.by[m.Name] = b
 		w.order = append(w.order, b)
 		b.boot(false)
 		w.publish(b, boxlist.Ready, 0)
--- a/internal/measure/ways.go
+++ b/internal/measure/ways.go
@@ -171,30 +171,20 @@
 
 func raced(host *reach.Host) dialler {
 	return func(ctx context.Context, r func() (*http.Request, error)) (bool, error) {
-		for {
-			conn, err := host.Get(ctx)
-			if err != nil {
-				return false, err
-			}
-			req, err := r()
-			if err != nil {
-				return false, err
-			}
-			resp, err := conn.Do(ctx, req)
-			if errors.Is(err, reach.ErrNotSent) && ctx.Err() == nil {
-				continue
-			}
-			if err == nil {
-				_, err = io.Copy(io.Discard, resp.Body)
-				resp.Body.Close()
-			}
-			if err != nil {
-				conn.Lost()
-				return conn.Sent(), err
-			}
-			conn.Served()
-			return true, nil
+		conn, resp, err := host.Send(ctx, r)
+		if conn == nil {
+			return false, err
+		}
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		if err != nil {
+			conn.Lost()
+			return conn.Sent(), err
 		}
+		conn.Served()
+		return true, nil
 	}
 }
 
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -442,6 +442,27 @@
 	return resp, nil
 }
 
+// Send gets connections until a request went out over one; nothing of it was sent over those before. make is called anew
+// for each. Without an error the answer's body must be closed.
+func (h *Host) Send(ctx context.Context, make func() (*http.Request, error)) (*Conn, *http.Response, error) {
+	for {
+		conn, err := h.Get(ctx)
+		if err != nil {
+			return nil, nil, err
+		}
+		r, err := make()
+		if err != nil {
+			conn.drop()
+			return nil, nil, err
+		}
+		resp, err := conn.Do(ctx, r)
+		if errors.Is(err, ErrNotSent) && ctx.Err() == nil {
+			continue
+		}
+		return conn, resp, err
+	}
+}
+
 // body gives the connection back when the answer has been read.
 type body struct {
 	io.ReadCloser
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -89,31 +90,20 @@
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	e := kserve.Errand{Stage: kserve.StageWhole, From: "d.1", Question: uint64(s.n.Add(1)), Grade: "g", Tokens: 10, Most: 1}
-	for {
-		conn, err := h.Get(ctx)
-		if err != nil {
-			return false, err
-		}
-		r, err := kserve.NewErrand(ctx, reach.URL(h.Name), "lodge", "", e)
-		if err != nil {
-			s.t.Error(err)
-			return false, err
-		}
-		resp, err := conn.Do(ctx, r)
-		if errors.Is(err, reach.ErrNotSent) && ctx.Err() == nil {
-			continue
-		}
-		if err == nil {
-			_, err = io.ReadAll(resp.Body)
-			resp.Body.Close()
-		}
-		if err != nil {
-			conn.Lost()
-		} else {
-			conn.Served()
-		}
-		return conn.Sent(), err
+	conn, resp, err := h.Send(ctx, func() (*http.Request, error) { return kserve.NewErrand(ctx, reach.URL(h.Name), "lodge", "", e) })
+	if conn == nil {
+		return false, err
+	}
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+	}
+	if err != nil {
+		conn.Lost()
+	} else {
+		conn.Served()
 	}
+	return conn.Sent(), err
 }
 
 // reached counts, by trip, how often boxes got it.
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -30,7 +30,6 @@
 	stop    context.CancelFunc
 	server  *http.Server
 	served  sync.WaitGroup
-	whole   int // whole lists sent
 	dropped map[string][]int
 }
 
@@ -175,9 +174,6 @@
 	have, _ := strconv.Atoi(r.URL.Query().Get("have"))
 	l.mu.Lock()
 	whole := have <= 0 || have > len(l.changes)
-	if whole {
-		l.whole++
-	}
 	l.mu.Unlock()
 	out, ctl := json.NewEncoder(w), http.NewResponseController(w)
 	beat := time.Now()
