--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -166,6 +166,9 @@
 			seen.Told = &kserve.Told{}
 			if json.Unmarshal(ev.Data, seen.Told) != nil {
 				seen.Told = nil
+			} else if seen.Told.Outcome != kserve.OutcomeAnswered || !begun {
+				// Whatever else an answer's end claims: its stream was opened, so it may have run.
+				seen.Told.Outcome = kserve.OutcomeFailed
 			}
 			return seen
 		case "error":
--- /dev/null
+++ b/internal/stages/rule2_test.go
@@ -0,0 +1,33 @@
+package stages
+
+import (
+	"testing"
+
+	"sloetrestle/internal/kserve"
+)
+
+// A stream that has begun has run, whatever its end says: "full" or "no state" in place of an end proves nothing, and an
+// unrepeatable question must not go out again after it.
+func TestAStreamThatClaimsItNeverRanIsNotBelieved(t *testing.T) {
+	for _, claim := range []string{kserve.OutcomeFull, kserve.OutcomeNoState} {
+		t.Run(claim, func(t *testing.T) {
+			s := open(t, func(s *site) {
+				s.each("writer", func(b *box) {
+					b.script = func(c *call) {
+						c.take()
+						c.strike()
+						c.run()
+						c.w.Header().Set("Content-Type", "text/event-stream")
+						c.event("end", kserve.Told{Outcome: claim})
+						c.end(claim)
+					}
+				})
+			})
+			s.ask(3, nil)
+			s.rules()
+			if f := s.finals(); f[kserve.Forfeited] < 3 {
+				t.Errorf("finals %v: what may have run was not forfeited", f)
+			}
+		})
+	}
+}
