A short answer that says "answered" satisfies nobody: it has no tokens

Seen: a box that answered a write with status 500 and {"outcome":"answered"} had its client told "satisfied", with no token. At fault: internal/dispatch/trips.go:190-201, told() checked the status of "full", "no_state" and "read", not of "answered".

--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -190,14 +190,14 @@
 }
 
 // told reads a short answer of a box. A 503 counts as a refusal only if the box says so itself: a proxy's
-// proves nothing.
+// proves nothing. An answer that is no stream has no tokens, so none is satisfied by it.
 func told(resp *http.Response) *kserve.Told {
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, 64<<10))
 	if err != nil {
 		return nil
 	}
 	t := &kserve.Told{}
-	if json.Unmarshal(raw, t) != nil || t.Outcome == "" ||
+	if json.Unmarshal(raw, t) != nil || t.Outcome == "" || t.Outcome == kserve.OutcomeAnswered ||
 		(t.Outcome == kserve.OutcomeFull || t.Outcome == kserve.OutcomeNoState) && resp.StatusCode != http.StatusServiceUnavailable ||
 		t.Outcome == kserve.OutcomeRead && resp.StatusCode != http.StatusOK {
 		return &kserve.Told{Outcome: kserve.OutcomeFailed}
--- a/internal/stages/rule2_test.go
+++ b/internal/stages/rule2_test.go
@@ -31,3 +31,22 @@
 		})
 	}
 }
+
+// Without a stream there are no tokens: a short answer that says "answered" is none, with whatever status.
+func TestAnAnswerWithoutAStreamSatisfiesNobody(t *testing.T) {
+	s := open(t, func(s *site) {
+		s.each("writer", func(b *box) {
+			b.script = func(c *call) {
+				c.take()
+				c.strike()
+				c.run()
+				c.told(500, kserve.OutcomeAnswered)
+			}
+		})
+	})
+	s.ask(2, nil)
+	s.rules()
+	if f := s.finals(); f[kserve.Satisfied] > 0 {
+		t.Errorf("finals %v: satisfied without a token", f)
+	}
+}
