An answer that came whole in the moment its trip's time was up is timed out

Seen: a first token after its trip's time does not count and is not shown, but its end behind it did: the client was told "satisfied" and had no token. Ruled out: the module, which takes the outcome it is given. At fault: internal/dispatch/loop.go:477-500, Ended took Answered without asking whether the stream was ever handed over. Change: without a first token that counted, the trip is timed out: it may have run, and another may follow where that is allowed. Measured: satisfied without a token before; forfeited (unrepeatable) after.

--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -479,6 +479,9 @@
 		return
 	}
 	a.flight = nil
+	if r.Outcome == brain.Answered && t.Began == 0 {
+		r.Outcome = brain.TimedOut // its first token came too late to be shown, and the rest with it
+	}
 	l.accountEnded(f, r)
 	r.Took = l.now - t.Sent
 	l.Tally.Outcomes[r.Outcome]++
--- a/internal/dispatch/loop_test.go
+++ b/internal/dispatch/loop_test.go
@@ -117,6 +117,21 @@
 	}
 }
 
+// Its end may have come along with that token. The client has not had it, so nobody is satisfied; and it has run.
+func TestAnAnswerThatCameWholeAfterItsTimeIsNoAnswer(t *testing.T) {
+	l, h := settled(t, "unrepeatable")
+	a := asks(l, 4*time.Second)
+	l.Do(func() { l.Ended(h.last(), brain.Result{Outcome: brain.Read}) })
+	f := h.last()
+	h.now += f.Wait
+	l.Due()
+	l.Do(func() { l.Began(f) })
+	l.Do(func() { l.Ended(f, brain.Result{Outcome: brain.Answered}) })
+	if got := final(t, a); got.Final != kserve.Forfeited || len(a.began) != 0 || l.Tally.Outcomes[brain.TimedOut] != 1 {
+		t.Errorf("%+v with %d streams, outcomes %v", got, len(a.began), l.Tally.Outcomes)
+	}
+}
+
 func TestAClientThatLeavesMidStreamEndsItsTrip(t *testing.T) {
 	l, h := settled(t, "unrepeatable")
 	a := asks(l, 4*time.Second)
