A box that says it forgot up to 2^64-1 no longer stops the dispatcher's loop

Ruled out: the codec, which bounds the reply's bytes, not its figures. At fault: internal/account/account.go:331-337. Change: numbers are skipped in one step; of its own start a dispatcher takes no reply that forgot more than it was told to.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -6,6 +6,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -46,6 +48,19 @@
 	return true
 }
 
+// skip adds all up to k, and tells how many of them were new.
+func (n *Numbers) skip(k uint64) uint64 {
+	was := uint64(len(n.Beyond))
+	maps.DeleteFunc(n.Beyond, func(b uint64, _ bool) bool { return b <= k })
+	fresh := k - n.UpTo - (was - uint64(len(n.Beyond)))
+	n.UpTo = k
+	for n.Beyond[n.UpTo+1] {
+		n.UpTo++
+		delete(n.Beyond, n.UpTo)
+	}
+	return fresh
+}
+
 // at is what is known of one box for one epoch.
 type at struct {
 	box, epoch string
@@ -300,7 +315,8 @@
 	p := t.place(q.Box, q.Epoch)
 	now := t.Now()
 	p.asked = false
-	if r == nil {
+	// Of this start a box forgets what it was told to, and no more.
+	if r == nil || p.epoch == t.Epoch && r.Forgot > max(q.After, p.told) {
 		p.wait = min(max(2*p.wait, again), againMax)
 		p.next = now + p.wait
 		p.clean = 0
@@ -315,11 +331,8 @@
 	}
 	// The box was told to forget more than this ledger has: records were cut off its end.
 	if r.Forgot > q.After && r.Forgot > p.known.UpTo {
-		t.Counts.Cut += int64(r.Forgot - p.known.UpTo)
-		for n := p.known.UpTo + 1; n <= r.Forgot; n++ {
-			p.known.Take(n)
-			p.durable.Take(n)
-		}
+		t.Counts.Cut += int64(min(p.known.skip(r.Forgot), math.MaxInt64/2))
+		p.durable.skip(r.Forgot)
 	}
 	switch {
 	case r.More:
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -196,6 +197,29 @@
 	}
 }
 
+// A box that says it forgot what it was never told to, or numbers that no ledger has, must not keep the loop counting up to
+// them, nor make later counts pass for known.
+func TestABoxThatForgotMoreThanCanBeIsNotCountedAfter(t *testing.T) {
+	d := newDesk("new", []Seen{{"b", "old", 1}, {"b", "old", 7}}, "old")
+	for range 2 {
+		d.now += 20 * time.Second
+		d.Sent(of(1))
+		d.Ended(of(1), nil, false)
+		d.now += time.Second
+		for _, q := range d.Ask() {
+			d.Heard(q, &Reply{Forgot: math.MaxUint64})
+		}
+	}
+	own, old := d.place("b", "new"), d.place("b", "old")
+	if own.known.UpTo != 0 || old.known.UpTo != math.MaxUint64 || len(old.known.Beyond) > 0 {
+		t.Errorf("own start known up to %d, the old one up to %d and %v", own.known.UpTo, old.known.UpTo, old.known.Beyond)
+	}
+	d.Ended(of(1), &ledger.Trip{Box: "b", Key: of(1).Key, Number: 1}, false)
+	if d.Counts.Inline != 1 {
+		t.Errorf("%+v: a true count was taken for known", d.Counts)
+	}
+}
+
 // Any order of inline counts, replies lost and repeated, commits early and late: in the end each count is written once.
 func TestEachCountOnceWhateverHappens(t *testing.T) {
 	for seed := range uint64(200) {
