What a box says beside its outcome is bounded before anything counts it

Seen: kept tokens of -2^60 went into the average of tokens left to read, a load of -1 made a host look emptier than empty, and a count that came along with an answer was not checked as one that was asked for is: minus a million answer tokens gave a budget back. Ruled out: the module and the budgets, which take what they are handed; the counts asked for were checked in ReadCounts. Change: kserve.Told.Bound leaves out what makes no sense; the outcome stands, as the client has its tokens.

--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -132,6 +132,7 @@
 		}
 		// A trip that ended without a word speaks against the way it took, unless it was called off for its client.
 		if seen.Told != nil {
+			seen.Told.Bound(e)
 			conn.Served()
 		} else if !errors.Is(seen.Cause, ErrLeft) {
 			conn.Lost()
--- a/internal/kserve/counts.go
+++ b/internal/kserve/counts.go
@@ -58,15 +58,24 @@
 	}
 	last := uint64(0)
 	for _, x := range c.Counts {
-		switch {
-		case x.Number <= last:
+		if x.Number <= last {
 			return c, bad("counts.number", "is %d after %d", x.Number, last)
-		case x.Read < 0 || x.Kept < 0 || x.Answer < 0:
-			return c, bad("counts", "number %d has negative tokens", x.Number)
-		case len(x.Key) > 512 || len(x.Mark) > 512 || len(x.Channel) > 512 || len(x.Grade) > 512 || len(x.End) > 64 || len(x.Stage) > 64:
-			return c, bad("counts", "number %d has a name that is too long", x.Number)
+		}
+		if err := x.check(); err != nil {
+			return c, err
 		}
 		last = x.Number
 	}
 	return c, nil
 }
+
+// check bounds what a box states.
+func (c *Count) check() error {
+	if c.Trip < 0 || min(c.Read, c.Kept, c.Answer) < 0 || max(c.Read, c.Kept, c.Answer) > 1000*MostTokens {
+		return bad("counts", "number %d has a trip or tokens that make no sense", c.Number)
+	}
+	if len(c.Key) > 512 || len(c.Mark) > 512 || len(c.Channel) > 512 || len(c.Grade) > 512 || len(c.End) > 64 || len(c.Stage) > 64 {
+		return bad("counts", "number %d has a name that is too long", c.Number)
+	}
+	return nil
+}
--- a/internal/kserve/errand.go
+++ b/internal/kserve/errand.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 )
 
 // Stages of a trip.
@@ -57,6 +58,26 @@
 	Count   *Count    `json:"count,omitempty"` // what the trip cost, as far as the box keeps counts
 }
 
+// The bounds of a load report.
+const (
+	mostLoad  = 4 // values
+	mostValue = 1e6
+)
+
+// Bound leaves out what makes no sense beside the outcome of a trip.
+func (t *Told) Bound(e Errand) {
+	t.Kept = min(max(t.Kept, 0), e.Tokens)
+	if len(t.Load) > mostLoad || slices.ContainsFunc(t.Load, func(v float64) bool { return !(v >= 0 && v <= mostValue) }) {
+		t.Load = nil
+	}
+	if c := t.Count; c != nil && (c.check() != nil || c.Key != e.Key() || c.Trip != e.Trip || c.Answer > e.Most || c.Read+c.Kept > mostReads*(e.Tokens+e.Most)) {
+		t.Count = nil
+	}
+}
+
+// mostReads is how often a box may read a prompt anew within one trip, when its memory runs out, before its count is doubted.
+const mostReads = 1000
+
 // Token is one event of a stream: a piece of the answer, or its end.
 type Token struct {
 	Model string `json:"model_name,omitempty"`
--- a/internal/kserve/kserve_test.go
+++ b/internal/kserve/kserve_test.go
@@ -48,3 +48,31 @@
 		}
 	}
 }
+
+// What a box says beside its outcome goes into averages, bills and choices: what makes no sense is left out, and the outcome
+// stands, as the client has its tokens.
+func TestWhatABoxSaysBesideItsOutcomeIsBounded(t *testing.T) {
+	fine := Count{Number: 3, Key: "d.1/7", Trip: 1, Read: 90, Kept: 10, Answer: 5}
+	for name, c := range map[string]struct {
+		told  Told
+		kept  int
+		load  int
+		count bool
+	}{
+		"sound":                      {Told{Kept: 40, Load: []float64{0.5, 3}, Count: &fine}, 40, 2, true},
+		"kept below nought":          {Told{Kept: -1 << 60}, 0, 0, false},
+		"kept over prompt":           {Told{Kept: 1 << 60}, 100, 0, false},
+		"load below nought":          {Told{Load: []float64{0.5, -1}}, 0, 0, false},
+		"load beyond reason":         {Told{Load: []float64{1e300}}, 0, 0, false},
+		"too many values":            {Told{Load: make([]float64, 5)}, 0, 0, false},
+		"negative tokens":            {Told{Count: &Count{Number: 3, Key: "d.1/7", Trip: 1, Answer: -5}}, 0, 0, false},
+		"more tokens than asked for": {Told{Count: &Count{Number: 3, Key: "d.1/7", Trip: 1, Answer: 51}}, 0, 0, false},
+		"another trip's":             {Told{Count: &Count{Number: 3, Key: "d.1/7", Trip: 2}}, 0, 0, false},
+		"another question's":         {Told{Count: &Count{Number: 3, Key: "d.1/8", Trip: 1}}, 0, 0, false},
+	} {
+		c.told.Bound(Errand{From: "d.1", Question: 7, Trip: 1, Tokens: 100, Most: 50})
+		if c.told.Kept != c.kept || len(c.told.Load) != c.load || c.told.Count != nil != c.count {
+			t.Errorf("%s: kept %d, %d values of load, count %v", name, c.told.Kept, len(c.told.Load), c.told.Count)
+		}
+	}
+}
