An event of a box's stream is bounded as a whole, not line by line

Seen: data lines of 1 KiB without a blank line between them filled the memory for as long as the box went on. Ruled out: one line, which was bounded. At fault: internal/kserve/events.go:44-48. Measured: 8 MiB of 8 MiB taken before; the stream ends at 1 MiB after.

--- a/internal/kserve/events.go
+++ b/internal/kserve/events.go
@@ -8,7 +8,7 @@
 	"io"
 )
 
-// mostLine bounds one line of an event stream.
+// mostLine bounds one line of an event stream, and all the data of one event.
 const mostLine = 1 << 20
 
 // Event is one server-sent event.
@@ -48,6 +48,9 @@
 				ev.Data = append(ev.Data, '\n')
 			}
 			ev.Data, begun = append(ev.Data, value...), true
+			if len(ev.Data) > mostLine {
+				return ev, &Fault{Text: "an event of the stream is longer than 1 MiB"}
+			}
 		}
 	}
 	switch err := e.lines.Err(); {
--- a/internal/kserve/kserve_test.go
+++ b/internal/kserve/kserve_test.go
@@ -76,3 +76,26 @@
 		}
 	}
 }
+
+// endless gives the same bytes for ever and counts them.
+type endless struct {
+	text string
+	n    int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	n := copy(p, e.text)
+	e.n += n
+	return n, nil
+}
+
+// Each line may be short: an event without an end must still end the stream, not fill the memory.
+func TestAnEventWithoutAnEndIsCutOff(t *testing.T) {
+	from := &endless{text: "data: " + strings.Repeat("x", 1017) + "\n"}
+	done := make(chan error, 1)
+	go func() { _, err := NewEvents(io.LimitReader(from, 8<<20)).Next(); done <- err }()
+	var f *Fault
+	if err := <-done; !errors.As(err, &f) || from.n > 2<<20 {
+		t.Errorf("%v after %d bytes", err, from.n)
+	}
+}
