The head of a box's answer is bounded at 64 KiB, a proof's too

Seen: a box that never ended its answer's head was read for as long as its trip was waited for: 66 MB in 0.7 s for one trip, 31 MB for one proof, from loopback. Ruled out: bodies, which are bounded. Change: a connection's reader gives no more than 64 KiB while a head is read.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -59,21 +59,64 @@
 	net.Conn
 	Address *addresses.Address
 	host    *Host
-	read    *bufio.Reader
+	read    *reader
 	since   time.Duration // idle since
 	wrote   int64         // bytes of the present request that went out
 }
 
+// reader reads a connection, and no more of it than a head may have while one is read.
+type reader struct {
+	*bufio.Reader
+	conn net.Conn
+	left int // bytes that a head may still have; negative: none is read
+}
+
+func newReader(conn net.Conn) *reader {
+	r := &reader{conn: conn, left: -1}
+	r.Reader = bufio.NewReader(r.bounded())
+	return r
+}
+
+type readFunc func(p []byte) (int, error)
+
+func (f readFunc) Read(p []byte) (int, error) { return f(p) }
+
+func (r *reader) bounded() io.Reader {
+	return readFunc(func(p []byte) (int, error) {
+		if r.left == 0 {
+			return 0, errHead
+		}
+		if r.left > 0 {
+			p = p[:min(len(p), r.left)]
+		}
+		n, err := r.conn.Read(p)
+		if r.left > 0 {
+			r.left -= n
+		}
+		return n, err
+	})
+}
+
+// response reads an answer's head.
+func (r *reader) response(to *http.Request) (*http.Response, error) {
+	r.left = headMost
+	resp, err := http.ReadResponse(r.Reader, to)
+	r.left = -1
+	return resp, err
+}
+
 // Why no connection was to be had, or no answer came.
 var (
 	ErrUnreached = errors.New("no address of the box connects and answers")
 	ErrNotSent   = errors.New("not a byte of the request went out")
+	errHead      = fmt.Errorf("the head of an answer is longer than %d bytes", headMost)
 )
 
 const (
 	idleMost  = 20 * time.Second // an idle connection is closed after that; boxes should keep them longer
 	usedMost  = 30 * time.Second // a box without questions for so long needs no warm connection
 	proofMost = 4096             // bytes of a proof's body
+	headMost  = 64 << 10         // bytes of an answer's head
 	drainTime = 50 * time.Millisecond
 	drainMost = 64 << 10
 )
@@ -329,7 +372,7 @@
 }
 
 // connect opens a connection and has it proved: the far side must read a request and answer with the box's name.
-func connect(ctx context.Context, spec addresses.Spec, name string) (net.Conn, *bufio.Reader, addresses.Result) {
+func connect(ctx context.Context, spec addresses.Spec, name string) (net.Conn, *reader, addresses.Result) {
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, spec.Network, spec.At)
 	if err != nil {
@@ -342,7 +385,7 @@
 		return nil, nil, addresses.Refused
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	read := bufio.NewReader(conn)
+	read := newReader(conn)
 	res := prove(conn, read, name)
 	if !stop() && res != addresses.OtherOwner {
 		res = addresses.Silent
@@ -354,11 +397,11 @@
 	return conn, read, res
 }
 
-func prove(conn net.Conn, read *bufio.Reader, name string) addresses.Result {
+func prove(conn net.Conn, read *reader, name string) addresses.Result {
 	if _, err := fmt.Fprintf(conn, "GET /v2 HTTP/1.1\r\nHost: %s\r\n\r\n", name); err != nil {
 		return addresses.Broke
 	}
-	resp, err := http.ReadResponse(read, nil)
+	resp, err := read.response(nil)
 	if err != nil {
 		return addresses.Broke
 	}
@@ -434,7 +477,7 @@
 	if err := out.Flush(); err != nil {
 		return fail(err)
 	}
-	resp, err := http.ReadResponse(c.read, r)
+	resp, err := c.read.response(r)
 	if err != nil {
 		return fail(err)
 	}
--- a/internal/stages/site_test.go
+++ b/internal/stages/site_test.go
@@ -135,9 +135,11 @@
 // event writes one event of a stream.
 func (c *call) event(name string, v any) {
 	kserve.WriteEvent(c.w, name, v)
-	http.NewResponseController(c.w).Flush()
+	c.flush()
 }
 
+func (c *call) flush() { http.NewResponseController(c.w).Flush() }
+
 // run has the trip's effect: a repeat of a deduplicated question has none.
 func (c *call) run() {
 	s := c.b.s
