An answer that goes on past its tokens, or on no tokens at all, is broken off

Seen: a box that streamed more tokens than were asked for, or sent other events for ever, kept its client and a place for as long as it liked: any event put off the time after which a stream counts as stalled. Ruled out: comments alone, which stall. At fault: internal/dispatch/trips.go:163 and :181. Change: only tokens put the stall off, and an event past max_tokens ends the trip as broken.

--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -161,7 +161,6 @@
 		if err != nil {
 			return seen
 		}
-		stall.Reset(c.Stall)
 		switch ev.Name {
 		case "end":
 			seen.Told = &kserve.Told{}
@@ -180,7 +179,10 @@
 				begun = true
 				c.loop.Post(func() { c.loop.Began(f) })
 			}
-			f.Streamed.Add(1)
+			stall.Reset(c.Stall) // nothing but tokens shows that the answer goes on
+			if f.Streamed.Add(1) > int64(e.Most) {
+				return seen // more than was asked for: no answer of this question
+			}
 			select {
 			case f.tokens <- slices.Clone(ev.Data):
 			case <-f.ctx.Done():
--- a/internal/stages/endless_test.go
+++ b/internal/stages/endless_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"sloetrestle/internal/kserve"
 )
 
 // pours writes a text until the far side closes, and tells how many bytes went out.
@@ -47,3 +49,39 @@
 		})
 	}
 }
+
+// A stream that goes on past the tokens that were asked for, or on nothing but comments and other events, ends as broken: a
+// client's place and a slot are not held for ever.
+func TestAStreamWithoutAnEndIsCutOff(t *testing.T) {
+	for name, text := range map[string]string{
+		"of tokens":   "data: {\"text_output\":\" more\"}\n\n",
+		"of comments": ": still here\n\n",
+		"of others":   "event: ping\ndata: {}\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := open(t, func(s *site) {
+				s.each("writer", func(b *box) {
+					b.script = func(c *call) {
+						c.take()
+						c.begin()
+						for range 5000 {
+							if _, err := io.WriteString(c.w, text); err != nil || c.r.Context().Err() != nil {
+								c.strike() // it would have gone on
+								break
+							}
+							c.flush()
+							time.Sleep(time.Millisecond)
+						}
+						c.end("cut")
+					}
+				})
+			})
+			s.ask(1, nil)
+			s.until("the boxes see it closed", func() bool { return s.struck.Load() == 3 })
+			if f := s.finals(); f[kserve.Forfeited] != 3 {
+				t.Errorf("finals %v", f)
+			}
+			s.rules()
+		})
+	}
+}
