A line of the box list without sense leaves its box as it was

Ruled out: NaN, which JSON can't say. At fault: internal/boxlist/table.go:55-82 and :105-117. Change: bounds stated once; the line that was held stays; a version that goes back is a gap.

--- a/internal/boxlist/boxlist_test.go
+++ b/internal/boxlist/boxlist_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -38,6 +39,51 @@
 	}
 }
 
+// What a list says of size and age goes into shares and into the cold budget of rule 4: a figure without sense is refused by
+// name, and the box keeps the line that it had, in a whole list too.
+func TestALineWithoutSenseLeavesItsBoxAsItWas(t *testing.T) {
+	for name, bad := range map[string]func(b *Box){
+		"negative units":  func(b *Box) { b.Units = -1 },
+		"huge units":      func(b *Box) { b.Units = 1e308 },
+		"older than time": func(b *Box) { b.UpMs = 1 << 60 },
+		"a name's length": func(b *Box) { b.Kind = strings.Repeat("k", 300) },
+		"no standing":     func(b *Box) { b.Standing = "READY" },
+		"no address":      func(b *Box) { b.Addresses = nil },
+	} {
+		for _, whole := range []bool{true, false} {
+			var table Table
+			table.Apply(Push{Version: 1, Whole: true, Boxes: []Box{line("a", Ready), line("b", Draining)}})
+			l := line("a", Ready)
+			bad(&l)
+			changed, refused, err := table.Apply(Push{Version: 2, Base: 1, Whole: whole, Boxes: []Box{l, line("b", Ready)}})
+			if err != nil || refused == nil || !strings.Contains(refused.Error(), "box a") {
+				t.Errorf("%s: %v, %v", name, refused, err)
+			}
+			if all := table.Whole(); len(all) != 2 || all[0].Units != 1 || all[0].Standing != Ready || all[1].Standing != Ready {
+				t.Errorf("%s, whole %v: holds %v", name, whole, all)
+			}
+			if whole && len(changed) != 2 {
+				t.Errorf("%s: a whole list without a line for a would have it taken for gone: %v", name, changed)
+			}
+		}
+	}
+	var table Table
+	other := line("a", Gone)
+	if changed, refused, _ := table.Apply(Push{Version: 1, Whole: true, Boxes: []Box{line("a", Ready), other}}); refused == nil || len(changed) != 1 || changed[0].Standing != Ready {
+		t.Errorf("a name twice: %v, %v", changed, refused)
+	}
+	if _, _, err := table.Apply(Push{Version: 0, Base: 1, Boxes: []Box{line("a", Gone)}}); !errors.Is(err, ErrGap) || len(table.Whole()) != 1 {
+		t.Errorf("a version that goes back: %v, %v", err, table.Whole())
+	}
+	many := make([]Box, mostBoxes+5)
+	for i := range many {
+		many[i] = line(fmt.Sprint("box", i), Ready)
+	}
+	if _, refused, _ := table.Apply(Push{Version: 2, Whole: true, Boxes: many}); refused == nil || len(table.Whole()) != mostBoxes {
+		t.Errorf("%d boxes are held, %v", len(table.Whole()), refused)
+	}
+}
+
 // pushes serves, for each connection, a script of pushes; have collects what versions were asked from.
 type pushes struct {
 	mu     sync.Mutex
--- a/internal/boxlist/table.go
+++ b/internal/boxlist/table.go
@@ -19,8 +19,14 @@
 	Gone     = "gone"
 )
 
-// mostAddresses bounds what one box may be listed with.
-const mostAddresses = 16
+// The bounds of a list and of its lines.
+const (
+	mostBoxes     = 10_000
+	mostAddresses = 16 // of one box
+	mostName      = 253
+	mostUnits     = 1e6
+	mostUp        = 100 * 365 * 24 * 3600 * 1000 // milliseconds
+)
 
 // Box is one line of the list.
 type Box struct {
@@ -53,15 +59,23 @@
 }
 
 // Apply takes a push and returns the lines that changed, in the order of their names. Lines without sense are
-// left out and named; the rest of the push counts.
+// left out and named, and leave their boxes as they were; the rest of the push counts.
 func (t *Table) Apply(p Push) (changed []Box, refused error, err error) {
-	if !p.Whole && p.Base != t.Version {
+	if !p.Whole && (p.Base != t.Version || p.Version < p.Base) {
 		return nil, nil, fmt.Errorf("%w: have %d, got changes from %d", ErrGap, t.Version, p.Base)
 	}
 	var faults []error
 	next := map[string]Box{}
 	for _, b := range p.Boxes {
-		if fault := b.check(); fault != nil {
+		fault := b.check()
+		if _, twice := next[b.Name]; twice && fault == nil {
+			fault = fmt.Errorf("box %s: listed twice, the first line counts", b.Name)
+		} else if had, known := t.boxes[b.Name]; fault != nil && known && p.Whole && !twice {
+			next[b.Name] = had
+		} else if fault == nil && !known && len(t.boxes)+len(next) >= mostBoxes && (!p.Whole || len(next) >= mostBoxes) {
+			fault = fmt.Errorf("box %s: %d boxes are held at most", b.Name, mostBoxes)
+		}
+		if fault != nil {
 			faults = append(faults, fault)
 			continue
 		}
@@ -105,6 +119,12 @@
 		return fmt.Errorf("box %s: standing %q is unknown", b.Name, b.Standing)
 	case b.Standing != Gone && len(b.Addresses) == 0:
 		return fmt.Errorf("box %s: no address", b.Name)
+	case max(len(b.Name), len(b.Kind), len(b.Zone), len(b.Rack)) > mostName:
+		return fmt.Errorf("box %.40s: a name of it is longer than %d bytes", b.Name, mostName)
+	case !(b.Units >= 0 && b.Units <= mostUnits):
+		return fmt.Errorf("box %s: units of %g, 0 to %g are taken", b.Name, b.Units, float64(mostUnits))
+	case b.UpMs > mostUp:
+		return fmt.Errorf("box %s: up_ms of %d, %d at most are taken", b.Name, b.UpMs, int64(mostUp))
 	case len(b.Addresses) > mostAddresses:
 		return fmt.Errorf("box %s: %d addresses, %d are taken at most", b.Name, len(b.Addresses), mostAddresses)
 	}
