Boxes that are gone are forgotten; one that comes back elsewhere under its name is another

Seen, two faults of one place. Every name that was ever listed was kept, with its start, and walked over at each push: of 300 boxes that came and went all were held. Ruled out: the table of the list, which drops what is gone. At fault: internal/dispatch/loop.go:267-308 and :340-349. Change: a box is dropped when it has been gone for a minute and has nothing out; another place makes another box. A whole list is compared by name in one pass: it was every box with every line.

--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -46,6 +46,11 @@
 	Start   uint64
 	Drained chan struct{} // closed when the list says that it is gone
 	reach   *reach.Host
+	place   [3]string     // kind, zone and rack, as listed
+	booted  time.Duration // when Start was, as first told
+	dated   bool          // it was told
+	gone    time.Duration // since when it is
+	out     int           // trips that are
 }
 
 // Asked is one question between its client and the module.
@@ -122,7 +127,6 @@
 	boxes  map[string]*Box
 	byHost map[*brain.Host]*Box
 	hosts  map[uint32]*brain.Host
-	starts map[uint64]time.Duration
 
 	further map[string][]addresses.Spec // of boxes, from the own file
 	Tally   Tally
@@ -146,7 +150,7 @@
 	l := &Loop{
 		Epoch: epoch, Log: log, carrier: carrier, places: places, since: since, bell: make(chan struct{}, 1), ended: make(chan struct{}),
 		asked: map[*brain.Question]*Asked{}, boxes: map[string]*Box{}, byHost: map[*brain.Host]*Box{},
-		hosts: map[uint32]*brain.Host{}, starts: map[uint64]time.Duration{}, now: since(),
+		hosts: map[uint32]*brain.Host{}, now: since(),
 	}
 	module, err := brain.New(facts, seed, l)
 	l.module = module
@@ -266,8 +270,17 @@
 // Listed takes lines of the box list.
 func (l *Loop) Listed(lines []boxlist.Box, whole bool) {
 	var out []brain.Listing
+	named := map[string]bool{}
 	for _, line := range lines {
-		b := l.boxes[line.Name]
+		named[line.Name] = true
+		b, place := l.boxes[line.Name], [3]string{line.Kind, line.Zone, line.Rack}
+		if b != nil && b.place != place && line.Standing != boxlist.Gone {
+			// Another machine under the old name: what is known of that one says nothing of this.
+			l.retire(b)
+			out = append(out, brain.Listing{Host: b.Host, Standing: brain.Gone})
+			l.forgetBox(b)
+			b = nil
+		}
 		if b == nil {
 			if line.Standing == boxlist.Gone {
 				continue
@@ -278,29 +291,36 @@
 				l.Log.Warn("box left out", "box", line.Name, "kind", line.Kind, "id", id, "why", "unknown kind, or another box has its number")
 				continue
 			}
-			b = &Box{Name: line.Name, Drained: make(chan struct{})}
+			b = &Box{Name: line.Name, Drained: make(chan struct{}), place: place}
 			b.Host = &brain.Host{ID: id, Kind: kind, Zone: max(l.places.Zone(line.Zone), 0), Rack: int(HostID(line.Rack))}
 			l.boxes[line.Name], l.byHost[b.Host], l.hosts[id] = b, b, b.Host
 		}
 		out = append(out, l.listing(b, line))
 	}
-	if whole {
-		for _, b := range l.boxes {
-			if !containsName(lines, b.Name) {
-				l.retire(b)
-			}
+	for _, b := range l.boxes {
+		if whole && !named[b.Name] {
+			l.retire(b)
 		}
 	}
 	l.module.Listed(out, whole)
+	for _, b := range l.boxes {
+		if b.Host.Standing == brain.Gone && b.out == 0 && l.now-b.gone >= goneKept {
+			l.forgetBox(b)
+		}
+	}
 }
 
-func containsName(lines []boxlist.Box, name string) bool {
-	for _, line := range lines {
-		if line.Name == name {
-			return true
-		}
+// goneKept is how long a box that is gone is still known: it may come back within its cold start, and what it was sent in
+// that counts.
+const goneKept = time.Minute
+
+// forgetBox drops a box; trips that are out there keep their own way to it.
+func (l *Loop) forgetBox(b *Box) {
+	delete(l.boxes, b.Name)
+	delete(l.hosts, b.Host.ID)
+	if b.out == 0 {
+		delete(l.byHost, b.Host)
 	}
-	return false
 }
 
 // retire ends what is still tried at a box that is gone.
@@ -309,7 +329,7 @@
 	case <-b.Drained:
 	default:
 		close(b.Drained)
-		b.At = nil
+		b.At, b.gone = nil, l.now
 		l.accountListed(b, true)
 		l.carrier.Reach(b, nil)
 	}
@@ -331,17 +351,13 @@
 			l.carrier.Reach(b, at)
 		}
 	}
-	b.Start = line.Start
 	// A start has one time, however often the list repeats it with another age: the module would else see
 	// a new start each time, and forget what it knows of the box.
-	booted, known := l.starts[line.Start]
-	if !known {
-		booted = l.now - time.Duration(line.UpMs)*time.Millisecond
-		if line.UpMs >= 0 {
-			l.starts[line.Start] = booted
-		}
+	if b.Start != line.Start || !b.dated {
+		b.booted, b.dated = l.now-time.Duration(line.UpMs)*time.Millisecond, line.UpMs >= 0
 	}
-	return brain.Listing{Host: b.Host, Standing: standing, Units: max(line.Units, 0.01), Booted: booted, Restart: line.UpMs >= 0}
+	b.Start = line.Start
+	return brain.Listing{Host: b.Host, Standing: standing, Units: max(line.Units, 0.01), Booted: b.booted, Restart: line.UpMs >= 0}
 }
 
 // allowed leaves out addresses that make no sense or lie outside of what the deployment allows, with a note.
@@ -479,6 +495,9 @@
 		return
 	}
 	a.flight = nil
+	if f.Box.out--; f.Box.out == 0 && l.boxes[f.Box.Name] != f.Box {
+		defer delete(l.byHost, t.Host)
+	}
 	if r.Outcome == brain.Answered && t.Began == 0 {
 		r.Outcome = brain.TimedOut // its first token came too late to be shown, and the rest with it
 	}
@@ -548,6 +567,7 @@
 		f.State = l.byHost[t.Question.State]
 	}
 	a.flight = f
+	f.Box.out++
 	l.Tally.Trips++
 	if l.Guard != nil {
 		l.Guard.Sent(l.now, t.Number > 0 && cost(t.Question.Trips[t.Number-1].Outcome))
--- a/internal/dispatch/loop_test.go
+++ b/internal/dispatch/loop_test.go
@@ -243,3 +243,53 @@
 		t.Errorf("then %v", h.reached[n:])
 	}
 }
+
+// Boxes come and go under new names with every deployment: what is gone, and has nothing out, must not be kept and walked over
+// for ever.
+func TestBoxesThatAreGoneAreForgotten(t *testing.T) {
+	l, h := settled(t, "idempotent")
+	a := asks(l, 4*time.Second)
+	busy := h.last()
+	for i := range 300 {
+		l.Do(func() {
+			line := box(fmt.Sprint("pod-", i), "writer", "ready")
+			line.Start, line.UpMs = uint64(i), 5
+			l.Listed([]boxlist.Box{line}, false)
+			line.Standing = "gone"
+			l.Listed([]boxlist.Box{line}, false)
+		})
+	}
+	h.now += 2 * goneKept
+	l.Do(func() { l.Listed([]boxlist.Box{box("w1", "writer", "ready")}, true) })
+	h.now += 2 * goneKept
+	l.Do(func() { l.Listed([]boxlist.Box{box("w1", "writer", "ready")}, true) })
+	if len(l.boxes) != 2 || len(l.hosts) != 2 || len(l.byHost) != 2 || l.boxes[busy.Box.Name] == nil {
+		t.Fatalf("%d boxes, %d hosts, %d by host are held, of 1 listed and 1 with a trip", len(l.boxes), len(l.hosts), len(l.byHost))
+	}
+	l.Do(func() { l.Ended(busy, brain.Result{Outcome: brain.Read}) })
+	l.Do(func() { l.Listed(nil, false) })
+	h.now += 2 * goneKept
+	l.Do(func() { l.Listed(nil, false) })
+	if len(l.boxes) != 1 || len(h.released)+len(h.flights) < 2 || a.Question == nil {
+		t.Errorf("%d boxes are held after the last trip, released %v", len(l.boxes), h.released)
+	}
+}
+
+// Another machine under the old name is another box: groups that drop repeats, roles and racks go by where it stands now.
+func TestABoxThatComesBackElsewhereIsAnotherOne(t *testing.T) {
+	for name, change := range map[string]func(*boxlist.Box){
+		"kind": func(b *boxlist.Box) { b.Kind = "reader" },
+		"rack": func(b *boxlist.Box) { b.Rack = "other" },
+		"zone": func(b *boxlist.Box) { b.Zone = "there" },
+	} {
+		l, _ := settled(t, "idempotent")
+		old := l.boxes["w1"].Host
+		line := box("w1", "writer", "ready")
+		change(&line)
+		l.Do(func() { l.Listed([]boxlist.Box{line}, false) })
+		now := l.boxes["w1"].Host
+		if now == old || old.Standing != brain.Gone || now.Standing != brain.Ready || l.hosts[now.ID] != now || l.byHost[old] != nil {
+			t.Errorf("another %s: the same host, standing %d", name, old.Standing)
+		}
+	}
+}
