The way to a box that is gone is forgotten when its last connection has ended

Seen: each box that was ever listed stayed among those looked after: four times a second all of them were locked together to find an address to look at again. Ruled out: connections, which were closed. At fault: internal/reach/reach.go:125-137, only additions. Change: a box that is gone with no connection and no race is dropped; a field that nothing read is gone too. Measured: 2 of 2 boxes still looked after 2 s later before, none after.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -36,7 +36,6 @@
 	hosts  map[string]*Host
 	order  []*Host // by when they were first heard of
 	budget addresses.Budget
-	closed bool
 }
 
 // Host is one box as it is reached.
@@ -134,9 +133,9 @@
 		b.hosts[name] = h
 		b.order = append(b.order, h)
 	}
-	b.mu.Unlock()
-	h.mu.Lock()
+	h.mu.Lock() // before it could be forgotten
 	defer h.mu.Unlock()
+	b.mu.Unlock()
 	h.book.Set(specs)
 	h.gone = len(specs) == 0
 	h.dropIdle(func(c *Conn) bool { return c.Address.Dropped })
@@ -585,6 +584,7 @@
 			return nil
 		case <-tick.C:
 		}
+		b.forget()
 		b.recheck()
 		for _, h := range b.listed() {
 			h.warm()
@@ -592,6 +592,21 @@
 	}
 }
 
+// forget drops boxes that are gone and have no connection left.
+func (b *Boxes) forget() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.order = slices.DeleteFunc(b.order, func(h *Host) bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if !h.gone || h.open > 0 || h.racing > 0 {
+			return false
+		}
+		delete(b.hosts, h.Name)
+		return true
+	})
+}
+
 // recheck looks at one doubtful address again, if the budget has a try for it.
 func (b *Boxes) recheck() {
 	hosts := b.listed()
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -224,6 +224,27 @@
 	}
 }
 
+// Boxes come and go under new names for as long as a dispatcher runs.
+func TestABoxThatIsGoneIsForgotten(t *testing.T) {
+	s := newSite(t)
+	_, h := s.box("b")
+	if _, err := s.trip(h, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"b", "never-reached"} {
+		s.boxes.Set(name, nil, 1)
+	}
+	for range 100 {
+		left := 0
+		s.boxes.Look(func(string, *addresses.Book, int, int) { left++ })
+		if left == 0 {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Error("it is still looked after")
+}
+
 func TestConnectionsToAnAddressThatIsDroppedAreNotUsedAgain(t *testing.T) {
 	s := newSite(t)
 	b, h := s.box("w1")
