Module: hosts that are gone, with nothing out, leave the dispatcher's list

Seen: every host that was ever listed was kept and walked over by each choice of each question. At fault: brain/brain.go:107-137, hosts were only added. Change: a host that is gone with nothing out there is dropped until the list names it again; what was learned of it stays with it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -98,13 +98,14 @@
 func (d *Dispatcher) Listed(lines []Listing, whole bool) {
 	if whole {
 		for _, h := range d.hosts {
-			if !slices.ContainsFunc(lines, func(l Listing) bool { return l.Host == h }) {
-				h.Standing = Gone
-			}
+			h.Standing = Gone
 		}
 	}
 	for _, l := range lines {
 		h := l.Host
+		if !h.Held {
+			h.Held, d.hosts = true, append(d.hosts, h)
+		}
 		if h.Kept == nil {
 			h.Role, h.Memory = d.facts.RoleOf(h.Kind), d.facts.MemoryOf(h.Kind)
 			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
@@ -114,7 +115,6 @@
 				h.Far += 25 * d.facts.Num("prices.crossZone", 0)
 			}
 			h.Room = h.Memory / d.facts.Num("siblings", 1)
-			d.hosts = append(d.hosts, h)
 		}
 		if h.Kept == nil || l.Restart && l.Booted != h.Booted {
 			h.Kept = map[uint64]Kept{}
@@ -123,6 +123,10 @@
 		}
 		h.Standing, h.Units, h.Booted, h.Restart = l.Standing, max(l.Units, 0.01), l.Booted, l.Restart
 	}
+	d.hosts = slices.DeleteFunc(d.hosts, func(h *Host) bool {
+		h.Held = h.Standing != Gone || h.Streams > 0 || h.Tokens >= 1 // what is out there still counts
+		return !h.Held
+	})
 	Order(d.hosts, d.own)
 	d.answering = Compare(d.hosts)
 	if d.window == 0 && len(d.hosts) > 0 {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -547,3 +547,28 @@
 		t.Errorf("a cold mixed host's part is %.0f after 20 writes at a warm one, %.0f after 20 whole questions", write, whole)
 	}
 }
+
+// Hosts come and go for as long as a dispatcher runs: one that is gone, with nothing out, is walked over by no choice.
+func TestListedForgetsHostsThatAreGone(t *testing.T) {
+	d, _ := begin(t)
+	q := ask(d)
+	busy := d.hosts[2]
+	if !d.send(q, busy, Whole, func(Result) {}) {
+		t.Fatal("not sent")
+	}
+	for i := range 300 {
+		h := &Host{ID: uint32(100 + i), Kind: 1}
+		d.Listed([]Listing{{Host: h, Standing: Ready, Units: 4}}, false)
+		d.Listed([]Listing{{Host: h, Standing: Gone}}, false)
+	}
+	d.Listed([]Listing{{Host: d.hosts[0], Standing: Ready, Units: 4}}, true)
+	if len(d.hosts) != 2 || !slices.Contains(d.hosts, busy) {
+		t.Errorf("%d hosts are held, of 1 that is there and 1 with a trip out", len(d.hosts))
+	}
+	d.Ended(q.Trips[0], Result{Outcome: Answered, Over: true})
+	d.Listed([]Listing{{Host: busy, Standing: Ready, Units: 4}}, false)
+	d.Listed([]Listing{{Host: busy, Standing: Ready, Units: 4}}, false)
+	if len(d.hosts) != 2 {
+		t.Errorf("%d hosts after one came back", len(d.hosts))
+	}
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -101,6 +101,7 @@
 	Booted   time.Duration
 	Restart  bool // Booted is a start that the list told of
 	Standing Standing
+	Held     bool // it is among the dispatcher's hosts
 
 	Streams int     // own questions that are or will be answered here
 	Tokens  float64 // own tokens held here
