Module: a list that repeats itself makes no unreached host warm or trusted

Seen: a host that could not be reached counts as cold, by the same field as a start that the list tells of. A list that only said again what it said before, as after a gap, set the field back: the host was warm at once, and its failures and kept texts forgotten as if it had restarted. Ruled out: the loop, which gives each start one time. At fault: brain/brain.go:119-134 and :434-437. Change: when a host was last unmet is a time of its own. Measured: cold false and no failure left before; cold and one failure after.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -286,7 +286,8 @@
 }
 
 func (d *Dispatcher) cold(h *Host) bool {
-	return h.Restart && d.door.Now() < h.Booted+d.facts.Span("rules.rampTimeUs")
+	now, ramp := d.door.Now(), d.facts.Span("rules.rampTimeUs")
+	return h.Restart && now < h.Booted+ramp || h.Unmet > 0 && now < h.Unmet+ramp
 }
 
 // weight is the mean work of the question's grade, the measure of the rule on cold hosts. At a mixed host an
@@ -428,7 +429,7 @@
 	// A host that can't be reached may be restarting, which the list tells seconds later: cold till then.
 	// A broken connection alone says nothing of that; taken so, a rash of resets shuts out the fleet.
 	if n.Verdict == Unmet {
-		n.Host.Booted, n.Host.Restart = d.door.Now(), true
+		n.Host.Unmet = d.door.Now()
 	}
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -353,6 +353,33 @@
 	}
 }
 
+// A whole list says again what it said before, and knows only of processes: it must make a host that can't be reached neither
+// warm nor trusted.
+func TestAListThatRepeatsItselfUndoesNothing(t *testing.T) {
+	for _, restart := range []bool{true, false} {
+		d, out := begin(t)
+		h := d.hosts[2]
+		line := Listing{Host: h, Standing: Ready, Units: 4, Booted: -time.Hour, Restart: restart}
+		d.Listed([]Listing{line}, false)
+		h.Kept[7] = Kept{100, out.now, 0}
+		d.Heard(News{Host: h, Verdict: Unmet})
+		out.now += time.Second
+		d.Listed([]Listing{line}, false)
+		if !d.cold(h) || h.Records[0].Missed != 1 || len(h.Kept) != 1 {
+			t.Errorf("restart %v: cold %v, %g failures, %d kept", restart, d.cold(h), h.Records[0].Missed, len(h.Kept))
+		}
+		line.Booted, line.Restart = out.now, true
+		d.Listed([]Listing{line}, false)
+		if !d.cold(h) || h.Records[0].Missed != 0 || len(h.Kept) != 0 {
+			t.Error("a new start went unseen")
+		}
+		out.now += 11 * time.Second
+		if d.cold(h) {
+			t.Error("it stays cold")
+		}
+	}
+}
+
 func TestShareTellsAFewOthersAndNeverItself(t *testing.T) {
 	for _, c := range []struct {
 		name  string
--- a/brain/types.go
+++ b/brain/types.go
@@ -99,7 +99,8 @@
 	Lean     float64 // streams that a dispatcher imagines there, drawn once: each leans to other hosts
 	Size     float64 // Units against the mean of its role
 	Booted   time.Duration
-	Restart  bool // Booted is a start that the list told of
+	Restart  bool          // Booted is a start that the list told of
+	Unmet    time.Duration // when it could last not be reached
 	Standing Standing
 	Held     bool // it is among the dispatcher's hosts
 
