Module: a question that no host may take any more does not hold up those behind it

Seen: a deduplicated question whose rack drained while it was held again stood at the head, as the densest: nothing behind it went out until its own time was three quarters over. Ruled out: a fresh question, which may wait for hosts; shed, which acts by time. Change: one that has been out, and that no host may take, is given up on there, as it is when its trip ends. Measured: 0 sent, 2 held before; 1 sent, 1 forfeited after.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -189,12 +189,20 @@
 	d.held = slices.Insert(d.held, i, q)
 }
 
-// serve lets out held questions, the first first, while there is room for them.
+// serve lets out held questions, the first first, while there is room for them. One that has been out, and that
+// no host may take now, is given up on: it would hold up all behind it.
 func (d *Dispatcher) serve() {
 	now := d.door.Now()
-	for len(d.held) > 0 && float64(d.unbegun) < max(d.window, 1) && now >= d.paced && d.route(d.held[0]) {
-		d.drop(d.held[0])
-		d.served.Add(now, 1)
+	for len(d.held) > 0 && float64(d.unbegun) < max(d.window, 1) && now >= d.paced {
+		q := d.held[0]
+		if d.route(q) {
+			d.served.Add(now, 1)
+		} else if len(q.Trips) == 0 || d.takable(q) {
+			break
+		} else {
+			d.giveUp(q)
+		}
+		d.drop(q)
 	}
 	if len(d.held) > 0 && !d.sweeping {
 		d.sweeping = true
@@ -632,11 +640,16 @@
 	}
 }
 
+// takable tells whether a host that answers may take the question now.
+func (d *Dispatcher) takable(q *Question) bool {
+	return slices.ContainsFunc(d.hosts, func(h *Host) bool { return h.Answers() && !d.barred(q, h) })
+}
+
 // again starts a question over, if a host may still take it, else gives it up at once.
 func (d *Dispatcher) again(q *Question) {
 	d.tell(q)
 	d.letGo(q)
-	if !slices.ContainsFunc(d.hosts, func(h *Host) bool { return h.Answers() && !d.barred(q, h) }) {
+	if !d.takable(q) {
 		d.giveUp(q)
 		return
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -154,6 +154,30 @@
 	}
 }
 
+// A question that no host may take any more, as its group drains or its window is over, must not hold up all behind it until
+// its time is up: it is given up on at once.
+func TestServeGivesUpOnWhatNoHostMayTake(t *testing.T) {
+	d, out := begin(t)
+	first, behind := ask(d), ask(d)
+	behind.ID = 2
+	first.Grade = &Grade{Effect: Deduplicated, Reach: SameRack, Window: time.Minute, Benefit: 9, Promise: time.Second}
+	went(first, d.hosts[2], TimedOut, out.now)
+	d.hold(first)
+	for _, h := range d.hosts {
+		if h.Rack == d.hosts[2].Rack {
+			h.Standing = Draining
+		}
+	}
+	d.hold(behind)
+	if d.held[0] != first {
+		t.Fatal("the other one is in front")
+	}
+	d.serve()
+	if len(out.sent) != 1 || out.sent[0].Question != behind || len(out.lost) != 1 || out.lost[0] != first || len(d.held) != 0 {
+		t.Errorf("%d sent, %d forfeited, %d held", len(out.sent), len(out.lost), len(d.held))
+	}
+}
+
 func TestShedGivesUpTheLeastDenseUnderOverload(t *testing.T) {
 	d, out := begin(t)
 	early, late := ask(d), ask(d)
