Settings are checked by range: none that passes makes the module divide by nought

Ruled out: missing settings, which were named. At fault: internal/setup/setup.go:338-504, brain/facts.go:45-60. Change: one range for each figure, named with its line; the module's own start refuses the same.

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -1,6 +1,7 @@
 package brain
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -224,7 +225,10 @@
 }
 
 func TestNewNamesASettingThatIsMissingOrSenseless(t *testing.T) {
-	for name, value := range map[string]any{"rules.coldFrom": nil, "siblings": 0.0, "requestClasses": 0.0} {
+	for name, value := range map[string]any{"rules.coldFrom": nil, "siblings": 0.0, "requestClasses": 0.0,
+		// The module divides by these, or counts up to them.
+		"rules.tipAfterUs": 0.5, "rules.tipMultiple": 0.0, "rules.rampTimeUs": math.Inf(1), "policyLimits.maxAttempts": 0.0,
+		"requestClasses.0.aimUs": 0.0, "requestClasses.0.worth": math.NaN(), "prices.peer": math.NaN(), "prices.crossZone": -1.0} {
 		f := facts()
 		f[name] = value
 		if _, err := New(f, 1, &door{}); err == nil || !strings.Contains(err.Error(), name) {
--- a/brain/facts.go
+++ b/brain/facts.go
@@ -47,8 +47,17 @@
 		"familyInfo.pinLimitUs", "familyInfo.kindRole", "policyLimits.maxAttempts", "siblings"); err != nil {
 		return err
 	}
-	if f.Num("siblings", 0) < 1 {
-		return fmt.Errorf("setting siblings is %g, at least 1 dispatcher is needed", f.Num("siblings", 0))
+	// The module divides by these, or counts up to them.
+	for _, r := range []struct {
+		name        string
+		least, most float64
+	}{
+		{"siblings", 1, 1 << 16}, {"rules.tipMultiple", 1e-3, 1e6}, {"rules.tipAfterUs", 1, 1e12}, {"rules.coldFrom", 0, 1},
+		{"rules.rampTimeUs", 0, 1e12}, {"policyLimits.maxAttempts", 1, 1e6}, {"prices.peer", 0, 1e9}, {"prices.crossZone", 0, 1e9},
+	} {
+		if v := f.Num(r.name, r.least); !(v >= r.least && v <= r.most) {
+			return fmt.Errorf("setting %s is %g, it must be from %g to %g", r.name, v, r.least, r.most)
+		}
 	}
 	if f.Num("requestClasses", 0) < 1 {
 		return fmt.Errorf("setting requestClasses is missing or states no service grade")
@@ -74,6 +83,11 @@
 		if err := f.Lacks(needed...); err != nil {
 			return nil, err
 		}
+		for _, name := range append(needed, at+"worth", at+"lateWorth") {
+			if v := f.Num(name, 1); !(v >= 0 && v <= 1e15) || name == at+"aimUs" && v < 1 {
+				return nil, fmt.Errorf("setting %s is %g, which makes no sense", name, v)
+			}
+		}
 		grades = append(grades, &Grade{
 			Index:     i,
 			Effect:    effect,
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -9,7 +9,6 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"math"
 	"net"
 	"os"
 	"slices"
@@ -386,8 +385,22 @@
 			return Wrong("dispatcher.operators", "%v", err)
 		}
 	}
-	if p.ConnPerS < 0 || p.ConnOpen < 1 {
-		return Wrong("dispatcher.connections_open", "must be at least 1, and connections_a_second not negative")
+	if p.Siblings > mostSiblings {
+		return Wrong("dispatcher.siblings", "must be at most %d", mostSiblings)
+	}
+	if p.ConnOpen < 1 {
+		return Wrong("dispatcher.connections_open", "must be at least 1")
+	}
+	least := day
+	for _, g := range d.Grades {
+		least = min(least, g.Expiry.D())
+	}
+	if err := firstOf(
+		figure("dispatcher.connections_a_second", p.ConnPerS, mostFigure), span("dispatcher.margin", p.Margin, 0, least-time.Millisecond),
+		span("dispatcher.body_time", p.BodyTime, time.Millisecond, time.Hour), span("dispatcher.write_time", p.Write, time.Millisecond, time.Hour),
+		span("dispatcher.stop_time", p.Stop, 0, day),
+	); err != nil {
+		return err
 	}
 	if _, err := reach.NewAllowed(p.Allow); err != nil {
 		return Wrong("dispatcher.allow", "%v", err)
@@ -437,15 +450,30 @@
 			return Wrong(at+"promised", "must be above 0")
 		case g.Expiry < g.Promised:
 			return Wrong(at+"expiry", "is before the promised time")
-		case g.Benefit < 0:
-			return Wrong(at+"benefit", "is negative")
-		case g.Most < 1:
-			return Wrong(at+"max_tokens", "must be at least 1")
+		case g.Most < 1 || g.Most > mostTokens:
+			return Wrong(at+"max_tokens", "must be from 1 to %d", mostTokens)
+		case t.GradeNumber(g.Name) < i:
+			return Wrong(at+"name", "%s is stated already", g.Name)
+		}
+		window := Span(time.Millisecond)
+		if g.Effect == "deduplicated" {
+			window = g.Window
+		}
+		if err := firstOf(
+			span(at+"window", window, time.Millisecond, day), span(at+"promised", g.Promised, time.Millisecond, day),
+			span(at+"promised_per_1000", g.PerK, 0, time.Minute), span(at+"expiry", g.Expiry, time.Millisecond, day),
+			span(at+"token_time", g.TokenTime, 0, time.Hour), figure(at+"benefit", g.Benefit, mostFigure), figure(at+"late_benefit", g.Late, 1),
+		); err != nil {
+			return err
 		}
 	}
 	for i, c := range t.Channels {
-		if c.Name == "" || c.Share < 0 || c.PerS < 0 {
-			return Wrong(fmt.Sprintf("channel.%d.share", i), "a channel needs a name and no negative figures")
+		at := fmt.Sprintf("channel.%d.", i)
+		if c.Name == "" || t.ChannelNumber(c.Name) < i {
+			return Wrong(at+"name", "a channel needs a name of its own, not %q", c.Name)
+		}
+		if err := firstOf(figure(at+"share", c.Share, mostFigure), figure(at+"questions_a_second", c.PerS, mostFigure)); err != nil {
+			return err
 		}
 	}
 	seen := map[string]bool{}
@@ -458,8 +486,8 @@
 			return Wrong(at+"grade", "%q is unknown", b.Grade)
 		case b.PerS == nil && b.Monthly == nil:
 			return Wrong(at+"channel", "states neither tokens_a_second nor monthly; without a budget a channel is not limited")
-		case b.PerS != nil && !(*b.PerS >= 0), b.Monthly != nil && !(*b.Monthly >= 0), !(b.Burst >= 0), !(b.Borrow >= 0):
-			return Wrong(at+"channel", "has a negative figure")
+		case b.PerS != nil && !(*b.PerS >= 0), b.Monthly != nil && !(*b.Monthly >= 0), !(b.Burst >= 0), !(b.Borrow >= 0), !b.Terms().Sound():
+			return Wrong(at+"channel", "has a figure that is negative or makes no sense")
 		case seen[b.Terms().Name]:
 			return Wrong(at+"channel", "%s has a budget already", b.Terms().Name)
 		}
@@ -469,8 +497,11 @@
 		if roles[k.Role] == "" {
 			return Wrong(fmt.Sprintf("kind.%d.role", i), "must be reader, writer or mixed, not %q", k.Role)
 		}
-		if k.Memory < 1 {
-			return Wrong(fmt.Sprintf("kind.%d.memory", i), "must be at least 1 token")
+		if k.Memory < 1 || k.Memory > mostFigure {
+			return Wrong(fmt.Sprintf("kind.%d.memory", i), "must be from 1 to %.0f tokens", float64(mostFigure))
+		}
+		if t.KindNumber(k.Name) < i {
+			return Wrong(fmt.Sprintf("kind.%d.name", i), "%q is stated already", k.Name)
 		}
 	}
 	if len(t.Kinds) == 0 {
@@ -481,24 +512,64 @@
 	}
 	r, l := t.Rules, t.Limits
 	switch {
-	case r.ColdMultiple <= 0 || math.IsNaN(r.ColdMultiple):
+	case !(r.ColdMultiple > 0):
 		return Wrong("rules.cold_multiple", "must be above 0")
-	case r.ColdShare <= 0 || r.ColdShare > 1:
+	case !(r.ColdShare > 0):
 		return Wrong("rules.cold_share", "must be above 0 and at most 1")
-	case r.ColdWindow <= 0:
-		return Wrong("rules.cold_window", "must be above 0")
-	case r.Pin <= 0:
-		return Wrong("rules.pin_limit", "must be above 0")
 	case l.Trips < 1 || l.Trips > 16:
 		return Wrong("limits.trips", "must be from 1 to 16")
-	case l.Dial <= 0:
-		return Wrong("limits.dial", "must be above 0")
 	case l.Open < 1:
 		return Wrong("limits.open_questions", "must be at least 1")
-	case l.Stall <= 0:
-		return Wrong("limits.stall", "must be above 0")
 	case l.BoxConns < 1:
 		return Wrong("limits.connections_a_box", "must be at least 1")
 	}
+	return firstOf(
+		// What is sent to a box has to be out before the grace is over, from when it was decided: see docs/operating.md.
+		span("rules.drain_grace", r.DrainGrace, l.Dial.D()+time.Millisecond, time.Hour),
+		span("rules.answer_slack", r.Slack, 0, time.Minute),
+		span("rules.cold_window", r.ColdWindow, time.Millisecond, time.Hour),
+		span("rules.cold_ramp", r.ColdRamp, 0, day),
+		span("rules.pin_limit", r.Pin, time.Millisecond, time.Hour),
+		figure("rules.cold_multiple", r.ColdMultiple, 1000),
+		figure("rules.cold_share", r.ColdShare, 1),
+		span("limits.dial", l.Dial, time.Millisecond, time.Minute),
+		span("limits.stall", l.Stall, time.Millisecond, day),
+		span("limits.retry_after", l.RetryAfter, 0, time.Hour),
+		figure("limits.news_price", l.NewsPrice, 1e6),
+		figure("limits.zone_price", l.ZonePrice, 1e6),
+		figure("limits.over_share_benefit", l.OverShare, 1),
+	)
+}
+
+// The largest figures that are taken for meant.
+const (
+	day          = 24 * time.Hour
+	mostFigure   = 1e12
+	mostTokens   = 10_000_000 // of one question
+	mostSiblings = 1 << 16    // their messages name them by two bytes
+)
+
+// figure tells what is wrong with a number that must not be negative, nor over most.
+func figure(key string, v, most float64) error {
+	if v >= 0 && v <= most { // no number is neither
+		return nil
+	}
+	return Wrong(key, "must be from 0 to %g, not %g", most, v)
+}
+
+// span tells what is wrong with a length of time.
+func span(key string, s Span, least, most time.Duration) error {
+	if s.D() >= least && s.D() <= most {
+		return nil
+	}
+	return Wrong(key, "must be from %v to %v, not %v", least, most, s.D())
+}
+
+func firstOf(faults ...error) error {
+	for _, err := range faults {
+		if err != nil {
+			return err
+		}
+	}
 	return nil
 }
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -110,6 +111,59 @@
 	}
 }
 
+// Ranges are checked, not only presence: what passes must not have the module divide by nought, count without end or wait for
+// nothing. Each value stands in place of a default, in its table.
+func TestValuesOutsideOfTheirRangesAreNamed(t *testing.T) {
+	for _, c := range []struct{ table, line, says string }{
+		{"rules", `cold_window = "1ns"`, "rules.cold_window"},
+		{"rules", `cold_window = "200h"`, "rules.cold_window"},
+		{"rules", `cold_multiple = inf`, "rules.cold_multiple"},
+		{"rules", `cold_share = nan`, "rules.cold_share"},
+		{"rules", `cold_ramp = "20000h"`, "rules.cold_ramp"},
+		{"rules", `drain_grace = "100ms"`, "rules.drain_grace"}, // a connection may take limits.dial, 250 ms
+		{"limits", `over_share_benefit = nan`, "limits.over_share_benefit"},
+		{"limits", `news_price = nan`, "limits.news_price"},
+		{"limits", `zone_price = -1.0`, "limits.zone_price"},
+		{"limits", `stall = "1ns"`, "limits.stall"},
+		{"limits", `retry_after = "200000h"`, "limits.retry_after"},
+		{"dispatcher", `connections_a_second = nan`, "dispatcher.connections_a_second"},
+		{"dispatcher", `write_time = "0s"`, "dispatcher.write_time"},
+		{"dispatcher", `body_time = "0s"`, "dispatcher.body_time"},
+		{"dispatcher", `margin = "1h"`, "dispatcher.margin"},
+		{"dispatcher", "siblings = 70000", "dispatcher.siblings"},
+		{"grade", `benefit = nan`, "grade.0.benefit"},
+		{"grade", `late_benefit = inf`, "grade.0.late_benefit"},
+		{"grade", `promised = "10ns"`, "grade.0.promised"},
+		{"grade", `promised_per_1000 = "1000h"`, "grade.0.promised_per_1000"},
+		{"grade", `expiry = "2000000h"`, "grade.0.expiry"},
+		{"grade", `max_tokens = 20000000`, "grade.0.max_tokens"},
+		{"grade", `name = "booking"`, "grade.1.name"},
+		{"channel", `questions_a_second = nan`, "channel.0.questions_a_second"},
+		{"kind", `memory = 4000000000000000000`, "kind.0.memory"},
+	} {
+		// The table's first head is followed by the new line, and the old one of that key goes.
+		head, rest, found := strings.Cut(text+"[limits]\n", "["+c.table+"]")
+		if !found {
+			t.Fatalf("no table %s", c.table)
+		}
+		rest = strings.TrimPrefix(rest, "]")
+		table, others, more := strings.Cut(rest, "\n[")
+		if more {
+			others = "\n[" + others
+		}
+		key, _, _ := strings.Cut(c.line, " ")
+		lines := slices.DeleteFunc(strings.Split(table, "\n"), func(l string) bool { return strings.HasPrefix(l, key+" ") })
+		closes := "]"
+		if strings.HasSuffix(head, "[") {
+			closes = "]]"
+		}
+		changed := head + "[" + c.table + closes + "\n" + c.line + "\n" + strings.Join(lines, "\n") + others
+		if _, err := load(t, changed); err == nil || !strings.Contains(err.Error(), c.says+":") {
+			t.Errorf("%s: %v", c.line, err)
+		}
+	}
+}
+
 func TestSenselessValuesAreNamedWithTheirLine(t *testing.T) {
 	for _, c := range []struct{ old, new, says string }{
 		{`number = 1`, `number = 2`, "dispatcher.number"},
