Adapter: a status that the protocol does not name is a failure, not an answer

Seen: a status outside of the table gave the zero outcome, which is Answered. At fault: cmd/benchlink/instance.go:28-38 and :118.

--- a/cmd/benchlink/instance.go
+++ b/cmd/benchlink/instance.go
@@ -37,6 +37,14 @@
 	598: brain.Broken,
 }
 
+// outcomeOf is the module's word for a status; one that is unknown proves nothing.
+func outcomeOf(status uint16) brain.Outcome {
+	if o, known := outcomes[status]; known {
+		return o
+	}
+	return brain.Failed
+}
+
 func start(e wire.Event, clock uint64, reply *wire.Reply) *instance {
 	in := &instance{
 		who: e.Who(), clock: clock, began: clock, reply: reply,
@@ -106,7 +114,7 @@
 	case wire.Resolved:
 		if t := in.trip(e); t != nil && !t.Ended {
 			in.module.Ended(t, brain.Result{
-				Outcome: outcomes[e.U16(16)], Took: micros(e.U32(18)), Over: e.U8(22) != 0,
+				Outcome: outcomeOf(e.U16(16)), Took: micros(e.U32(18)), Over: e.U8(22) != 0,
 				Note: int(e.U32(23)), Load: e.Load(27),
 			})
 			in.forget(t.Question)
--- a/cmd/benchlink/same_test.go
+++ b/cmd/benchlink/same_test.go
@@ -308,3 +308,13 @@
 		t.Errorf("bench declines %d and forfeits %d, the dispatcher %d and %d", finals[kserve.Declined], finals[kserve.Forfeited], l.Declined, l.Forfeited)
 	}
 }
+
+// A status that the protocol note does not name proves nothing: least of all an answer.
+func TestAnUnknownStatusIsAFailure(t *testing.T) {
+	if got := outcomeOf(777); got != brain.Failed {
+		t.Errorf("777 is taken for %d", got)
+	}
+	if got := outcomeOf(200); got != brain.Answered {
+		t.Errorf("200 is taken for %d", got)
+	}
+}
