Adapter: a number of a frame that is none does not reach the module

Seen: units of NaN made a host's share of its role no number, so that it was never chosen, and spread to the averages. Ruled out: offsets and lengths, which the reader checks. At fault: cmd/benchlink/instance.go:105-108, :119-121 and :162-165. Change: figures are from 0 up and finite; a fuzz target plays frames, with its seeds in go test.

--- a/cmd/benchlink/instance.go
+++ b/cmd/benchlink/instance.go
@@ -89,6 +89,14 @@
 	}
 }
 
+// figure is a number off the wire that can only be from 0 up: what is none is taken for nought.
+func figure(v float64) float64 {
+	if !(v >= 0) {
+		return 0
+	}
+	return min(v, 1e9)
+}
+
 func micros(us uint32) time.Duration { return time.Duration(us) * time.Microsecond }
 
 func (in *instance) take(e wire.Event, clock uint64) {
@@ -102,7 +110,7 @@
 		in.module.Listed(in.listings(e.Entries()), e.U8(11) != 0)
 	case wire.Incoming:
 		q := &brain.Question{
-			ID: e.U64(3), Session: e.U64(11), Shared: e.U64(24), Prompt: e.F32(32), Prefix: e.F32(45), Most: e.F32(20),
+			ID: e.U64(3), Session: e.U64(11), Shared: e.U64(24), Prompt: figure(e.F32(32)), Prefix: figure(e.F32(45)), Most: figure(e.F32(20)),
 			Again: e.U8(19)&2 != 0, Resumed: e.U8(19)&16 != 0, Left: micros(e.U32(41)),
 		}
 		in.questions[q.ID] = q
@@ -113,9 +121,13 @@
 		}
 	case wire.Resolved:
 		if t := in.trip(e); t != nil && !t.Ended {
+			load := e.Load(27)
+			for i, v := range load {
+				load[i] = figure(v)
+			}
 			in.module.Ended(t, brain.Result{
 				Outcome: outcomeOf(e.U16(16)), Took: micros(e.U32(18)), Over: e.U8(22) != 0,
-				Note: int(e.U32(23)), Load: e.Load(27),
+				Note: int(e.U32(23)), Load: load,
 			})
 			in.forget(t.Question)
 		}
@@ -161,7 +173,7 @@
 			in.hosts[e.Host] = h
 		}
 		lines[i] = brain.Listing{
-			Host: h, Standing: brain.Standing(e.Readiness), Units: e.Units, Restart: e.BootUs != 0,
+			Host: h, Standing: brain.Standing(e.Readiness), Units: figure(e.Units), Restart: e.BootUs != 0,
 			Booted: time.Duration(int64(e.BootUs)-int64(in.began)) * time.Microsecond,
 		}
 	}
--- a/cmd/benchlink/same_test.go
+++ b/cmd/benchlink/same_test.go
@@ -318,3 +318,70 @@
 		t.Errorf("200 is taken for %d", got)
 	}
 }
+
+// What a frame says in numbers goes into averages and choices for the rest of the day: none of it may be no number.
+func FuzzFrames(f *testing.F) {
+	d := setup.DefaultDispatcher()
+	d.Grades = []setup.Grade{{Name: "g", Effect: "idempotent", Promised: setup.Span(time.Second), Expiry: setup.Span(4 * time.Second), Benefit: 1, Most: 60}}
+	d.Kinds = []setup.Kind{{Name: "reader", Role: "reader", Memory: 2e5}, {Name: "writer", Role: "writer", Memory: 1e5}}
+	d.Report = []string{"util", "queue"}
+	info, err := json.Marshal(d.Facts())
+	if err != nil {
+		f.Fatal(err)
+	}
+	entry := func(id uint32, kind byte, units uint32) []byte {
+		e := make([]byte, 22)
+		binary.BigEndian.PutUint32(e, id)
+		e[6], e[9] = kind, 1
+		binary.BigEndian.PutUint32(e[10:], units)
+		return e
+	}
+	one, nan, inf, minus := math.Float32bits(1), math.Float32bits(float32(math.NaN())), math.Float32bits(float32(math.Inf(1))), math.Float32bits(-1)
+	f.Add([]byte{10, 50, 40, 50}, one, one)
+	f.Add([]byte{10, 50, 40, 50}, nan, inf)
+	f.Add([]byte{50, 60, 90, 40, 20, 100}, inf, minus)
+	f.Fuzz(func(t *testing.T, codes []byte, a, b uint32) {
+		reply := &wire.Reply{}
+		var begin rec
+		begin[0] = wire.Start
+		begin.u32(15, uint32(len(info)))
+		in := start(event(t, begin, info), 0, reply)
+		tail := slices.Concat(entry(1, 0, a), entry(2, 1, b), entry(3, 1, one))
+		var r rec
+		r[0], r[11] = wire.Announce, 1
+		r.u32(16, 3)
+		in.take(event(t, r, tail), 0)
+		for i, code := range codes[:min(len(codes), 40)] {
+			q := rec{}
+			q[0] = wire.Incoming
+			q.u64(3, uint64(i+1))
+			q.u32(20, a)
+			q.u32(32, b)
+			q.u32(41, 3_000_000)
+			in.take(event(t, q, nil), uint64(i)*1000)
+			e := rec{}
+			e[0] = code
+			e.u64(3, uint64(i+1))
+			switch code {
+			case wire.Resolved:
+				e.u32(18, 1000)
+				binary.BigEndian.PutUint16(e[16:], 210)
+				e.u32(23, a)
+				e[27] = 2
+				e.u32(28, a)
+				e.u32(32, b)
+			case wire.First, wire.Aborted, wire.Due:
+			default:
+				continue
+			}
+			in.take(event(t, e, nil), uint64(i)*1000+500)
+		}
+		for _, h := range in.hosts {
+			for _, v := range []float64{h.Units, h.Size, h.Util, h.Queue, h.Tokens, h.Unread, h.Room, h.Taken} {
+				if math.IsNaN(v) || v < 0 {
+					t.Fatalf("host %d holds %v", h.ID, []float64{h.Units, h.Size, h.Util, h.Queue, h.Tokens, h.Unread, h.Room, h.Taken})
+				}
+			}
+		}
+	})
+}
