A sibling's answer about a budget is checked as its ask is

Seen: an ask is checked for sense, the answer was not: one without terms renamed the budget to nothing, after which its channel paid for nothing; one that lent an infinite sum lent it for good, and its asks were dropped by the keeper from then on. Ruled out: messages of another start, which are dropped. At fault: internal/dispatch/accounts.go:202-207.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -238,6 +238,12 @@
 	return a.Returned <= a.Lent && a.Holder != ""
 }
 
+// Sound tells the same of an answer. A month is counted from 1970.
+func (l Lend) Sound() bool {
+	return l.Terms.Sound() && l.Terms.Name == l.Name && l.Lent >= 0 && l.Lent < math.MaxInt64 && l.After >= 0 && l.After <= 366*24*time.Hour &&
+		l.Month >= 0 && l.Month < 12*1000
+}
+
 // Show is what operators see.
 type Show struct {
 	Name    string  `json:"name"`
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -315,3 +315,28 @@
 		t.Errorf("%.0f tokens in 30 s of 4,000 a second", used[0])
 	}
 }
+
+// What a sibling says comes over a network: an answer that renames a budget would let its channel ask for nothing, one without
+// a bound lend it everything.
+func TestAnAnswerThatMakesNoSenseIsNone(t *testing.T) {
+	sound := Lend{Name: "b", Holder: "h", Month: 3, Lent: 10, Terms: Terms{Name: "b", PerS: -1, Monthly: 100}}
+	if !sound.Sound() {
+		t.Error("a sound one is refused")
+	}
+	for name, bad := range map[string]func(l *Lend){
+		"another name":    func(l *Lend) { l.Terms.Name = "" },
+		"endless":         func(l *Lend) { l.Lent = math.Inf(1) },
+		"no number":       func(l *Lend) { l.Lent = math.NaN() },
+		"negative":        func(l *Lend) { l.Lent = -1 },
+		"terms":           func(l *Lend) { l.Terms.Monthly = math.NaN() },
+		"a wait":          func(l *Lend) { l.After = -time.Second },
+		"a wait of years": func(l *Lend) { l.After = math.MaxInt64 },
+		"a far month":     func(l *Lend) { l.Month = 1 << 40 },
+	} {
+		l := sound
+		bad(&l)
+		if l.Sound() {
+			t.Errorf("%s: %+v is taken", name, l)
+		}
+	}
+}
--- a/internal/dispatch/accounts.go
+++ b/internal/dispatch/accounts.go
@@ -198,7 +198,7 @@
 			switch {
 			case w.Ask != nil && b.Keepers[w.Ask.Name] != nil && w.Ask.Sound():
 				b.Keepers[w.Ask.Name].Asked(l.now, b.Month(l.now), *w.Ask, func(lend budget.Lend) { trips.Peers.TellBudget(from, budgetWord{Lend: &lend}) })
-			case w.Lend != nil && w.Lend.Holder == epoch:
+			case w.Lend != nil && w.Lend.Holder == epoch && w.Lend.Sound():
 				if i := slices.IndexFunc(b.Purses, func(p *budget.Purse) bool { return p.Terms.Name == w.Lend.Name }); i >= 0 {
 					b.Purses[i].Lent(l.now, *w.Lend)
 					return
