A client that takes none of a whole answer loses its place after write_time

Seen: generate and infer wrote their answer with no time limit: a client that read nothing held its place among limits.open_questions for as long as its connection stood; a few thousand of them would have every question declined. Ruled out: streams, whose pieces have a limit; that a limit runs on into the next answer on the connection (a test says not). At fault: internal/dispatch/server.go:279-294.

--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -284,6 +284,7 @@
 	}
 	defer s.open.Add(-1)
 	text, f, ok := s.gather(r, a)
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.Place.Write.D()))
 	switch {
 	case !ok:
 	case f.Final != kserve.Satisfied:
