Connections that take no byte are tried for as long as one connection may take

Ruled out: a byte sent twice (none went out). Change: one limit for all tries of a send; with drain_grace over limits.dial nothing leaves after the grace.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -189,8 +189,12 @@
 
 // Get returns a proven connection: an idle one, else the first that a race of the addresses brings.
 func (h *Host) Get(ctx context.Context) (*Conn, error) {
-	until := h.all.Since() + h.all.Limit
-	limit := time.NewTimer(h.all.Limit)
+	return h.get(ctx, h.all.Since()+h.all.Limit)
+}
+
+// get does so until a time.
+func (h *Host) get(ctx context.Context, until time.Duration) (*Conn, error) {
+	limit := time.NewTimer(until - h.all.Since())
 	defer limit.Stop()
 	for {
 		h.mu.Lock()
@@ -484,11 +488,11 @@
 	return resp, nil
 }
 
-// Send gets connections until a request went out over one; nothing of it was sent over those before. make is called anew
-// for each. Without an error the answer's body must be closed.
+// Send gets connections until a request went out over one, for as long as one connection may take; nothing of it was sent
+// over those before. make is called anew for each. Without an error the answer's body must be closed.
 func (h *Host) Send(ctx context.Context, make func() (*http.Request, error)) (*Conn, *http.Response, error) {
-	for {
-		conn, err := h.Get(ctx)
+	for until := h.all.Since() + h.all.Limit; ; {
+		conn, err := h.get(ctx, until)
 		if err != nil {
 			return nil, nil, err
 		}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -224,6 +224,41 @@
 	}
 }
 
+// A box that proves itself and resets at once takes not a byte. Trying it anew must end with the time for a connection, however
+// long the trip may take: by then the box may long have been told to drain.
+func TestConnectionsThatTakeNothingAreNotTriedForEver(t *testing.T) {
+	s := newSite(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c.Read(make([]byte, 512))
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"name\":\"b\"}")
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	h := s.boxes.Set("b", []addresses.Spec{{Network: addresses.TCP4, At: l.Addr().String()}}, 3)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	tries := 0
+	_, _, err = h.Send(ctx, func() (*http.Request, error) {
+		tries++
+		time.Sleep(30 * time.Millisecond) // the reset has arrived
+		return http.NewRequestWithContext(ctx, http.MethodPost, "http://b/", strings.NewReader("x"))
+	})
+	if ctx.Err() != nil || !errors.Is(err, reach.ErrUnreached) || tries == 0 {
+		t.Errorf("%v after %d tries; the trip's own time: %v", err, tries, ctx.Err())
+	}
+}
+
 // Boxes come and go under new names for as long as a dispatcher runs.
 func TestABoxThatIsGoneIsForgotten(t *testing.T) {
 	s := newSite(t)
