--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"hash"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -98,8 +99,9 @@
 	boxes       map[string]*box // by name
 	order       []*box
 	dispatchers []*dispatcher
-	list        []boxlist.Push // one change each
 	lateList    time.Duration
+	downList    time.Duration // until then nothing is heard of it
+	skipList    bool          // its next change is lost
 	slowLink    float64
 	racks       map[string]time.Duration // when a rack's link is free
 	seen        map[string]time.Duration // marks, by group
@@ -149,6 +151,8 @@
 	fail    float64
 	failOf  string
 	resets  float64
+	cuts    float64 // share of trips cut off when they have begun to run
+	crashes float64 // share of reads after which it dies
 	trips   map[*trip]bool
 	letGo   map[string]int
 	sent    []sent
@@ -246,17 +250,38 @@
 	line := boxlist.Box{Name: b.make.Name, Addresses: []addresses.Spec{{Network: addresses.TCP4, At: "127.0.0.1:1"}}, Kind: b.make.Kind, Zone: b.make.Zone,
 		Rack: b.make.Rack, Standing: standing, Units: b.make.Units, Start: b.start, UpMs: -1}
 	started, cold := b.started, b.cold
-	w.after(after+w.lateList, func() {
+	w.at(max(w.now+after+w.lateList, w.downList), func() {
 		l := line
 		if cold {
 			l.UpMs = (w.now - started).Milliseconds()
 		}
+		lost := w.skipList
+		if w.skipList = false; lost {
+			w.put(record.Line{What: record.Note, Word: "a push of the list is lost"})
+		}
 		for _, d := range w.dispatchers {
+			if lost { // the gap is noticed by the next beat, and the whole list asked for
+				w.after(gap, func() { d.whole(l) })
+				continue
+			}
 			d.hear([]boxlist.Box{l}, false)
 		}
 	})
 }
 
+// gap is how long a lost change goes unnoticed.
+const gap = time.Second
+
+// whole tells a dispatcher the whole list, with a change that it missed.
+func (d *dispatcher) whole(missed boxlist.Box) {
+	known := maps.Clone(d.known)
+	known[missed.Name] = missed
+	lines := slices.SortedFunc(maps.Values(known), func(a, b boxlist.Box) int { return strings.Compare(a.Name, b.Name) })
+	lines = slices.DeleteFunc(lines, func(l boxlist.Box) bool { return l.Standing == boxlist.Gone })
+	d.w.put(record.Line{What: record.Told, Dispatcher: d.name, Box: missed.Name, Word: missed.Standing, Start: missed.Start})
+	d.hear(lines, true)
+}
+
 // dispatcher is the real loop with the real module, in virtual time.
 type dispatcher struct {
 	w      *world
--- a/internal/fleet/trip.go
+++ b/internal/fleet/trip.go
@@ -264,6 +264,11 @@
 			return
 		}
 		t.ran()
+		if b.cuts > 0 && w.rng.Float64() < b.cuts {
+			b.engine.Cancel(j)
+			t.broke()
+			return
+		}
 		w.after(hop, t.began)
 	}
 	j.Ended = func(e engine.End, kept int) { t.done(e, kept) }
@@ -332,6 +337,14 @@
 		w.put(record.Line{What: record.Held, Box: b.make.Name, Key: t.line.Key, Try: t.line.Try, Grade: t.line.Grade})
 		t.end(kserve.OutcomeRead)
 		t.back(brain.Result{Outcome: brain.Read, Note: kept})
+		if b.crashes > 0 && w.rng.Float64() < b.crashes {
+			start := b.start
+			w.after(2*time.Millisecond, func() { // the dispatcher knows of the read
+				if b.start == start {
+					b.kill("crashed after reading")
+				}
+			})
+		}
 	case engine.Full, engine.TooBig:
 		t.end(kserve.OutcomeFull)
 		t.back(brain.Result{Outcome: brain.Full})
--- a/internal/fleet/trouble.go
+++ b/internal/fleet/trouble.go
@@ -65,6 +65,17 @@
 	case "reset":
 		each(func(b *box) { b.resets = t.Share })
 		later(func() { each(func(b *box) { b.resets = 0 }) })
+	case "reset_running":
+		each(func(b *box) { b.cuts = t.Share })
+		later(func() { each(func(b *box) { b.cuts = 0 }) })
+	case "crash_after_read":
+		each(func(b *box) { b.crashes = t.Share })
+		later(func() { each(func(b *box) { b.crashes = 0 }); back() })
+	case "list_down":
+		w.downList = w.now + length
+	case "list_gap":
+		w.skipList = true
+	case "no_cancel", "leave", "burst", "shared_text", "long_prompts": // of the boxes' make, or of the questions' plan
 	case "forget":
 		each(func(b *box) { b.engine.Forget() })
 	case "crash":
@@ -100,6 +111,8 @@
 				d.boot(d.known)
 			}
 		})
+	default: // of sockets and processes
+		w.put(record.Line{What: record.Note, Word: t.Kind + " is not played here"})
 	}
 	if !strings.HasPrefix(t.Kind, "address_") {
 		later(func() { w.put(record.Line{What: record.Note, Word: t.Kind + " ends"}) })
--- /dev/null
+++ b/internal/fleet/trouble_test.go
@@ -0,0 +1,42 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"sloetrestle/internal/day"
+	"sloetrestle/internal/record"
+	"sloetrestle/internal/setup"
+)
+
+// A trouble that does nothing makes a day that keeps the rules show nothing: each kind that has a meaning without sockets must
+// leave its mark in the record.
+func TestTroublesStrikeInVirtualTime(t *testing.T) {
+	for kind, struck := range map[string]func(l record.Line) bool{
+		"crash_after_read": func(l record.Line) bool { return l.What == record.Down && l.Word == "crashed after reading" },
+		"reset_running":    func(l record.Line) bool { return l.What == record.End && l.Stage != "read" && l.Word == "broke" },
+		"list_down":        func(l record.Line) bool { return l.What == record.Note && l.Word == "list_down ends" },
+		"list_gap":         func(l record.Line) bool { return l.What == record.Note && l.Word == "a push of the list is lost" },
+		"stop_dispatcher": func(l record.Line) bool {
+			return l.What == record.Note && l.Word == "stop_dispatcher is not played here"
+		},
+	} {
+		d := load(t, "quiet")
+		d.Troubles = []day.Trouble{
+			{Kind: kind, At: setup.Span(2 * time.Second), Length: setup.Span(3 * time.Second), Boxes: []string{"reader", "writer"}, Share: 0.3, Dispatchers: []int{0}},
+			{Kind: "drain", At: setup.Span(2500 * time.Millisecond), Length: setup.Span(time.Second), Boxes: []string{"writer-2"}},
+		}
+		n := 0
+		out, err := PlayLines(d, "module", func(l record.Line) {
+			if struck(l) {
+				n++
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n == 0 || !out.Kept() {
+			t.Errorf("%s struck %d times\n%s", kind, n, out.Text())
+		}
+	}
+}
