A body with something behind its JSON is refused

Seen: of a body with two questions the first was asked and the second dropped without a word. Ruled out: cut-off and oversized bodies, which are refused by name. At fault: internal/kserve/kserve.go:169-189. Measured: 200 before, 400 after, by the table of bodies in internal/stages.

--- a/internal/kserve/kserve.go
+++ b/internal/kserve/kserve.go
@@ -162,7 +162,11 @@
 }
 
 func decode(body io.Reader, into any) error {
-	err := json.NewDecoder(body).Decode(into)
+	dec := json.NewDecoder(body)
+	err := dec.Decode(into)
+	if err == nil && dec.More() {
+		return bad("", "something stands after the body's JSON, from byte %d", dec.InputOffset())
+	}
 	var large *http.MaxBytesError
 	var kind *json.UnmarshalTypeError
 	switch {
