A piece of a stream that is no token, or has lines in it, is not handed on

A piece that is no JSON was handed on and the question satisfied. Ruled out: the events' reader, which joins lines as the specification says. Change: a piece is compact JSON on one line, or the trip is broken.

--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -175,6 +176,11 @@
 			seen.Told = &kserve.Told{Outcome: kserve.OutcomeFailed}
 			return seen
 		case "":
+			// On one line, as the client gets it: what is no JSON is no token, and could pass for an event of this program.
+			var piece bytes.Buffer
+			if json.Compact(&piece, ev.Data) != nil {
+				return seen
+			}
 			if !begun {
 				begun = true
 				c.loop.Post(func() { c.loop.Began(f) })
@@ -184,7 +190,7 @@
 				return seen // more than was asked for: no answer of this question
 			}
 			select {
-			case f.tokens <- slices.Clone(ev.Data):
+			case f.tokens <- piece.Bytes():
 			case <-f.ctx.Done():
 				return seen
 			}
