--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sloetrestle/internal/addresses"
+	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/setup"
 )
 
@@ -196,8 +197,15 @@
 	mostDispatchers = 200
 	mostLength      = 30 * time.Minute
 	mostQuestions   = 500_000
+	mostSlots       = 1 << 20
+	mostSize        = 1000 // times, of a trouble
+	mostUnits       = 1e6
+	mostFigure      = 1e12
 )
 
+// above tells whether a figure is above nought and one that can be meant.
+func above(v float64) bool { return v > 0 && v <= mostFigure }
+
 func (d *Day) check() error {
 	h := d.Head
 	switch {
@@ -205,12 +213,18 @@
 		return setup.Wrong("day.length", "must be above 0 and at most %v", mostLength)
 	case h.Dispatchers < 1 || h.Dispatchers > mostDispatchers:
 		return setup.Wrong("day.dispatchers", "must be from 1 to %d", mostDispatchers)
-	case h.PerS <= 0 || h.PerS*h.Length.D().Seconds() > mostQuestions:
+	case !(h.PerS > 0 && h.PerS*h.Length.D().Seconds() <= mostQuestions):
 		return setup.Wrong("day.questions_a_second", "must be above 0 and come to at most %d questions", mostQuestions)
-	case d.Links.Near <= 0 || d.Links.Far <= 0:
-		return setup.Wrong("links", "must be above 0")
-	case d.Clients.PatienceMin <= 0 || d.Clients.PatienceMax < d.Clients.PatienceMin:
+	case !(above(d.Links.Near) && above(d.Links.Far) && d.Links.Zone >= 0 && d.Links.Zone <= mostFigure):
+		return setup.Wrong("links", "must be above 0 and at most %g", float64(mostFigure))
+	case d.List.Notice.D() > mostLength || d.List.Silent.D() > mostLength:
+		return setup.Wrong("list", "must be at most %v", mostLength)
+	case !(d.Clients.PatienceMin > 0 && d.Clients.PatienceMin <= d.Clients.PatienceMax):
 		return setup.Wrong("clients.patience_min", "must be above 0 and not beyond patience_max")
+	case d.Clients.PatienceMax > 100:
+		return setup.Wrong("clients.patience_max", "must be at most 100")
+	case !(d.Clients.Honour >= 0 && d.Clients.Honour <= 1):
+		return setup.Wrong("clients.honour", "must be from 0 to 1")
 	case d.Clients.Retries < 0 || d.Clients.Retries > 50:
 		return setup.Wrong("clients.retries", "must be from 0 to 50")
 	case len(d.Traffic) == 0:
@@ -234,10 +248,12 @@
 			return setup.Wrong(at+"count", "must be at least 1")
 		case len(b.Racks) == 0:
 			return setup.Wrong(at+"racks", "names no rack")
-		case b.Slots < 1 || b.Queue < 0:
-			return setup.Wrong(at+"slots", "slots must be at least 1, and queue not negative")
-		case b.ReadPerS <= 0:
-			return setup.Wrong(at+"read_tokens_a_second", "must be above 0")
+		case b.Slots < 1 || b.Queue < 0 || max(b.Slots, b.Queue) > mostSlots:
+			return setup.Wrong(at+"slots", "slots must be at least 1, queue not negative, and both at most %d", mostSlots)
+		case !above(b.ReadPerS):
+			return setup.Wrong(at+"read_tokens_a_second", "must be above 0 and at most %g", float64(mostFigure))
+		case !(b.Units >= 0 && b.Units <= mostUnits):
+			return setup.Wrong(at+"units", "must be from 0 to %g", float64(mostUnits))
 		case b.TokenTime <= 0:
 			return setup.Wrong(at+"token_time", "must be above 0")
 		}
@@ -261,12 +277,18 @@
 		switch {
 		case d.GradeNumber(t.Grade) < 0:
 			return setup.Wrong(at+"grade", "%q is not among the grades", t.Grade)
-		case t.Share < 0 || t.New <= 0 || t.Answer <= 0:
-			return setup.Wrong(at+"new_tokens", "new_tokens and answer_tokens must be above 0, and share not negative")
-		case t.Turns < 1:
-			return setup.Wrong(at+"turns", "must be at least 1")
-		case t.Shared > 0 && (t.Beginnings < 1 || t.Prefix < 1):
-			return setup.Wrong(at+"beginnings", "shared texts need beginnings and shared_tokens of at least 1")
+		case !(t.Share >= 0 && t.Share <= mostFigure):
+			return setup.Wrong(at+"share", "must not be negative")
+		case !(t.New > 0 && t.New <= kserve.MostTokens):
+			return setup.Wrong(at+"new_tokens", "must be above 0 and at most %d", kserve.MostTokens)
+		case !(t.Answer > 0 && t.Answer <= kserve.MostTokens):
+			return setup.Wrong(at+"answer_tokens", "must be above 0 and at most %d", kserve.MostTokens)
+		case !(t.Turns >= 1 && t.Turns <= 1000):
+			return setup.Wrong(at+"turns", "must be from 1 to 1000")
+		case !(t.Shared >= 0 && t.Shared <= 1):
+			return setup.Wrong(at+"shared", "must be from 0 to 1")
+		case t.Shared > 0 && (t.Beginnings < 1 || t.Prefix < 1), t.Beginnings > mostQuestions || t.Prefix > kserve.MostTokens:
+			return setup.Wrong(at+"beginnings", "shared texts need beginnings and shared_tokens of at least 1, and no more than can be asked")
 		}
 	}
 	names := d.names()
@@ -277,7 +299,7 @@
 			return setup.Wrong(at+"kind", "%q is unknown; see day kinds", t.Kind)
 		}
 		for _, need := range Kinds[k].Needs {
-			lacks := map[string]bool{"boxes": len(t.Boxes) == 0, "size": t.Size <= 0, "share": t.Share <= 0 || t.Share > 1, "grade": d.GradeNumber(t.Grade) < 0,
+			lacks := map[string]bool{"boxes": len(t.Boxes) == 0, "size": !(t.Size > 0 && t.Size <= mostSize), "share": !(t.Share > 0 && t.Share <= 1), "grade": d.GradeNumber(t.Grade) < 0,
 				"by": t.By <= 0, "dispatchers": len(t.Dispatchers) == 0, "tokens": t.Tokens <= 0,
 				"addresses": len(t.Addresses) == 0, "bytes": t.Bytes <= 0}
 			if lacks[need] {
