--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -201,5 +201,8 @@
 		}
 		lines = append(lines, l)
 	}
-	return head, lines, scan.Err()
+	if err := scan.Err(); err != nil {
+		return head, lines, fmt.Errorf("%s:%d: %w", filepath.Join(dir, linesFile), len(lines)+1, err)
+	}
+	return head, lines, nil
 }
