--- /dev/null
+++ b/internal/kserve/fuzz_test.go
@@ -0,0 +1,81 @@
+package kserve
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"strings"
+	"testing"
+)
+
+// What a client may say ends as a question within its bounds, or as a fault with a status that blames the client.
+func FuzzBodies(f *testing.F) {
+	for _, s := range []string{
+		`{"text_input":"x","parameters":{"max_tokens":8,"timeout":1000,"session":1.5,"again":true}}`,
+		`{"inputs":[{"name":"t","shape":[1],"datatype":"BYTES","data":["x"]}],"parameters":{"prompt_tokens":3}}`,
+		`{"text_input":"x","text_input":"y"}`, `{"parameters":{"prompt_tokens":1e7,"shared_tokens":1e7}}`, `{"parameters":null}`, `{"text_input":"x","parameters":{"session":1e308}}`,
+		`[[[[`, `{"inputs":[{"shape":[9223372036854775807,9223372036854775807]}]}`, `{"text_input":"\ud800"}`, "",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		for _, read := range []func() (Ask, error){
+			func() (Ask, error) { return ReadPrompt(bytes.NewReader(body)) },
+			func() (Ask, error) { return ReadInference(bytes.NewReader(body)) },
+		} {
+			a, err := read()
+			if err != nil {
+				if fault, ok := err.(*Fault); !ok || fault.Status < 400 || fault.Status > 499 {
+					t.Fatalf("%q: %v", body, err)
+				}
+				continue
+			}
+			if min(a.Tokens, a.Prefix, a.Most) < 0 || max(a.Tokens, a.Prefix, a.Most) > MostTokens || a.Left < 0 || max(len(a.ID), len(a.Session), len(a.Shared), len(a.Ticket)) > 512 {
+				t.Fatalf("%q: %+v", body, a)
+			}
+		}
+	})
+}
+
+// What a box may say: events are bounded, and what stands beside an outcome makes sense once it is bounded.
+func FuzzBoxWords(f *testing.F) {
+	for _, s := range []string{
+		"data: {\"text_output\":\"a\"}\n\nevent: end\ndata: {\"outcome\":\"answered\",\"kept_tokens\":-1,\"load\":[1e300,-1]}\n\n",
+		"event: end\ndata: {\"count\":{\"number\":18446744073709551615,\"trip\":-1,\"answer_tokens\":-5}}\n\n", "data: a\ndata: b\n\n", ":\n\n::\n", "event\n\ndata\n\n",
+		"{\"counts\":[{\"number\":2},{\"number\":1}],\"forgot\":18446744073709551615}", strings.Repeat("data: x\n", 50),
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		events := NewEvents(bytes.NewReader(raw))
+		for {
+			ev, err := events.Next()
+			if err != nil {
+				break
+			}
+			if len(ev.Data) > mostLine {
+				t.Fatalf("an event of %d bytes", len(ev.Data))
+			}
+			var told Told
+			if json.Unmarshal(ev.Data, &told) != nil {
+				continue
+			}
+			told.Bound(Errand{From: "d", Question: 1, Tokens: 100, Most: 50})
+			for _, v := range told.Load {
+				if math.IsNaN(v) || v < 0 || v > mostValue {
+					t.Fatalf("%q: load %v", raw, told.Load)
+				}
+			}
+			if told.Kept < 0 || told.Kept > 100 || told.Count != nil && (told.Count.Answer < 0 || told.Count.Answer > 50) {
+				t.Fatalf("%q: %+v", raw, told)
+			}
+		}
+		if c, err := ReadCounts(bytes.NewReader(raw)); err == nil {
+			for _, x := range c.Counts {
+				if min(x.Read, x.Kept, x.Answer, x.Trip) < 0 {
+					t.Fatalf("%q: %+v", raw, x)
+				}
+			}
+		}
+	})
+}
