--- a/brain/brain.go
+++ b/brain/brain.go
@@ -118,8 +118,7 @@
 		}
 		if h.Kept == nil || l.Restart && l.Booted != h.Booted {
 			h.Kept = map[uint64]Kept{}
-			lasts := time.Duration(max(d.facts.Num("siblings", 1)/20/float64(1+d.listeners), 1) * float64(evidence))
-			h.Records = slices.Repeat([]Record{{Good: Ring{Width: lasts}, Bad: Ring{Width: lasts}}}, 1+len(d.grades))
+			h.Records = slices.Repeat([]Record{{Good: Ring{Width: evidence}, Bad: Ring{Width: evidence}}}, 1+len(d.grades))
 		}
 		h.Standing, h.Units, h.Booted, h.Restart = l.Standing, max(l.Units, 0.01), l.Booted, l.Restart
 	}
