Module: kept texts are forgotten by age, at each refresh

Seen: the ageing table dropped what was old only while a host had over 4000 keys; a quieter host kept every key for good, a busier one was looked through whole at each trip. Ruled out: choices, which leave aged keys out. Change: once in each refresh; the figure of 4000, fitted to one size, is gone.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -91,6 +91,9 @@
 		d.average = d.unread.Sum(now) / n
 	}
 	d.begins.Forget(now)
+	for _, h := range d.hosts {
+		h.Forget(now - keptFor)
+	}
 	d.door.Wake(refresh, d.refresh)
 }
 
@@ -394,9 +397,6 @@
 	if q.Shared != 0 {
 		h.Kept[q.Shared] = Kept{q.Prefix, now, h.Taken}
 	}
-	if len(h.Kept) > 4000 {
-		h.Forget(now - keptFor)
-	}
 }
 
 // chance is the posterior of a host's success: the worse of what trips of any grade say and of the own, as
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -627,3 +627,28 @@
 		t.Errorf("%d hosts after one came back", len(d.hosts))
 	}
 }
+
+// What hosts are thought to have kept is forgotten by age, not when a count is passed: with more keys than that in use, all of
+// them were looked through at each trip, and none dropped.
+func TestRefreshForgetsKeptTextsByAge(t *testing.T) {
+	d, out := begin(t)
+	for i := range 5000 {
+		q := ask(d)
+		q.Session, q.Shared = uint64(1000+i), 0
+		d.remember(&Trip{Question: q, Host: d.hosts[2]}, 0)
+	}
+	out.now += keptFor + time.Second
+	q := ask(d)
+	d.remember(&Trip{Question: q, Host: d.hosts[2]}, 0)
+	d.refresh()
+	if n := len(d.hosts[2].Kept); n != 2 {
+		t.Errorf("%d texts are held, 2 are fresh", n)
+	}
+	few := d.hosts[3]
+	few.Kept[5] = Kept{10, out.now, 0}
+	out.now += keptFor + time.Second
+	d.refresh()
+	if len(few.Kept) != 0 {
+		t.Error("a text that is never used again is held for good")
+	}
+}
