--- a/brain/brain.go
+++ b/brain/brain.go
@@ -684,7 +684,7 @@
 	d.share(news)
 	one := t.Question.Memory
 	// Only time tells of a full host; errors and resets speak through the posterior alone.
-	late := took > span/3
+	late := took > span/3 || now-t.Question.Taken > span*7/10
 	if (late && fine || t.Outcome == TimedOut) && now-h.Cut > took {
 		h.Room, h.Cut = max(one, h.Room*0.8), now
 	} else if !late && fine && (len(d.held) > 0 || !hasRoom(h, t.Question)) {
