--- a/brain/brain.go
+++ b/brain/brain.go
@@ -494,7 +494,15 @@
 func (d *Dispatcher) route(q *Question) bool {
 	answering := d.able(q, (*Host).Answers)
 	roomy := Only(answering, func(h *Host) bool { return hasRoom(h, q) })
-	if len(roomy) == 0 {
+	free := -q.Memory // what is being read will need room to be answered
+	for _, h := range d.hosts {
+		if h.Role == Reads {
+			free -= h.Tokens
+		} else if !d.barred(q, h) {
+			free += max(h.Room-h.Tokens, 0)
+		}
+	}
+	if len(roomy) == 0 && len(answering) > 0 || free < 0 {
 		return false
 	}
 	if h := d.inPlace(q, roomy); h != nil {
