--- a/brain/brain.go
+++ b/brain/brain.go
@@ -175,12 +175,10 @@
 	return v
 }
 
-// hold puts a question among the held, densest first, then newest, which has most time left. One that can
-// hardly be answered in its time is given up on the spot: clients that soon leave and ask again would
-// fill readers with work that nobody waits for. Never all of them: their times tell when a jam is over.
+// hold puts a question among the held, densest first, then newest, which has most time left. One whose time is
+// over before the next look is given up on at once.
 func (d *Dispatcher) hold(q *Question) {
-	left, ahead := (q.Expiry - d.door.Now()).Seconds(), d.ahead.Or(0)
-	if left < 2*sweep.Seconds() || left < ahead && left*left < ahead*ahead*d.rng.Float() {
+	if d.door.Now()+2*sweep > q.Expiry {
 		d.giveUp(q)
 		return
 	}
