Module: the window stops at one; the pauses under that are gone

Under one the window became a pause before the next question. The emulated storms recover as before. One field, one condition and five lines less.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,7 +52,6 @@
 	unbegun            int           // how many are
 	jam                time.Duration // when a question that was let out after the last such time came late
 	least              float64       // to which what was out by then may narrow the window
-	paced              time.Duration // when the next may go out where the window is under one
 	listeners          int           // how many others hear of each trip, by what that costs
 	held               []*Question
 	served             Ring // questions let out of held
@@ -193,7 +192,7 @@
 // no host may take now, is given up on: it would hold up all behind it.
 func (d *Dispatcher) serve() {
 	now := d.door.Now()
-	for len(d.held) > 0 && float64(d.unbegun) < max(d.window, 1) && now >= d.paced {
+	for len(d.held) > 0 && float64(d.unbegun) < d.window {
 		q := d.held[0]
 		if d.route(q) {
 			d.served.Add(now, 1)
@@ -631,10 +630,7 @@
 	if x > calm {
 		d.window = max(d.window, d.least)
 	}
-	d.window = max(d.window, 0.05)
-	if d.window < 1 {
-		d.paced = now + time.Duration(float64(out)*(1/d.window-1))
-	}
+	d.window = max(d.window, 1)
 }
 
 // takable tells whether a host that answers may take the question now.
