Module: who is declined is told the promised span, not a bare second

The advice was one second, whatever was promised. The longest that clients heed still bounds it: told alone, it would send them away for as much as an hour.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -250,7 +250,7 @@
 	}
 	var after time.Duration
 	if d.facts.Yes("policyLimits.retryAfter") {
-		after = min(d.facts.Span("policyLimits.maxRetryAfterUs"), time.Second)
+		after = min(d.facts.Span("policyLimits.maxRetryAfterUs"), q.Promised-q.Taken)
 	}
 	d.door.Decline(q, after)
 }
