Code that nothing calls and facts that nothing reads are gone

Kept: internal/members (begun, an open issue's), client (a library), grade.token_time and channel.share, which files state.

--- a/brain/door.go
+++ b/brain/door.go
@@ -10,7 +10,6 @@
 	Release(q *Question)
 	Decline(q *Question, after time.Duration)
 	Forfeit(q *Question)
-	Move(q *Question)
 	Wake(after time.Duration, do func())
 	Watch(on bool)
 	Tell(peer int, n News)
--- a/brain/facts.go
+++ b/brain/facts.go
@@ -44,7 +44,7 @@
 // Sound names the first setting without which an instance can't start, or that makes no sense.
 func (f Facts) Sound() error {
 	if err := f.Lacks("rules.tipMultiple", "rules.tipAfterUs", "rules.coldFrom", "rules.rampTimeUs",
-		"familyInfo.pinLimitUs", "familyInfo.kindRole", "policyLimits.maxAttempts", "siblings"); err != nil {
+		"familyInfo.kindRole", "policyLimits.maxAttempts", "siblings"); err != nil {
 		return err
 	}
 	// The module divides by these, or counts up to them.
--- a/brain/help_test.go
+++ b/brain/help_test.go
@@ -26,7 +26,6 @@
 func (d *door) Release(q *Question)                  { d.released = append(d.released, q) }
 func (d *door) Decline(q *Question, _ time.Duration) { d.declined = append(d.declined, q) }
 func (d *door) Forfeit(q *Question)                  { d.lost = append(d.lost, q) }
-func (d *door) Move(*Question)                       {}
 func (d *door) Wake(_ time.Duration, do func())      { d.wakes = append(d.wakes, do) }
 func (d *door) Watch(bool)                           {}
 func (d *door) Tell(peer int, _ News)                { d.told = append(d.told, peer) }
@@ -36,7 +35,7 @@
 	return Facts{
 		"siblings":          1.0,
 		"rules.tipMultiple": 2.5, "rules.tipAfterUs": 2e6, "rules.coldFrom": 0.3, "rules.rampTimeUs": 10e6,
-		"familyInfo.pinLimitUs": 300e3, "familyInfo.kindRole": 3.0, "familyInfo.localRead": true,
+		"familyInfo.kindRole": 3.0, "familyInfo.localRead": true,
 		"familyInfo.kindRole.0": "read", "familyInfo.kindRole.1": "write", "familyInfo.kindRole.2": "both",
 		"policyLimits.maxAttempts": 4.0, "policyLimits.cancelling": true, "policyLimits.maxRetryAfterUs": 5e5,
 		"requestClasses": 1.0, "requestClasses.0.aimUs": 1e6, "requestClasses.0.effect": "repeatable", "valueBy": "work",
--- a/brain/types.go
+++ b/brain/types.go
@@ -237,7 +237,6 @@
 	Memory   float64 // tokens it is taken to need where it is answered
 	Grade    *Grade
 	Again    bool // the client says it asked before
-	Resumed  bool // it goes on with a stream that broke
 	Left     time.Duration
 	Taken    time.Duration
 	LetOut   time.Duration // when it last went out from among the held
--- a/cmd/benchlink/instance.go
+++ b/cmd/benchlink/instance.go
@@ -111,7 +111,7 @@
 	case wire.Incoming:
 		q := &brain.Question{
 			ID: e.U64(3), Session: e.U64(11), Shared: e.U64(24), Prompt: figure(e.F32(32)), Prefix: figure(e.F32(45)), Most: figure(e.F32(20)),
-			Again: e.U8(19)&2 != 0, Resumed: e.U8(19)&16 != 0, Left: micros(e.U32(41)),
+			Again: e.U8(19)&2 != 0, Left: micros(e.U32(41)),
 		}
 		in.questions[q.ID] = q
 		in.module.Arrive(q, int(e.U8(36)), int(e.U16(49)))
@@ -200,8 +200,6 @@
 	in.forget(q)
 }
 
-func (in *instance) Move(q *brain.Question) { in.reply.Transfer(in.who, q.ID) }
-
 func (in *instance) Wake(after time.Duration, do func()) {
 	in.lastWake++
 	in.wakes[in.lastWake] = do
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -391,7 +391,7 @@
 	k := a.Ask
 	a.Question = &brain.Question{
 		ID: l.lastID, Session: Number(k.Session), Shared: Number(k.Shared), Prompt: float64(k.Tokens), Prefix: float64(k.Prefix),
-		Most: float64(k.Most), Again: k.Again, Resumed: k.Resumed, Left: left,
+		Most: float64(k.Most), Again: k.Again, Left: left,
 	}
 	l.Tally.Taken++
 	a.channel = channel
@@ -611,8 +611,6 @@
 	l.answer(l.asked[q], kserve.Final{Final: kserve.Forfeited, Error: "given up on; it may have run"})
 }
 
-func (l *Loop) Move(q *brain.Question) {}
-
 func (l *Loop) Wake(after time.Duration, do func()) {
 	l.wakes.At(l.now+max(after, 0), do)
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -32,7 +32,6 @@
 	tokens, ends int
 	how          End
 	keptThen     int
-	firstAt      time.Duration
 }
 
 func job(stage Stage, session, shared uint64, prompt, prefix, answer int) *asked {
--- a/internal/kserve/kserve.go
+++ b/internal/kserve/kserve.go
@@ -118,7 +118,6 @@
 	Most    int // of the answer
 	Left    time.Duration
 	Again   bool
-	Resumed bool
 	Ticket  string // of an earlier decline: whoever comes when it was told to has a place
 }
 
@@ -201,7 +200,7 @@
 			return a, err
 		}
 	}
-	for name, to := range map[string]*bool{"again": &a.Again, "resumed": &a.Resumed} {
+	for name, to := range map[string]*bool{"again": &a.Again} {
 		if *to, err = p.yes(name); err != nil {
 			return a, err
 		}
--- a/internal/ledger/journal_test.go
+++ b/internal/ledger/journal_test.go
@@ -483,3 +483,19 @@
 	}
 	book.Close()
 }
+
+// Verify reads all of a folder's segments and tells how many records are whole and what is damaged.
+func Verify(disk Disk, key Key, each func(Record, Place) error) (records int, damage []Damage, err error) {
+	numbers, err := segments(disk)
+	if err != nil {
+		return 0, nil, err
+	}
+	_, _, damage, err = key.walk(numbers, func(n uint64) ([]byte, error) { return disk.Read(name(n)) }, nil, func(r Record, p Place) error {
+		records++
+		if each != nil {
+			return each(r, p)
+		}
+		return nil
+	})
+	return records, damage, err
+}
--- a/internal/setup/facts.go
+++ b/internal/setup/facts.go
@@ -23,14 +23,13 @@
 		"zone": float64(d.ZoneNumber(d.Place.Zone)), "discovery": "automatic", "overShareWorth": d.Limits.OverShare,
 		"prices.peer": d.Limits.NewsPrice, "prices.crossZone": d.Limits.ZonePrice,
 
-		"rules.answerSlackUs": us(d.Rules.Slack), "rules.drainGraceUs": us(d.Rules.DrainGrace),
 		"rules.tipMultiple": d.Rules.ColdMultiple, "rules.tipAfterUs": us(d.Rules.ColdWindow),
 		"rules.coldFrom": d.Rules.ColdShare, "rules.rampTimeUs": us(d.Rules.ColdRamp),
-		"familyInfo.pinLimitUs": us(d.Rules.Pin), "familyInfo.localRead": d.Limits.LocalRead,
+		"familyInfo.localRead": d.Limits.LocalRead,
 
-		"policyLimits.maxAttempts": float64(d.Limits.Trips), "policyLimits.dialTimeoutUs": us(d.Limits.Dial),
-		"policyLimits.maxOpen": float64(d.Limits.Open), "policyLimits.cancelling": d.Limits.Cancel,
-		"policyLimits.peers": d.Limits.Siblings, "policyLimits.retryAfter": d.Limits.RetryAfter > 0,
+		"policyLimits.maxAttempts": float64(d.Limits.Trips),
+		"policyLimits.cancelling":  d.Limits.Cancel,
+		"policyLimits.peers":       d.Limits.Siblings, "policyLimits.retryAfter": d.Limits.RetryAfter > 0,
 		"policyLimits.maxRetryAfterUs": us(d.Limits.RetryAfter),
 
 		"requestClasses": float64(len(d.Grades)), "tenants": float64(len(d.Channels)),
@@ -41,14 +40,12 @@
 	}
 	for i, g := range d.Grades {
 		at := fmt.Sprintf("requestClasses.%d.", i)
-		f[at+"name"], f[at+"effect"], f[at+"group"] = g.Name, effects[g.Effect], reaches[g.Reach]
-		f[at+"windowUs"], f[at+"aimUs"], f[at+"giveUpUs"] = us(g.Window), us(g.Promised), us(g.Expiry)
-		f[at+"worth"], f[at+"lateWorth"], f[at+"stream"] = g.Benefit, g.Late, true
+		f[at+"effect"], f[at+"group"] = effects[g.Effect], reaches[g.Reach]
+		f[at+"windowUs"], f[at+"aimUs"] = us(g.Window), us(g.Promised)
+		f[at+"worth"], f[at+"lateWorth"] = g.Benefit, g.Late
 		f[fmt.Sprintf("familyInfo.aimUsPer1000PromptTokens.%d", i)] = us(g.PerK)
-		f[fmt.Sprintf("familyInfo.tokenAimUs.%d", i)] = us(g.TokenTime)
 	}
 	for i, c := range d.Channels {
-		f[fmt.Sprintf("tenants.%d.name", i)], f[fmt.Sprintf("tenants.%d.fraction", i)] = c.Name, c.Share
 		f[fmt.Sprintf("tenants.%d.quotaPerS", i)] = c.PerS
 	}
 	for i, k := range d.Kinds {
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -87,7 +87,7 @@
 	if g.Effect != brain.Unrepeatable || g.Promise != time.Second || g.Benefit != 5 || grades[0].PromisePK != 60*time.Millisecond {
 		t.Errorf("%+v", g)
 	}
-	if f.Span("familyInfo.pinLimitUs") != 300*time.Millisecond || f.Num("zone", -1) != 1 || f.Num("slotNo", -1) != 1 || f.RoleOf(0) != brain.Reads ||
+	if f.Num("zone", -1) != 1 || f.Num("slotNo", -1) != 1 || f.RoleOf(0) != brain.Reads ||
 		f.MemoryOf(0) != 200000 || f.Channels()[0].Quota != 12.5 || !f.Yes("familyInfo.localRead") {
 		t.Errorf("%v", f)
 	}
--- a/internal/standin/box.go
+++ b/internal/standin/box.go
@@ -66,7 +66,6 @@
 	cold     bool
 	up       bool
 	fell     bool
-	drains   bool
 	engine   *engine.Engine
 	wake     chan struct{}     // the engine may have something to do
 	tries    map[string]string // of the states that wait, by key
@@ -110,7 +109,7 @@
 	var life context.Context
 	life, b.stop = context.WithCancel(context.Background())
 	b.life = life
-	b.Start, b.started, b.cold, b.up, b.fell, b.drains = b.fleet.start(), b.fleet.Book.Since(), cold, true, false, false
+	b.Start, b.started, b.cold, b.up, b.fell = b.fleet.start(), b.fleet.Book.Since(), cold, true, false
 	b.letGo, b.tries, b.unkept, b.sent = map[string]releasedUpTo{}, map[string]string{}, map[string]bool{}, nil
 	b.engine, b.wake = engine.New(b.Engine, b.started, cold), make(chan struct{}, 1)
 	b.apply()
@@ -214,13 +213,6 @@
 	}
 }
 
-// Drain makes it refuse what is new, as the list will tell.
-func (b *Box) Drain(on bool) {
-	b.mu.Lock()
-	b.drains = on
-	b.mu.Unlock()
-}
-
 // Forget drops the kept texts.
 func (b *Box) Forget() {
 	b.mu.Lock()
@@ -415,7 +407,7 @@
 	defer func() { costs(word); put(record.End, word) }()
 
 	b.mu.Lock()
-	start, faults, drains, life := b.Start, b.faults, b.drains, b.life
+	start, faults, life := b.Start, b.faults, b.life
 	fails := b.rng.Float64() < faults.Fail && (faults.FailGrade == "" || faults.FailGrade == e.Grade)
 	resets, resetsNow := b.rng.Float64() < faults.Reset, b.rng.Float64() < faults.ResetAtOnce
 	crashes := b.rng.Float64() < faults.CrashAfterRead
@@ -440,9 +432,6 @@
 	}
 	ctx := r.Context()
 	switch {
-	case drains:
-		answer(http.StatusServiceUnavailable, kserve.Told{Outcome: kserve.OutcomeFull, Error: "draining"})
-		return
 	case faults.Hang:
 		<-ctx.Done()
 		return
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -263,7 +263,7 @@
 	before := g.share
 	now = stream(g, now, 5*time.Second, 50, 0.3, 0.4)
 	lost := g.share
-	now = stream(g, now, 60*time.Second, 50, 0.3, 0)
+	stream(g, now, 60*time.Second, 50, 0.3, 0)
 	if before < 0.5 || lost != leastShare || g.share < 0.9 {
 		t.Errorf("of the room for returns %.2f is booked at 2%% lost, %.2f at 40%%, %.2f a minute after", before, lost, g.share)
 	}
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -80,8 +80,6 @@
 
 func (r *Reply) Refresh(who uint16) { r.action(120, who) }
 
-func (r *Reply) Transfer(who uint16, corr uint64) { r.question(130, who, corr) }
-
 func (r *Reply) HoldPlace(who uint16, corr uint64, host uint32) {
 	binary.BigEndian.PutUint32(r.question(140, who, corr)[11:], host)
 }
