--- a/internal/stages/site_test.go
+++ b/internal/stages/site_test.go
@@ -226,12 +226,6 @@
 	kserve.WriteJSON(c.w, http.StatusOK, map[string]int{"released": len(list)})
 }
 
-// swallow reads until the far side closes.
-func swallow(conn net.Conn) {
-	io.Copy(io.Discard, conn)
-	conn.Close()
-}
-
 // open starts a dispatcher with a reader and two writers; change may alter settings first.
 func open(t *testing.T, change func(*site)) *site {
 	t.Helper()
