A repeat is decided only while it can still leave within its window

Seen: the module decides a further trip up to 10 ms before a deduplicated question's window ends; the trip's connection may then take limits.dial until a byte is out. At fault: internal/setup/facts.go:44, the window as stated. Change: the module is handed the window less limits.dial, which bounds all tries of a send; a window must be longer than that.

--- a/internal/setup/facts.go
+++ b/internal/setup/facts.go
@@ -41,7 +41,8 @@
 	for i, g := range d.Grades {
 		at := fmt.Sprintf("requestClasses.%d.", i)
 		f[at+"effect"], f[at+"group"] = effects[g.Effect], reaches[g.Reach]
-		f[at+"windowUs"], f[at+"aimUs"] = us(g.Window), us(g.Promised)
+		// What is decided within a window may take a connection's time until it is out.
+		f[at+"windowUs"], f[at+"aimUs"] = us(max(g.Window-d.Limits.Dial, 0)), us(g.Promised)
 		f[at+"worth"], f[at+"lateWorth"] = g.Benefit, g.Late
 		f[fmt.Sprintf("familyInfo.aimUsPer1000PromptTokens.%d", i)] = us(g.PerK)
 	}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -455,12 +455,12 @@
 		case t.GradeNumber(g.Name) < i:
 			return Wrong(at+"name", "%s is stated already", g.Name)
 		}
-		window := Span(time.Millisecond)
+		window := t.Limits.Dial + Span(time.Millisecond)
 		if g.Effect == "deduplicated" {
 			window = g.Window
 		}
 		if err := firstOf(
-			span(at+"window", window, time.Millisecond, day), span(at+"promised", g.Promised, time.Millisecond, day),
+			span(at+"window", window, t.Limits.Dial.D()+time.Millisecond, day), span(at+"promised", g.Promised, time.Millisecond, day),
 			span(at+"promised_per_1000", g.PerK, 0, time.Minute), span(at+"expiry", g.Expiry, time.Millisecond, day),
 			span(at+"token_time", g.TokenTime, 0, time.Hour), figure(at+"benefit", g.Benefit, mostFigure), figure(at+"late_benefit", g.Late, 1),
 		); err != nil {
--- /dev/null
+++ b/internal/stages/window_test.go
@@ -0,0 +1,52 @@
+package stages
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/record"
+	"sloetrestle/internal/setup"
+)
+
+// Boxes know a repeat for a stated time. A trip that is decided within it must be out within it too, however long its connection
+// takes: else a deduplicated question runs twice (rule 2).
+func TestARepeatLeavesWithinItsWindow(t *testing.T) {
+	const window = 500 * time.Millisecond
+	s := open(t, func(s *site) {
+		s.d.Grades[1].Window = setup.Span(window)
+		s.d.Grades[1].Expiry, s.d.Grades[1].Promised = setup.Span(2*time.Second), setup.Span(time.Second)
+		s.each("writer", func(b *box) {
+			b.script = func(c *call) {
+				c.strike()
+				c.take()
+				c.run()
+				time.Sleep(400 * time.Millisecond)
+				c.end("broke")
+				c.reset("")
+			}
+			b.proof = func(c *call) {
+				if b.trips.Load() == 0 && s.struck.Load() > 0 { // the other writer's, slow but in time
+					time.Sleep(200 * time.Millisecond)
+				}
+				kserve.WriteJSON(c.w, 200, map[string]string{"name": b.name})
+			}
+		})
+	})
+	w := wish("q", "deduplicated")
+	w.Expiry, w.Promised = 2*time.Second, time.Second
+	s.clients.Ask(context.Background(), w)
+	first := map[string]int64{}
+	for _, l := range s.book.Lines() {
+		if l.What != record.Trip || l.Grade != "deduplicated" || l.Stage == kserve.StageRead {
+			continue
+		}
+		if at, ok := first[l.Key]; !ok {
+			first[l.Key] = l.At
+		} else if after := time.Duration(l.At-at) * time.Microsecond; after > window {
+			t.Errorf("trip %d reached %s %v after the first that may have run, its window is %v", l.Trip, l.Box, after, window)
+		}
+	}
+	s.rules()
+}
