A keeper knows 65,536 holders of a budget at most

Seen: each datagram with a new holder's name was remembered until the month's end. Ruled out: its bytes, at most 2,048. At fault: internal/budget/budget.go:135-140. Measured: 65,636 of 65,636 held before, 65,536 after; those that are known go on.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -30,6 +30,7 @@
 	Emergency = 0.05
 
 	demandWidth = time.Second // buckets of a purse's demand, of ten
+	mostHolders = 1 << 16     // starts of dispatchers in one month that a keeper knows
 )
 
 // Terms are what a channel, or a grade of it, has paid for. Negative: no limit of that sort.
@@ -137,6 +138,9 @@
 		return
 	}
 	h := k.by[a.Holder]
+	if h == nil && len(k.by) >= mostHolders {
+		return // as if it had not been heard: that holder has its emergency part
+	}
 	if h == nil {
 		// New here, or this keeper has restarted: what it was lent is in the sum that was made durable.
 		h = &holder{lent: a.Lent, returned: a.Returned}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -340,3 +340,20 @@
 		}
 	}
 }
+
+// Anybody who reaches the port can say to be a holder: a keeper's memory has a bound, and the holders that it knows go on.
+func TestAKeeperKnowsSoManyHolders(t *testing.T) {
+	k := NewKeeper(Terms{Name: "b", PerS: -1, Monthly: 1e9}, 0, Month{Number: 1, Left: time.Hour}, 0, 0, 0, func(_ string, _ int64, _ float64, done func()) {
+		if done != nil {
+			done()
+		}
+	})
+	answers := 0
+	for i := range mostHolders + 100 {
+		k.Asked(0, Month{Number: 1, Left: time.Hour}, Ask{Name: "b", Holder: fmt.Sprint(i), Month: 1}, func(Lend) { answers++ })
+	}
+	k.Asked(0, Month{Number: 1, Left: time.Hour}, Ask{Name: "b", Holder: "0", Month: 1, Want: 5}, func(l Lend) { answers += int(l.Lent) })
+	if len(k.by) != mostHolders || answers != mostHolders+5 {
+		t.Errorf("%d holders, %d answers", len(k.by), answers)
+	}
+}
