A grant to a budget has a bound

Seen: a grant of 1e300 tokens made the budget endless; twice that is no number, after which nothing of it could be shown or kept. Ruled out: terms, which are checked. At fault: internal/dispatch/accounts.go:304-309. Measured: taken before, refused by name after.

--- a/internal/dispatch/accounts.go
+++ b/internal/dispatch/accounts.go
@@ -233,6 +233,9 @@
 	Purses []budget.ShowPurse `json:"purses"`
 }
 
+// mostGrant bounds one grant.
+const mostGrant = 1e15
+
 // BudgetChange is what operators ask of a budget's keeper.
 type BudgetChange struct {
 	Name  string        `json:"name"`
@@ -305,9 +308,9 @@
 			return
 		}
 		k.Set(l.now, t, func() { done(nil) })
-	case c.Grant > 0:
+	case c.Grant > 0 && c.Grant <= mostGrant:
 		k.Grant(l.books.Month(l.now), c.Grant, func() { done(nil) })
 	default:
-		bad("grant", "must be above 0")
+		bad("grant", fmt.Sprintf("must be above 0, and at most %g tokens", float64(mostGrant)))
 	}
 }
