The account forgets boxes that are gone and accounted for

Seen: every box that ever had a trip stayed in the account, and was looked at every 50 ms. Ruled out: boxes with counts missing, which stay until they are found or given up on.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -270,11 +270,29 @@
 			out = append(out, Inquiry{p.box, p.epoch, p.durable.UpTo})
 		}
 	}
+	t.forget(now)
 	t.close()
 	slices.SortFunc(out, func(a, b Inquiry) int { return cmp.Or(cmp.Compare(a.Box, b.Box), cmp.Compare(a.Epoch, b.Epoch)) })
 	return out
 }
 
+// forget drops boxes that nobody can ask any more and of which nothing is missing.
+func (t *Tracker) forget(now time.Duration) {
+	t.order = slices.DeleteFunc(t.order, func(p *at) bool {
+		gone, listed := t.boxes[p.box]
+		if !listed || gone == 0 || now-gone <= lost || p.epoch != t.Epoch || len(p.missing) > 0 || p.asked || p.durable.UpTo < p.known.UpTo || len(p.known.Beyond) > 0 {
+			return false
+		}
+		delete(t.places, p.box+"\x00"+p.epoch)
+		return true
+	})
+	for box, gone := range t.boxes {
+		if gone > 0 && now-gone > lost && !slices.ContainsFunc(t.order, func(p *at) bool { return p.box == box }) {
+			delete(t.boxes, box)
+		}
+	}
+}
+
 // wants tells whether there is something to learn from a box, or to tell it.
 func (t *Tracker) wants(p *at, now time.Duration) bool {
 	if p.epoch != t.Epoch {
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -279,3 +279,28 @@
 		}
 	}
 }
+
+// Boxes come and go under new names for as long as a dispatcher runs: one that left the list a minute ago, and whose counts are
+// all on the disk, is not looked at for ever.
+func TestABoxThatIsGoneAndAccountedForIsForgotten(t *testing.T) {
+	d := newDesk("e", nil)
+	for i := range 50 {
+		name := fmt.Sprint("pod-", i)
+		what := of(i)
+		what.Box = name
+		d.Listed(name, false)
+		d.Sent(what)
+		d.Ended(what, &ledger.Trip{Box: name, Key: what.Key, Number: 1}, false)
+		d.Listed(name, true)
+	}
+	d.commit()
+	d.now += 2 * lost
+	d.Ask()
+	d.Ask()
+	if len(d.order) > 1 || len(d.places) > 1 || len(d.boxes) > 1 {
+		t.Errorf("%d places and %d boxes are held", len(d.order), len(d.boxes))
+	}
+	if !d.Whole() {
+		t.Error("the account is not whole")
+	}
+}
