A stop waits for the trips that it called off, whose states are then let go of

Ruled out: stops in which every question ends in time. At fault: internal/dispatch/serve.go:181 and :201-211. Change: settling waits until the loop holds no question, then for the releases.

--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -177,7 +177,7 @@
 	cancel()
 	web.Close()
 	operators.Close()
-	trips.settle(time.Second)
+	trips.settle(life, time.Second)
 	loop.settleAccount(life, accountTime)
 	end()
 	flights.Wait()
@@ -199,13 +199,16 @@
 	return s.open.Load() == 0
 }
 
-// settle waits until the boxes were told of all releases, or for so long.
-func (c *Trips) settle(most time.Duration) {
+// settle waits until every trip has ended and the boxes were told of all releases, or for so long. A trip that was called off
+// ends a little later, and its end may ask for a release.
+func (c *Trips) settle(ctx context.Context, most time.Duration) {
 	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		out := 0
+		c.loop.Call(ctx, func() { out = len(c.loop.asked) })
 		c.mu.Lock()
 		left := len(c.releases)
 		c.mu.Unlock()
-		if left == 0 {
+		if out+left == 0 {
 			return
 		}
 	}
