--- /dev/null
+++ b/brain/ends_test.go
@@ -0,0 +1,217 @@
+package brain
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// played is a dispatcher in a world of chance: trips begin, end in any way or late, clients leave, hosts come, drain and go, and
+// siblings tell of failures. It keeps, from outside, what the rules are about.
+type played struct {
+	*door
+	t      *testing.T
+	d      *Dispatcher
+	rng    *rand.Rand
+	due    []due
+	final  map[*Question]int
+	out    map[*Question]*Trip
+	state  map[*Question]*Host // held for it, as its host knows
+	drains map[*Host]bool
+	may    map[*Question]bool // it may have run
+}
+
+type due struct {
+	at time.Duration
+	do func()
+}
+
+func (p *played) Wake(after time.Duration, do func()) { p.due = append(p.due, due{p.now + after, do}) }
+func (p *played) Tell(int, News)                      {}
+
+func (p *played) Send(t *Trip, wait time.Duration) {
+	q := t.Question
+	g := q.Grade.Effect
+	switch {
+	case p.final[q] > 0:
+		p.t.Errorf("a trip after the final answer")
+	case p.out[q] != nil:
+		p.t.Errorf("two trips out")
+	case p.drains[t.Host]:
+		p.t.Errorf("a trip to a host that is not ready")
+	case t.Stage != ToRead && p.may[q] && g == Unrepeatable:
+		p.t.Errorf("an unrepeatable question that may have run goes out again")
+	case p.now >= q.Expiry || wait > q.Expiry-p.now:
+		p.t.Errorf("a trip past the client's time")
+	case t.Stage == ToWrite && p.state[q] == nil:
+		p.t.Errorf("a write without a state")
+	}
+	p.out[q] = t
+}
+
+func (p *played) Release(q *Question) { delete(p.state, q) }
+
+func (p *played) end(q *Question, word string) {
+	if p.final[q]++; p.final[q] > 1 {
+		p.t.Errorf("two final answers, the last %s", word)
+	}
+	if p.out[q] != nil {
+		p.t.Errorf("%s while a trip is out", word)
+	}
+	if p.now > q.Expiry {
+		p.t.Errorf("%s %v after the client's time", word, p.now-q.Expiry)
+	}
+}
+
+func (p *played) Decline(q *Question, _ time.Duration) {
+	p.end(q, "declined")
+	if p.may[q] && q.Grade.Effect == Unrepeatable {
+		p.t.Errorf("a decline of what may have run")
+	}
+}
+func (p *played) Forfeit(q *Question) { p.end(q, "forfeited") }
+
+// finish ends the trip that is out for a question.
+func (p *played) finish(t *Trip, o Outcome) {
+	q := t.Question
+	delete(p.out, q)
+	if t.Stage != ToRead && !o.NeverRan() {
+		p.may[q] = true
+	}
+	note := 0
+	switch {
+	case o == Read:
+		p.state[q] = t.Host
+		note = int(q.Prompt / 2)
+	case t.Stage == ToWrite && (t.Began > 0 || o == Answered):
+		delete(p.state, q)
+	case o == Full && t.Stage == ToWrite && p.rng.IntN(2) == 0:
+		delete(p.state, q) // the reader had none
+		note = 1
+	}
+	over := o == Answered || t.Began > 0
+	if over && p.final[q] == 0 {
+		p.final[q]++
+	}
+	p.d.Ended(t, Result{Outcome: o, Took: p.now - t.Sent, Over: over || p.final[q] > 0, Note: note, Load: []float64{p.rng.Float64(), float64(p.rng.IntN(20))}})
+	if p.out[q] == nil && p.state[q] != nil {
+		p.t.Errorf("a state is held with no trip out, after %d", o)
+	}
+}
+
+// Whatever happens in whatever order, the gate holds, and in the end nothing is left: no question, no place in a count, no state.
+func TestNothingIsLeftBehindWhateverHappens(t *testing.T) {
+	for seed := range uint64(150) {
+		p := &played{door: &door{now: time.Second}, t: t, rng: rand.New(rand.NewPCG(seed, 3)), final: map[*Question]int{}, out: map[*Question]*Trip{},
+			state: map[*Question]*Host{}, drains: map[*Host]bool{}, may: map[*Question]bool{}}
+		f := facts()
+		f["requestClasses"], f["siblings"], f["policyLimits.retryAfter"], f["report.fields.0"], f["report.fields.1"] = 3.0, 1.0, true, "util", "queue"
+		for i, effect := range []string{"repeatable", "by_key", "once"} {
+			at := fmt.Sprintf("requestClasses.%d.", i)
+			f[at+"aimUs"], f[at+"effect"], f[at+"windowUs"], f[at+"worth"] = 5e5, effect, 1e6, float64(i+1)
+		}
+		d, err := New(f, seed, p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.d = d
+		var hosts []*Host
+		for i := range 9 {
+			hosts = append(hosts, &Host{ID: uint32(i + 1), Kind: i / 3, Rack: i % 2})
+		}
+		list := func(h *Host, s Standing) {
+			p.drains[h] = s != Ready
+			d.Listed([]Listing{{Host: h, Standing: s, Units: 1, Booted: p.now, Restart: s == Ready && p.rng.IntN(3) == 0}}, false)
+		}
+		for _, h := range hosts {
+			list(h, Ready)
+		}
+		var asked []*Question
+		for step := range 1500 {
+			p.now += time.Duration(p.rng.IntN(4)) * time.Millisecond
+			for i := 0; i < len(p.due); {
+				if w := p.due[i]; w.at <= p.now {
+					p.due = slices.Delete(p.due, i, i+1)
+					w.do()
+					i = 0
+				} else {
+					i++
+				}
+			}
+			if step < 1000 && p.rng.IntN(3) == 0 {
+				q := &Question{ID: uint64(len(asked) + 1), Session: uint64(p.rng.IntN(30)), Shared: uint64(p.rng.IntN(5)), Prompt: float64(p.rng.IntN(4000)),
+					Most: float64(p.rng.IntN(200)), Again: p.rng.IntN(5) == 0, Left: time.Duration(100+p.rng.IntN(1500)) * time.Millisecond}
+				asked = append(asked, q)
+				d.Arrive(q, p.rng.IntN(3), 0)
+			}
+			if p.rng.IntN(40) == 0 {
+				list(hosts[p.rng.IntN(len(hosts))], Standing(p.rng.IntN(3)))
+			}
+			if p.rng.IntN(40) == 0 {
+				d.Heard(News{Host: hosts[p.rng.IntN(len(hosts))], Grade: p.rng.IntN(3), Verdict: Verdict(p.rng.IntN(5))})
+			}
+			for _, q := range asked {
+				trip := p.out[q]
+				switch {
+				case trip == nil:
+				case trip.Began > 0 && p.rng.IntN(30) == 0:
+					p.finish(trip, []Outcome{Answered, Answered, Answered, Broken}[p.rng.IntN(4)])
+				case trip.Began > 0:
+				case p.now >= q.Expiry-time.Millisecond*5 && q.Expiry > p.now:
+					p.finish(trip, TimedOut)
+				case p.rng.IntN(25) > 0:
+				case trip.Stage == ToRead:
+					p.finish(trip, []Outcome{Read, Read, Read, Read, Failed, Full, TimedOut, Unreached, Broken}[p.rng.IntN(9)])
+				case p.rng.IntN(3) > 0:
+					d.Began(trip, p.now-trip.Sent)
+					if trip.Stage == ToWrite {
+						delete(p.state, q)
+					}
+				default:
+					p.finish(trip, []Outcome{Failed, Full, TimedOut, Unreached, Broken}[p.rng.IntN(5)])
+				}
+				if p.final[q] == 0 && p.rng.IntN(400) == 0 {
+					p.final[q]++ // its client leaves
+					d.Left(q)
+				}
+			}
+		}
+		for range 3000 {
+			p.now += 2 * time.Millisecond
+			for i := 0; i < len(p.due); {
+				if w := p.due[i]; w.at <= p.now {
+					p.due = slices.Delete(p.due, i, i+1)
+					w.do()
+					i = 0
+				} else {
+					i++
+				}
+			}
+			for _, q := range asked {
+				if trip := p.out[q]; trip != nil && p.now < q.Expiry {
+					p.finish(trip, Broken)
+				} else if trip != nil {
+					p.finish(trip, Cancelled)
+				}
+			}
+		}
+		for _, q := range asked {
+			if p.final[q] != 1 || p.state[q] != nil {
+				t.Errorf("seed %d, question %d: %d final answers, state %v", seed, q.ID, p.final[q], p.state[q] != nil)
+			}
+		}
+		if d.unbegun != 0 || len(d.held) != 0 || d.streams != 0 {
+			t.Errorf("seed %d: %d without a first token, %d held, %g streams", seed, d.unbegun, len(d.held), d.streams)
+		}
+		for _, h := range hosts {
+			if h.Streams != 0 || h.Tokens > 1e-6 || h.Unread > 1e-6 || h.Tokens < -1e-6 {
+				t.Errorf("seed %d, host %d: %d streams, %g tokens, %g unread", seed, h.ID, h.Streams, h.Tokens, h.Unread)
+			}
+		}
+		if t.Failed() {
+			return
+		}
+	}
+}
