--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -622,3 +622,15 @@
 		t.Error("a text that is never used again is held for good")
 	}
 }
+
+// A question whose client has gone must not stand in front of others, and none is answered twice.
+func TestWhatIsOverIsNeitherHeldNorAnsweredAgain(t *testing.T) {
+	d, out := begin(t)
+	q := ask(d)
+	d.hold(q)
+	d.Left(q)
+	d.giveUp(q)
+	if len(d.held) != 0 || len(out.declined)+len(out.lost) != 0 {
+		t.Errorf("%d held, %d answers to a client that has gone", len(d.held), len(out.declined)+len(out.lost))
+	}
+}
