Every trip of a question carries a mark, also where its client gave no id

Ruled out: questions with an id. Change: without an id the mark is the question's key, alike for all its trips and no other's.

--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -99,7 +100,7 @@
 	q, a := f.Trip.Question, f.Asked
 	e := kserve.Errand{
 		Stage: f.Stage(),
-		From:  c.loop.Epoch, Question: q.ID, Trip: f.Trip.Number, Mark: a.Ask.ID, Grade: a.Grade, Channel: a.Channel,
+		From:  c.loop.Epoch, Question: q.ID, Trip: f.Trip.Number, Mark: cmp.Or(a.Ask.ID, f.Key), Grade: a.Grade, Channel: a.Channel,
 		Session: q.Session, Shared: q.Shared, Tokens: int(q.Prompt), Prefix: int(q.Prefix), Most: int(q.Most),
 		WaitUs: f.Wait.Microseconds(),
 	}
