--- a/brain/brain.go
+++ b/brain/brain.go
@@ -120,7 +120,8 @@
 		}
 		if h.Kept == nil || l.Restart && l.Booted != h.Booted {
 			h.Kept = map[uint64]Kept{}
-			h.Records = slices.Repeat([]Record{{Good: Ring{Width: evidence}, Bad: Ring{Width: evidence}}}, 1+len(d.grades))
+			fresh := Record{Good: Ring{Width: evidence}, Bad: Ring{Width: evidence}}
+			h.Records = slices.Repeat([]Record{fresh}, 1+len(d.grades))
 		}
 		h.Standing, h.Units, h.Booted, h.Restart = l.Standing, max(l.Units, 0.01), l.Booted, l.Restart
 	}
@@ -174,8 +175,8 @@
 	return v
 }
 
-// hold puts a question among the held, densest first, then newest, which has most time left. One whose time is
-// over before the next look is given up on at once.
+// hold puts a question among the held, densest first, then newest, which has most time left. One whose time
+// is over before the next look is given up on at once.
 func (d *Dispatcher) hold(q *Question) {
 	if d.door.Now()+2*sweep > q.Expiry {
 		d.giveUp(q)
@@ -188,8 +189,8 @@
 	d.held = slices.Insert(d.held, i, q)
 }
 
-// serve lets out held questions, the first first, while there is room for them. One that has been out, and that
-// no host may take now, is given up on: it would hold up all behind it.
+// serve lets out held questions, the first first, while there is room for them. One that has been out, and
+// that no host may take now, is given up on: it would hold up all behind it.
 func (d *Dispatcher) serve() {
 	now := d.door.Now()
 	for len(d.held) > 0 && float64(d.unbegun) < d.window {
