--- a/brain/ends_test.go
+++ b/brain/ends_test.go
@@ -51,6 +51,19 @@
 	p.out[q] = t
 }
 
+// wakeUp runs the timers that are due.
+func (p *played) wakeUp() {
+	for i := 0; i < len(p.due); {
+		if w := p.due[i]; w.at <= p.now {
+			p.due = slices.Delete(p.due, i, i+1)
+			w.do()
+			i = 0
+		} else {
+			i++
+		}
+	}
+}
+
 func (p *played) Release(q *Question) { delete(p.state, q) }
 
 func (p *played) end(q *Question, word string) {
@@ -131,15 +144,7 @@
 		var asked []*Question
 		for step := range 1500 {
 			p.now += time.Duration(p.rng.IntN(4)) * time.Millisecond
-			for i := 0; i < len(p.due); {
-				if w := p.due[i]; w.at <= p.now {
-					p.due = slices.Delete(p.due, i, i+1)
-					w.do()
-					i = 0
-				} else {
-					i++
-				}
-			}
+			p.wakeUp()
 			if step < 1000 && p.rng.IntN(3) == 0 {
 				q := &Question{ID: uint64(len(asked) + 1), Session: uint64(p.rng.IntN(30)), Shared: uint64(p.rng.IntN(5)), Prompt: float64(p.rng.IntN(4000)),
 					Most: float64(p.rng.IntN(200)), Again: p.rng.IntN(5) == 0, Left: time.Duration(100+p.rng.IntN(1500)) * time.Millisecond}
@@ -180,15 +185,7 @@
 		}
 		for range 3000 {
 			p.now += 2 * time.Millisecond
-			for i := 0; i < len(p.due); {
-				if w := p.due[i]; w.at <= p.now {
-					p.due = slices.Delete(p.due, i, i+1)
-					w.do()
-					i = 0
-				} else {
-					i++
-				}
-			}
+			p.wakeUp()
 			for _, q := range asked {
 				if trip := p.out[q]; trip != nil && p.now < q.Expiry {
 					p.finish(trip, Broken)
--- a/internal/stages/bytes_test.go
+++ b/internal/stages/bytes_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"sloetrestle/internal/kserve"
@@ -116,19 +117,25 @@
 func asked(kind string, script func(c *call)) run {
 	return func(s *site) func() {
 		s.each(kind, func(b *box) {
-			b.script = func(c *call) {
-				if c.n > 4 { // then it is well, so that a second trip may go well
-					c.well()
-					return
-				}
-				c.strike()
-				script(c)
-			}
+			b.script = first(4, script, (*call).well) // then a second trip may go well
 		})
 		return func() { s.ask(2, nil) }
 	}
 }
 
+// first has a fault at the first calls, and what is well after them.
+func first(n int64, fault, well func(c *call)) func(c *call) {
+	var calls atomic.Int64
+	return func(c *call) {
+		if calls.Add(1) > n {
+			well(c)
+			return
+		}
+		c.strike()
+		fault(c)
+	}
+}
+
 // A run sets a site up and returns what is to be done on it.
 type run func(s *site) func()
 
@@ -164,19 +171,7 @@
 		// A trip that connects is out, by the rule's words; the far ends don't see it, and each writer may take limits.dial.
 		s.d.Rules.Pin = setup.Span(1500 * time.Millisecond)
 		for _, b := range s.boxes {
-			n := 0
-			b.proof = func(c *call) {
-				s.mu.Lock()
-				n++
-				first := n <= 3
-				s.mu.Unlock()
-				if !first {
-					kserve.WriteJSON(c.w, http.StatusOK, map[string]string{"name": b.name})
-					return
-				}
-				c.strike()
-				script(c)
-			}
+			b.proof = first(3, script, func(c *call) { kserve.WriteJSON(c.w, http.StatusOK, map[string]string{"name": b.name}) })
 		}
 		return func() { s.ask(2, nil) }
 	}
@@ -203,19 +198,7 @@
 		s.d.Rules.Pin = setup.Span(1500 * time.Millisecond)
 		s.each("writer", func(b *box) { b.script = func(c *call) { c.told(http.StatusServiceUnavailable, kserve.OutcomeFull) } })
 		s.each("reader", func(b *box) {
-			n := 0
-			b.let = func(c *call) {
-				s.mu.Lock()
-				n++
-				first := n <= 2
-				s.mu.Unlock()
-				if !first {
-					c.release()
-					return
-				}
-				c.strike()
-				script(c)
-			}
+			b.let = first(2, script, (*call).release)
 		})
 		return func() {
 			s.ask(2, nil)
