--- a/internal/stages/open_test.go
+++ b/internal/stages/open_test.go
@@ -56,3 +56,28 @@
 	}
 	stillOpen(t, 31, err)
 }
+
+// The storm guard is for returns that nobody can serve. While a few boxes hang or cut off, it turns away some that others could.
+func TestTheStormGuardCostsNothingWhereBoxesOnlyHang(t *testing.T) {
+	service := map[bool]float64{}
+	for _, guarded := range []bool{true, false} {
+		for seed := range uint64(3) {
+			d, err := day.Load("../../examples/quiet.toml")
+			if err != nil {
+				t.Fatal(err)
+			}
+			days["a reset while boxes hang"](&d)
+			d.Head.Seed, d.Limits.Storms = seed+1, guarded
+			out, err := fleet.Play(d, "module")
+			if err != nil || !out.Kept() {
+				t.Fatal(err, out.Text())
+			}
+			service[guarded] += out.Service / 3
+		}
+	}
+	var err error
+	if service[true] < service[false]-0.03 {
+		err = fmt.Errorf("service %.3f with the guard, %.3f without", service[true], service[false])
+	}
+	stillOpen(t, 32, err)
+}
