The bound on an answer's head is the library's limited reader

Need: the review wrote a reader with a count and a function type where io.LimitedReader does the same. Change: that, with the error that names the bound.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -66,41 +67,23 @@
 // reader reads a connection, and no more of it than a head may have while one is read.
 type reader struct {
 	*bufio.Reader
-	conn net.Conn
-	left int // bytes that a head may still have; negative: none is read
+	from io.LimitedReader
 }
 
 func newReader(conn net.Conn) *reader {
-	r := &reader{conn: conn, left: -1}
-	r.Reader = bufio.NewReader(r.bounded())
+	r := &reader{from: io.LimitedReader{R: conn, N: math.MaxInt64}}
+	r.Reader = bufio.NewReader(&r.from)
 	return r
 }
 
-type readFunc func(p []byte) (int, error)
-
-func (f readFunc) Read(p []byte) (int, error) { return f(p) }
-
-func (r *reader) bounded() io.Reader {
-	return readFunc(func(p []byte) (int, error) {
-		if r.left == 0 {
-			return 0, errHead
-		}
-		if r.left > 0 {
-			p = p[:min(len(p), r.left)]
-		}
-		n, err := r.conn.Read(p)
-		if r.left > 0 {
-			r.left -= n
-		}
-		return n, err
-	})
-}
-
 // response reads an answer's head.
 func (r *reader) response(to *http.Request) (*http.Response, error) {
-	r.left = headMost
+	r.from.N = headMost
 	resp, err := http.ReadResponse(r.Reader, to)
-	r.left = -1
+	if err != nil && r.from.N == 0 {
+		err = errHead
+	}
+	r.from.N = math.MaxInt64
 	return resp, err
 }
 
