--- a/internal/boxlist/table.go
+++ b/internal/boxlist/table.go
@@ -24,7 +24,7 @@
 	mostBoxes     = 10_000
 	mostAddresses = 16 // of one box
 	mostName      = 253
-	mostUnits     = 1e6
+	MostUnits     = 1e6
 	mostUp        = 100 * 365 * 24 * 3600 * 1000 // milliseconds
 )
 
@@ -121,8 +121,8 @@
 		return fmt.Errorf("box %s: no address", b.Name)
 	case max(len(b.Name), len(b.Kind), len(b.Zone), len(b.Rack)) > mostName:
 		return fmt.Errorf("box %.40s: a name of it is longer than %d bytes", b.Name, mostName)
-	case !(b.Units >= 0 && b.Units <= mostUnits):
-		return fmt.Errorf("box %s: units of %g, 0 to %g are taken", b.Name, b.Units, float64(mostUnits))
+	case !(b.Units >= 0 && b.Units <= MostUnits):
+		return fmt.Errorf("box %s: units of %g, 0 to %g are taken", b.Name, b.Units, float64(MostUnits))
 	case b.UpMs > mostUp:
 		return fmt.Errorf("box %s: up_ms of %d, %d at most are taken", b.Name, b.UpMs, int64(mostUp))
 	case len(b.Addresses) > mostAddresses:
--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"sloetrestle/internal/addresses"
+	"sloetrestle/internal/boxlist"
 	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/setup"
 )
@@ -199,12 +200,10 @@
 	mostQuestions   = 500_000
 	mostSlots       = 1 << 20
 	mostSize        = 1000 // times, of a trouble
-	mostUnits       = 1e6
-	mostFigure      = 1e12
 )
 
 // above tells whether a figure is above nought and one that can be meant.
-func above(v float64) bool { return v > 0 && v <= mostFigure }
+func above(v float64) bool { return v > 0 && v <= setup.MostFigure }
 
 func (d *Day) check() error {
 	h := d.Head
@@ -215,22 +214,22 @@
 		return setup.Wrong("day.dispatchers", "must be from 1 to %d", mostDispatchers)
 	case !(h.PerS > 0 && h.PerS*h.Length.D().Seconds() <= mostQuestions):
 		return setup.Wrong("day.questions_a_second", "must be above 0 and come to at most %d questions", mostQuestions)
-	case !(above(d.Links.Near) && above(d.Links.Far) && d.Links.Zone >= 0 && d.Links.Zone <= mostFigure):
-		return setup.Wrong("links", "must be above 0 and at most %g", float64(mostFigure))
+	case !(above(d.Links.Near) && above(d.Links.Far)):
+		return setup.Wrong("links", "must be above 0 and at most %g", float64(setup.MostFigure))
 	case d.List.Notice.D() > mostLength || d.List.Silent.D() > mostLength:
 		return setup.Wrong("list", "must be at most %v", mostLength)
 	case !(d.Clients.PatienceMin > 0 && d.Clients.PatienceMin <= d.Clients.PatienceMax):
 		return setup.Wrong("clients.patience_min", "must be above 0 and not beyond patience_max")
 	case d.Clients.PatienceMax > 100:
 		return setup.Wrong("clients.patience_max", "must be at most 100")
-	case !(d.Clients.Honour >= 0 && d.Clients.Honour <= 1):
-		return setup.Wrong("clients.honour", "must be from 0 to 1")
 	case d.Clients.Retries < 0 || d.Clients.Retries > 50:
 		return setup.Wrong("clients.retries", "must be from 0 to 50")
 	case len(d.Traffic) == 0:
 		return setup.Wrong("traffic", "nothing is asked")
 	}
-	if err := d.Terms.Check(); err != nil {
+	if err := setup.FirstOf(
+		setup.Figure("links.other_zone_times", d.Links.Zone, setup.MostFigure), setup.Figure("clients.honour", d.Clients.Honour, 1), d.Terms.Check(),
+	); err != nil {
 		return err
 	}
 	for i, b := range d.Budgets {
@@ -251,12 +250,13 @@
 		case b.Slots < 1 || b.Queue < 0 || max(b.Slots, b.Queue) > mostSlots:
 			return setup.Wrong(at+"slots", "slots must be at least 1, queue not negative, and both at most %d", mostSlots)
 		case !above(b.ReadPerS):
-			return setup.Wrong(at+"read_tokens_a_second", "must be above 0 and at most %g", float64(mostFigure))
-		case !(b.Units >= 0 && b.Units <= mostUnits):
-			return setup.Wrong(at+"units", "must be from 0 to %g", float64(mostUnits))
+			return setup.Wrong(at+"read_tokens_a_second", "must be above 0 and at most %g", float64(setup.MostFigure))
 		case b.TokenTime <= 0:
 			return setup.Wrong(at+"token_time", "must be above 0")
 		}
+		if err := setup.Figure(at+"units", b.Units, boxlist.MostUnits); err != nil {
+			return err
+		}
 		for _, a := range b.Addresses {
 			if a != addresses.TCP4 && a != addresses.TCP6 && a != addresses.Unix {
 				return setup.Wrong(at+"addresses", "%q is none of tcp4, tcp6 and unix", a)
@@ -277,19 +277,18 @@
 		switch {
 		case d.GradeNumber(t.Grade) < 0:
 			return setup.Wrong(at+"grade", "%q is not among the grades", t.Grade)
-		case !(t.Share >= 0 && t.Share <= mostFigure):
-			return setup.Wrong(at+"share", "must not be negative")
 		case !(t.New > 0 && t.New <= kserve.MostTokens):
 			return setup.Wrong(at+"new_tokens", "must be above 0 and at most %d", kserve.MostTokens)
 		case !(t.Answer > 0 && t.Answer <= kserve.MostTokens):
 			return setup.Wrong(at+"answer_tokens", "must be above 0 and at most %d", kserve.MostTokens)
 		case !(t.Turns >= 1 && t.Turns <= 1000):
 			return setup.Wrong(at+"turns", "must be from 1 to 1000")
-		case !(t.Shared >= 0 && t.Shared <= 1):
-			return setup.Wrong(at+"shared", "must be from 0 to 1")
 		case t.Shared > 0 && (t.Beginnings < 1 || t.Prefix < 1), t.Beginnings > mostQuestions || t.Prefix > kserve.MostTokens:
 			return setup.Wrong(at+"beginnings", "shared texts need beginnings and shared_tokens of at least 1, and no more than can be asked")
 		}
+		if err := setup.FirstOf(setup.Figure(at+"share", t.Share, setup.MostFigure), setup.Figure(at+"shared", t.Shared, 1)); err != nil {
+			return err
+		}
 	}
 	names := d.names()
 	for i, t := range d.Troubles {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -20,6 +20,7 @@
 
 	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/budget"
+	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/reach"
 )
 
@@ -395,8 +396,8 @@
 	for _, g := range d.Grades {
 		least = min(least, g.Expiry.D())
 	}
-	if err := firstOf(
-		figure("dispatcher.connections_a_second", p.ConnPerS, mostFigure), span("dispatcher.margin", p.Margin, 0, least-time.Millisecond),
+	if err := FirstOf(
+		Figure("dispatcher.connections_a_second", p.ConnPerS, MostFigure), span("dispatcher.margin", p.Margin, 0, least-time.Millisecond),
 		span("dispatcher.body_time", p.BodyTime, time.Millisecond, time.Hour), span("dispatcher.write_time", p.Write, time.Millisecond, time.Hour),
 		span("dispatcher.stop_time", p.Stop, 0, day),
 	); err != nil {
@@ -450,19 +451,19 @@
 			return Wrong(at+"promised", "must be above 0")
 		case g.Expiry < g.Promised:
 			return Wrong(at+"expiry", "is before the promised time")
-		case g.Most < 1 || g.Most > mostTokens:
-			return Wrong(at+"max_tokens", "must be from 1 to %d", mostTokens)
+		case g.Most < 1 || g.Most > kserve.MostTokens:
+			return Wrong(at+"max_tokens", "must be from 1 to %d", kserve.MostTokens)
 		case t.GradeNumber(g.Name) < i:
 			return Wrong(at+"name", "%s is stated already", g.Name)
 		}
-		window := t.Limits.Dial + Span(time.Millisecond)
+		var window error
 		if g.Effect == "deduplicated" {
-			window = g.Window
+			window = span(at+"window", g.Window, t.Limits.Dial.D()+time.Millisecond, day)
 		}
-		if err := firstOf(
-			span(at+"window", window, t.Limits.Dial.D()+time.Millisecond, day), span(at+"promised", g.Promised, time.Millisecond, day),
+		if err := FirstOf(
+			window, span(at+"promised", g.Promised, time.Millisecond, day),
 			span(at+"promised_per_1000", g.PerK, 0, time.Minute), span(at+"expiry", g.Expiry, time.Millisecond, day),
-			span(at+"token_time", g.TokenTime, 0, time.Hour), figure(at+"benefit", g.Benefit, mostFigure), figure(at+"late_benefit", g.Late, 1),
+			span(at+"token_time", g.TokenTime, 0, time.Hour), Figure(at+"benefit", g.Benefit, MostFigure), Figure(at+"late_benefit", g.Late, 1),
 		); err != nil {
 			return err
 		}
@@ -472,7 +473,7 @@
 		if c.Name == "" || t.ChannelNumber(c.Name) < i {
 			return Wrong(at+"name", "a channel needs a name of its own, not %q", c.Name)
 		}
-		if err := firstOf(figure(at+"share", c.Share, mostFigure), figure(at+"questions_a_second", c.PerS, mostFigure)); err != nil {
+		if err := FirstOf(Figure(at+"share", c.Share, MostFigure), Figure(at+"questions_a_second", c.PerS, MostFigure)); err != nil {
 			return err
 		}
 	}
@@ -497,8 +498,8 @@
 		if roles[k.Role] == "" {
 			return Wrong(fmt.Sprintf("kind.%d.role", i), "must be reader, writer or mixed, not %q", k.Role)
 		}
-		if k.Memory < 1 || k.Memory > mostFigure {
-			return Wrong(fmt.Sprintf("kind.%d.memory", i), "must be from 1 to %.0f tokens", float64(mostFigure))
+		if k.Memory < 1 || k.Memory > MostFigure {
+			return Wrong(fmt.Sprintf("kind.%d.memory", i), "must be from 1 to %.0f tokens", float64(MostFigure))
 		}
 		if t.KindNumber(k.Name) < i {
 			return Wrong(fmt.Sprintf("kind.%d.name", i), "%q is stated already", k.Name)
@@ -523,34 +524,33 @@
 	case l.BoxConns < 1:
 		return Wrong("limits.connections_a_box", "must be at least 1")
 	}
-	return firstOf(
+	return FirstOf(
 		// What is sent to a box has to be out before the grace is over, from when it was decided: see docs/operating.md.
 		span("rules.drain_grace", r.DrainGrace, l.Dial.D()+time.Millisecond, time.Hour),
 		span("rules.answer_slack", r.Slack, 0, time.Minute),
 		span("rules.cold_window", r.ColdWindow, time.Millisecond, time.Hour),
 		span("rules.cold_ramp", r.ColdRamp, 0, day),
 		span("rules.pin_limit", r.Pin, time.Millisecond, time.Hour),
-		figure("rules.cold_multiple", r.ColdMultiple, 1000),
-		figure("rules.cold_share", r.ColdShare, 1),
+		Figure("rules.cold_multiple", r.ColdMultiple, 1000),
+		Figure("rules.cold_share", r.ColdShare, 1),
 		span("limits.dial", l.Dial, time.Millisecond, time.Minute),
 		span("limits.stall", l.Stall, time.Millisecond, day),
 		span("limits.retry_after", l.RetryAfter, 0, time.Hour),
-		figure("limits.news_price", l.NewsPrice, 1e6),
-		figure("limits.zone_price", l.ZonePrice, 1e6),
-		figure("limits.over_share_benefit", l.OverShare, 1),
+		Figure("limits.news_price", l.NewsPrice, 1e6),
+		Figure("limits.zone_price", l.ZonePrice, 1e6),
+		Figure("limits.over_share_benefit", l.OverShare, 1),
 	)
 }
 
 // The largest figures that are taken for meant.
 const (
 	day          = 24 * time.Hour
-	mostFigure   = 1e12
-	mostTokens   = 10_000_000 // of one question
-	mostSiblings = 1 << 16    // their messages name them by two bytes
+	MostFigure   = 1e12
+	mostSiblings = 1 << 16 // their messages name them by two bytes
 )
 
-// figure tells what is wrong with a number that must not be negative, nor over most.
-func figure(key string, v, most float64) error {
+// Figure tells what is wrong with a number that must not be negative, nor over most.
+func Figure(key string, v, most float64) error {
 	if v >= 0 && v <= most { // no number is neither
 		return nil
 	}
@@ -565,7 +565,8 @@
 	return Wrong(key, "must be from %v to %v, not %v", least, most, s.D())
 }
 
-func firstOf(faults ...error) error {
+// FirstOf is the first of some faults that is one.
+func FirstOf(faults ...error) error {
 	for _, err := range faults {
 		if err != nil {
 			return err
