One run of an agenda for the fleet and the tests; stage tests share what they assert

Need: the same loop over an agenda stood in the fleet and two tests, the order of kept boxes twice, the check of who was satisfied and of states that wait several times; an alias, an unused reason and two names of one reference made the table harder to read. Change: Agenda.Run, byName, satisfied, waiting.

--- a/internal/agenda/agenda.go
+++ b/internal/agenda/agenda.go
@@ -63,3 +63,15 @@
 	e := heap.Pop(&a.list).(*entry)
 	return e.at, e.do, true
 }
+
+// Run does all that is due up to a time, in order; each time is told to at first.
+func (a *Agenda) Run(until time.Duration, at func(time.Duration)) {
+	for {
+		when, do, ok := a.Take(until)
+		if !ok {
+			return
+		}
+		at(when)
+		do()
+	}
+}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -33,14 +33,7 @@
 func (w *wire) after(d time.Duration, do func()) { w.queue.At(w.now+d, do) }
 
 func (w *wire) run(until time.Duration) {
-	for {
-		at, do, ok := w.queue.Take(until)
-		if !ok {
-			break
-		}
-		w.now = at
-		do()
-	}
+	w.queue.Run(until, func(at time.Duration) { w.now = at })
 	w.now = until
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -118,14 +118,7 @@
 func (w *world) after(d time.Duration, do func()) { w.at(w.now+d, do) }
 
 func (w *world) run(until time.Duration) {
-	for {
-		at, do, ok := w.events.Take(until)
-		if !ok {
-			return
-		}
-		w.now = at
-		do()
-	}
+	w.events.Run(until, func(at time.Duration) { w.now = at })
 }
 
 func (w *world) put(l record.Line) {
@@ -269,6 +262,11 @@
 	})
 }
 
+// byName lists boxes in one order.
+func byName(boxes map[string]boxlist.Box) []boxlist.Box {
+	return slices.SortedFunc(maps.Values(boxes), func(a, b boxlist.Box) int { return strings.Compare(a.Name, b.Name) })
+}
+
 // gap is how long a lost change goes unnoticed.
 const gap = time.Second
 
@@ -276,8 +274,7 @@
 func (d *dispatcher) whole(missed boxlist.Box) {
 	known := maps.Clone(d.known)
 	known[missed.Name] = missed
-	lines := slices.SortedFunc(maps.Values(known), func(a, b boxlist.Box) int { return strings.Compare(a.Name, b.Name) })
-	lines = slices.DeleteFunc(lines, func(l boxlist.Box) bool { return l.Standing == boxlist.Gone })
+	lines := slices.DeleteFunc(byName(known), func(l boxlist.Box) bool { return l.Standing == boxlist.Gone })
 	d.w.put(record.Line{What: record.Told, Dispatcher: d.name, Box: missed.Name, Word: missed.Standing, Start: missed.Start})
 	d.hear(lines, true)
 }
@@ -331,12 +328,7 @@
 	d.known = map[string]boxlist.Box{}
 	w.put(record.Line{What: record.Up, Dispatcher: d.name})
 	if kept != nil {
-		lines := make([]boxlist.Box, 0, len(kept))
-		for _, l := range kept {
-			lines = append(lines, l)
-		}
-		slices.SortFunc(lines, func(a, b boxlist.Box) int { return strings.Compare(a.Name, b.Name) })
-		d.hear(lines, true)
+		d.hear(byName(kept), true)
 	}
 	d.wind()
 	return nil
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -30,14 +30,7 @@
 func (w *net) after(d time.Duration, do func()) { w.queue.At(w.now+d, do) }
 
 func (w *net) run(until time.Duration) {
-	for {
-		at, do, ok := w.queue.Take(until)
-		if !ok {
-			break
-		}
-		w.now = at
-		do()
-	}
+	w.queue.Run(until, func(at time.Duration) { w.now = at })
 	w.now = until
 }
 
--- a/internal/stages/bytes_test.go
+++ b/internal/stages/bytes_test.go
@@ -11,6 +11,7 @@
 
 	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/setup"
+	"sloetrestle/internal/standin"
 )
 
 // Bytes that HTTP would not say, or JSON.
@@ -202,7 +203,7 @@
 		})
 		return func() {
 			s.ask(2, nil)
-			s.until("no state waits", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.waits) == 0 })
+			s.until("no state waits", func() bool { return s.waiting() == 0 })
 		}
 	}
 }
@@ -215,12 +216,10 @@
 			seen := s.watch.Load()
 			s.push <- line(s)
 			s.struck.Add(1)
-			s.ask(1, func(w *wishing) { w.Name += "-meanwhile"; w.Session = w.Name })
+			s.ask(1, func(w *standin.Wish) { w.Name += "-meanwhile"; w.Session = w.Name })
 			s.until("the list is followed again", func() bool { return s.watch.Load() > seen || s.state()["list_age_s"].(float64) < 2 })
-			s.ask(1, func(w *wishing) { w.Name += "-after"; w.Session = w.Name })
-			if n := s.finals()[kserve.Satisfied]; n != 9 {
-				s.t.Errorf("%d of 9 satisfied: finals %v", n, s.finals())
-			}
+			s.ask(1, func(w *standin.Wish) { w.Name += "-after"; w.Session = w.Name })
+			s.satisfied(9)
 		}
 	}
 }
--- a/internal/stages/more_test.go
+++ b/internal/stages/more_test.go
@@ -1,6 +1,7 @@
 package stages
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 
 	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/setup"
+	"sloetrestle/internal/standin"
 )
 
 // asksBadly has clients whose bodies end or rest too early beside good ones.
@@ -30,7 +32,7 @@
 					conn.Close()
 				} else {
 					defer conn.Close()
-					resp, err := http.ReadResponse(newLines(conn), nil)
+					resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 					if err != nil || resp.StatusCode != http.StatusRequestTimeout {
 						s.t.Errorf("a body that does not come is answered %v, %v", resp, err)
 					}
@@ -39,9 +41,7 @@
 			}
 			s.ask(2, nil)
 			s.until("no place is held", func() bool { return s.state()["open"] == 0.0 })
-			if n := s.finals()[kserve.Satisfied]; n != 6 {
-				s.t.Errorf("finals %v", s.finals())
-			}
+			s.satisfied(6)
 		}
 	}
 }
@@ -66,14 +66,14 @@
 	for _, b := range s.boxes {
 		b.proof = func(c *call) { c.strike(); <-c.r.Context().Done() }
 	}
-	return func() { s.ask(2, func(w *wishing) { w.Leaves = 60 * time.Millisecond }) }
+	return func() { s.ask(2, func(w *standin.Wish) { w.Leaves = 60 * time.Millisecond }) }
 }
 
 func noTimeToConnect(s *site) func() {
 	for _, b := range s.boxes {
 		b.proof = func(c *call) { c.strike(); <-c.r.Context().Done() }
 	}
-	return func() { s.ask(2, func(w *wishing) { w.Patience = 0.3 }) }
+	return func() { s.ask(2, func(w *standin.Wish) { w.Patience = 0.3 }) }
 }
 
 // leavesBeforeItsRead has clients leave while their prompts are read by a reader that keeps the state all the same.
@@ -87,8 +87,8 @@
 		}
 	})
 	return func() {
-		s.ask(2, func(w *wishing) { w.Leaves = 100 * time.Millisecond })
-		s.until("no state waits", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.waits) == 0 })
+		s.ask(2, func(w *standin.Wish) { w.Leaves = 100 * time.Millisecond })
+		s.until("no state waits", func() bool { return s.waiting() == 0 })
 	}
 }
 
@@ -97,7 +97,7 @@
 	return func() {
 		gone := make(chan bool)
 		go func() {
-			s.ask(1, func(w *wishing) { w.Name += "-leaves"; w.Session, w.Leaves = w.Name, 150*time.Millisecond })
+			s.ask(1, func(w *standin.Wish) { w.Name += "-leaves"; w.Session, w.Leaves = w.Name, 150*time.Millisecond })
 			close(gone)
 		}()
 		do()
@@ -115,9 +115,7 @@
 		s.struck.Add(1)
 		return func() {
 			s.ask(2, nil)
-			if n := s.finals()[kserve.Satisfied]; n != 6 {
-				s.t.Errorf("finals %v", s.finals())
-			}
+			s.satisfied(6)
 		}
 	}
 }
@@ -133,9 +131,7 @@
 	s.struck.Add(1)
 	return func() {
 		s.ask(2, nil)
-		if n := s.finals()[kserve.Satisfied]; n != 6 {
-			s.t.Errorf("finals %v", s.finals())
-		}
+		s.satisfied(6)
 	}
 }
 
@@ -166,9 +162,7 @@
 			}
 			s.struck.Add(1)
 			s.ask(2, nil)
-			if n := s.finals()[kserve.Satisfied]; n != 6 {
-				s.t.Errorf("finals %v", s.finals())
-			}
+			s.satisfied(6)
 		}
 	}
 }
--- a/internal/stages/site_test.go
+++ b/internal/stages/site_test.go
@@ -300,8 +300,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func newLines(conn net.Conn) *bufio.Reader { return bufio.NewReader(conn) }
-
 // until waits for something to become true.
 func (s *site) until(what string, is func() bool) {
 	s.t.Helper()
@@ -425,6 +423,21 @@
 	return n
 }
 
+// satisfied asserts how many clients were.
+func (s *site) satisfied(want int) {
+	s.t.Helper()
+	if f := s.finals(); f[kserve.Satisfied] != want {
+		s.t.Errorf("%d of %d satisfied: finals %v", f[kserve.Satisfied], want, f)
+	}
+}
+
+// waiting is how many states wait at boxes.
+func (s *site) waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waits)
+}
+
 // rules stops the dispatcher and judges the run; the fault must have struck.
 func (s *site) rules() judge.Verdict {
 	s.t.Helper()
--- a/internal/stages/stop_test.go
+++ b/internal/stages/stop_test.go
@@ -27,9 +27,7 @@
 		s.until("they are being read", func() bool { return s.struck.Load() >= 6 })
 		s.stop()
 		<-done
-		s.mu.Lock()
-		left := len(s.waits)
-		s.mu.Unlock()
+		left := s.waiting()
 		if f := s.finals(); left > 0 || f[kserve.Forfeited]+f[kserve.Declined] != 12 {
 			t.Errorf("%d states wait after the stop, finals %v", left, f)
 		}
--- a/internal/stages/table_test.go
+++ b/internal/stages/table_test.go
@@ -7,11 +7,8 @@
 	"testing"
 
 	"sloetrestle/internal/kserve"
-	"sloetrestle/internal/standin"
 )
 
-type wishing = standin.Wish
-
 // The stages of a question, and of what serves it.
 const (
 	door       = "at the door"
@@ -64,7 +61,6 @@
 
 const (
 	noBox   = never("no box takes part")
-	noWord  = never("nothing is said by anybody at this stage")
 	noState = never("a state that waits says and does nothing; what its reader does is the reader's column")
 	noTime  = never("it has no client's time")
 	noHeld  = never("a held question is known to its dispatcher only")
@@ -100,7 +96,7 @@
 		leaves: virtual{}, timeUp: virtual{}, drains: virtual{}, cold: virtual{}, killed: virtual{},
 	},
 	waiting: {
-		refuses: noState, full: virtualFull, dies: virtual{}, resets: noState, silent: noState, slow: virtual{}, malformed: noState, cutOff: virtual{}, oversized: noState,
+		refuses: noState, full: elsewhere{"internal/engine", "TestStatesWaitMoveExpireAndAreLetGo"}, dies: virtual{}, resets: noState, silent: noState, slow: virtual{}, malformed: noState, cutOff: virtual{}, oversized: noState,
 		doubled: elsewhere{"internal/dispatch", "TestAStateThatCouldNotBeGivenIsReleasedAllTheSame"}, leaves: virtual{},
 		timeUp: socket(asked("writer", func(c *call) { c.told(503, kserve.OutcomeFull) })), drains: virtual{}, cold: virtual{}, killed: virtual{},
 	},
@@ -129,7 +125,7 @@
 		resets: socket(releases(atRelease[resets])), silent: socket(releases(atRelease[silent])), slow: socket(releases(atRelease[slow])),
 		malformed: socket(releases(atRelease[malformed])), cutOff: socket(releases(atRelease[cutOff])), oversized: socket(releases(atRelease[oversized])),
 		doubled: socket(releases(atRelease[doubled])), leaves: socket(leavesBeforeItsRead), timeUp: elsewhere{"internal/dispatch", "TestALateTripEndsOnceAndItsStateIsLetGo"},
-		drains: elsewhere{"internal/dispatch", "TestABoxThatAWholeListLeavesOutIsGone"}, cold: never("a cold start has no states"), killed: virtualKilled,
+		drains: elsewhere{"internal/dispatch", "TestABoxThatAWholeListLeavesOutIsGone"}, cold: never("a cold start has no states"), killed: elsewhere{"internal/engine", "TestStatesWaitMoveExpireAndAreLetGo"},
 	},
 	stopping: {
 		refuses: socket(stops("writer", atWriter[refuses])), full: socket(stops("writer", atWriter[full])), dies: socket(stops("writer", atWriter[resets])),
@@ -171,12 +167,6 @@
 	},
 }
 
-// The two that are counted under another cell of the same runs.
-var (
-	virtualFull   = elsewhere{"internal/engine", "TestStatesWaitMoveExpireAndAreLetGo"}
-	virtualKilled = elsewhere{"internal/engine", "TestStatesWaitMoveExpireAndAreLetGo"}
-)
-
 // Every cell that can happen is tried, on its own count of what struck, and all five rules are judged by the far ends' record.
 func TestEveryFaultAtEveryStage(t *testing.T) {
 	met, err := played()
