--- a/brain/facts.go
+++ b/brain/facts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
 	"time"
 )
 
@@ -10,6 +11,36 @@
 // or "kinds.0".
 type Facts map[string]any
 
+// Flat turns an object of nested settings into facts.
+func Flat(object map[string]any) Facts {
+	f := Facts{}
+	flatten(f, "", object)
+	return f
+}
+
+// flatten puts nested values under dotted names; a list also states its length under its own name.
+func flatten(into Facts, name string, value any) {
+	under := func(part string) string {
+		if name == "" {
+			return part
+		}
+		return name + "." + part
+	}
+	switch v := value.(type) {
+	case map[string]any:
+		for k, x := range v {
+			flatten(into, under(k), x)
+		}
+	case []any:
+		into[name] = float64(len(v))
+		for i, x := range v {
+			flatten(into, under(strconv.Itoa(i)), x)
+		}
+	default:
+		into[name] = v
+	}
+}
+
 func (f Facts) Num(name string, absent float64) float64 {
 	if v, ok := f[name].(float64); ok {
 		return v
@@ -102,6 +133,17 @@
 	return grades, nil
 }
 
+// Index finds a name in a list of names, or of objects that have one; -1 where it is not stated.
+func (f Facts) Index(list, name string) int {
+	for i := range int(f.Num(list, 0)) {
+		at := fmt.Sprintf("%s.%d", list, i)
+		if t := f.Text(at); name != "" && (t == name || t == "" && f.Text(at+".name") == name) {
+			return i
+		}
+	}
+	return -1
+}
+
 // Channels reads the tenants.
 func (f Facts) Channels() []*Channel {
 	var channels []*Channel
--- a/cmd/benchlink/instance.go
+++ b/cmd/benchlink/instance.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strconv"
 	"time"
 
 	"sloetrestle/brain"
@@ -55,9 +54,7 @@
 		reply.BailOut(in.who, "bootInfo: "+err.Error())
 		return nil
 	}
-	facts := brain.Facts{}
-	flatten(facts, "", info)
-	module, err := brain.New(facts, e.U64(3), in)
+	module, err := brain.New(brain.Flat(info), e.U64(3), in)
 	if err != nil {
 		reply.BailOut(in.who, "bootInfo: "+err.Error())
 		return nil
@@ -66,29 +63,6 @@
 	return in
 }
 
-// flatten puts nested values under dotted names; a list also states its length under its own name.
-func flatten(into brain.Facts, name string, value any) {
-	under := func(part string) string {
-		if name == "" {
-			return part
-		}
-		return name + "." + part
-	}
-	switch v := value.(type) {
-	case map[string]any:
-		for k, x := range v {
-			flatten(into, under(k), x)
-		}
-	case []any:
-		into[name] = float64(len(v))
-		for i, x := range v {
-			flatten(into, under(strconv.Itoa(i)), x)
-		}
-	default:
-		into[name] = v
-	}
-}
-
 // figure is a number off the wire that can only be from 0 up: what is none is taken for nought.
 func figure(v float64) float64 {
 	if !(v >= 0) {
--- a/cmd/benchlink/same_test.go
+++ b/cmd/benchlink/same_test.go
@@ -125,9 +125,9 @@
 	f.Off = func(error) {}
 	c.note("send %d to %d for %d", f.Trip.Question.ID, f.Trip.Host.ID, f.Wait.Microseconds())
 }
-func (c *carrier) Release(*dispatch.Box, kserve.Release) {}
-func (c *carrier) Tell(int, brain.News)                  {}
-func (c *carrier) Reach(*dispatch.Box, []addresses.Spec) {}
+func (c *carrier) Release(*dispatch.Box, *dispatch.Asked) {}
+func (c *carrier) Tell(int, brain.News)                   {}
+func (c *carrier) Reach(*dispatch.Box, []addresses.Spec)  {}
 
 // The bench is a regression test of the running dispatcher only as long as both hosts of the module get the same
 // decisions out of the same sequence.
--- /dev/null
+++ b/cmd/sloetrestle/platform.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"sloetrestle/internal/platform"
+)
+
+func platformCommand() *cobra.Command {
+	var level string
+	c := &cobra.Command{
+		Use:   "platform",
+		Short: "Run one dispatcher as the users' platform starts it",
+		Long: `Platform runs one dispatcher behind the platform's front, by the file that BALANCER_CONFIG names. On SIGHUP it reads
+the file anew; on SIGTERM it answers what it has and exits with 0. The log goes to standard error.`,
+		Args: cobra.NoArgs,
+	}
+	c.Flags().StringVar(&level, "level", "info", "least level of the log: debug, info, warn, error")
+	c.RunE = works(func(cmd *cobra.Command, _ []string) error {
+		reload := make(chan os.Signal, 1)
+		signal.Notify(reload, syscall.SIGHUP) // which would end the program
+		log, err := logger(cmd.ErrOrStderr(), "text", level)
+		if err != nil {
+			return err
+		}
+		read := func() (platform.Place, error) { return platform.Load(os.Getenv("BALANCER_CONFIG"), os.Getenv) }
+		place, err := read()
+		if err != nil {
+			return err
+		}
+		return platform.Run(cmd.Context(), place, reload, read, log, nil)
+	})
+	return c
+}
--- /dev/null
+++ b/internal/chat/answer.go
@@ -0,0 +1,209 @@
+package chat
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"sloetrestle/brain"
+)
+
+const (
+	lineMost   = 256       // bytes of a chunk's size line, or of a line after the last chunk
+	chunkMost  = 256 << 10 // bytes of a chunk
+	eventMost  = 256 << 10 // bytes of an event
+	afterMost  = 16        // lines after the last chunk
+	InformMost = 8         // answers in front of the one that counts
+)
+
+// ErrSpoilt says that what a box sends can't be read as an answer.
+var ErrSpoilt = errors.New("the answer can't be read")
+
+// Outcome is what a box's short answer proves: only what the box itself says never ran is taken for that. Without the mark a
+// refusal may be somebody else's on the way. A state that is gone stands as the module knows it: full, with a note of 1.
+func Outcome(stage brain.Stage, resp *http.Response, body []byte) (o brain.Outcome, note int) {
+	never := resp.Header.Get("X-Not-Processed") == "1"
+	switch code := resp.StatusCode; {
+	case code == http.StatusAccepted && stage == brain.ToRead:
+		var said struct {
+			Kept float64 `json:"cached_tokens"`
+		}
+		if json.Unmarshal(body, &said) != nil {
+			return brain.Read, 0
+		}
+		return brain.Read, kept(said.Kept)
+	case never && (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout):
+		return brain.Full, 0
+	case never && code == http.StatusGone:
+		return brain.Full, 1
+	}
+	return brain.Failed, 0
+}
+
+func kept(n float64) int {
+	if !(n >= 0 && n <= tokensMost) {
+		return 0
+	}
+	return int(n)
+}
+
+// Load reads a load report's values in the order of the fields; nil: it can't be read.
+func Load(text string, fields []string) []float64 {
+	values := make([]float64, len(fields))
+	seen := 0
+	for text != "" {
+		var part string
+		part, text, _ = strings.Cut(text, ",")
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		for i, f := range fields {
+			if f != name {
+				continue
+			}
+			v, err := strconv.ParseFloat(value, 64)
+			if err != nil || !(v >= 0 && v <= 1e9) {
+				return nil
+			}
+			values[i] = v
+			seen++
+		}
+	}
+	if seen != len(fields) || seen == 0 {
+		return nil
+	}
+	return values
+}
+
+// Stream reads the events of an answer in chunks.
+type Stream struct {
+	Kept   int    // tokens found kept, as the end says
+	Report string // the load report, as the end says
+
+	from  *bufio.Reader
+	rest  []byte // of an event that is not whole yet
+	done  bool
+	ended bool
+}
+
+func NewStream(from *bufio.Reader) *Stream { return &Stream{from: from} }
+
+// Next returns the whole events that the next chunks bring, unchanged. After the last chunk of a whole answer it is io.EOF.
+func (s *Stream) Next() ([]byte, error) {
+	for {
+		chunk, err := s.chunk()
+		if err != nil {
+			return nil, err
+		}
+		if chunk == nil {
+			if !s.done || len(s.rest) > 0 {
+				return nil, ErrSpoilt // it ends in good order, but before the end of the answer
+			}
+			return nil, io.EOF
+		}
+		s.rest = append(s.rest, chunk...)
+		end := bytes.LastIndex(s.rest, []byte("\n\n"))
+		if end < 0 {
+			if len(s.rest) > eventMost {
+				return nil, ErrSpoilt
+			}
+			continue
+		}
+		piece := s.rest[:end+2]
+		s.rest = append([]byte(nil), s.rest[end+2:]...)
+		if !s.look(piece) {
+			return nil, ErrSpoilt
+		}
+		return piece, nil
+	}
+}
+
+// chunk returns the next chunk; nil: the last has come.
+func (s *Stream) chunk() ([]byte, error) {
+	line, err := s.line()
+	if err != nil {
+		return nil, err
+	}
+	size, _, _ := bytes.Cut(line, []byte(";"))
+	n, err := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, 32)
+	if err != nil || n > chunkMost || len(size) > 8 {
+		return nil, ErrSpoilt
+	}
+	if n == 0 {
+		for range afterMost {
+			if line, err = s.line(); err != nil {
+				return nil, err
+			}
+			if len(line) == 0 {
+				return nil, nil
+			}
+		}
+		return nil, ErrSpoilt
+	}
+	chunk := make([]byte, n+2)
+	if _, err := io.ReadFull(s.from, chunk); err != nil {
+		return nil, err
+	}
+	if chunk[n] != '\r' || chunk[n+1] != '\n' {
+		return nil, ErrSpoilt
+	}
+	return chunk[:n], nil
+}
+
+// line reads a short line.
+func (s *Stream) line() ([]byte, error) {
+	var line []byte
+	for len(line) <= lineMost {
+		c, err := s.from.ReadByte()
+		if err != nil {
+			return nil, err
+		}
+		if c == '\n' {
+			return bytes.TrimSuffix(line, []byte("\r")), nil
+		}
+		line = append(line, c)
+	}
+	return nil, ErrSpoilt
+}
+
+// look takes what the events say of the trip, and tells whether they are events at all: a chunk of a wrong size may have taken in
+// what frames the next.
+func (s *Stream) look(piece []byte) bool {
+	for line := range bytes.Lines(piece) {
+		line = bytes.TrimRight(line, "\r\n")
+		value, data := bytes.CutPrefix(line, []byte("data:"))
+		switch {
+		case len(line) == 0:
+		case data:
+			value = bytes.TrimLeft(value, " ")
+			if string(value) == "[DONE]" {
+				s.done = true
+			} else if len(value) == 0 || value[0] != '{' || value[len(value)-1] != '}' {
+				return false
+			} else if bytes.Contains(value, []byte(`"cached_tokens"`)) {
+				var said struct {
+					Usage struct {
+						Details struct {
+							Kept float64 `json:"cached_tokens"`
+						} `json:"prompt_tokens_details"`
+					} `json:"usage"`
+				}
+				if json.Unmarshal(value, &said) != nil {
+					return false
+				}
+				s.Kept = kept(said.Usage.Details.Kept)
+			}
+		case line[0] == ':':
+			if name, report, ok := strings.Cut(string(line[1:]), ":"); ok && strings.EqualFold(strings.TrimSpace(name), "X-Server-Load") {
+				s.Report = strings.TrimSpace(report)
+			}
+		case bytes.HasPrefix(line, []byte("event:")), bytes.HasPrefix(line, []byte("id:")), bytes.HasPrefix(line, []byte("retry:")):
+		default:
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/chat/ask.go
@@ -0,0 +1,146 @@
+// Package chat is the platform's protocol as codecs: what a client's request says, what a box's answer says, and the
+// calls by which states are let go. It opens no socket and looks at no clock, and takes the bodies of questions for opaque. Begin
+// with Read for clients, Stream for boxes.
+package chat
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Bounds of what is taken from outside.
+const (
+	HeadMost   = 16 << 10  // bytes of a head
+	BodyMost   = 256 << 10 // bytes of a body
+	idMost     = 128       // bytes of a name in a head
+	leftMost   = time.Hour // that a client waits
+	tokensMost = 10_000_000
+	toEach     = 4 // bytes of text to a token
+)
+
+// Path is where questions are asked; Ready is where the front looks whether a dispatcher can serve.
+const (
+	Path  = "/v1/chat/completions"
+	Ready = "/ready"
+)
+
+// Ask is what a request's head says of a question.
+type Ask struct {
+	ID      string
+	Grade   string
+	Channel string
+	Session string
+	Shared  string // the beginning that the prompt shares with other sessions
+	Tokens  int    // of the prompt
+	Prefix  int    // of the shared beginning
+	Most    int    // of the answer
+	Left    time.Duration
+	Again   bool // the client asked before
+}
+
+// Refusal is why a request is no question.
+type Refusal struct {
+	Status int
+	Why    string
+}
+
+func (r *Refusal) Error() string { return r.Why }
+
+func bad(why string) *Refusal { return &Refusal{http.StatusBadRequest, why} }
+
+// Read takes a request's head for a question.
+func Read(r *http.Request) (Ask, *Refusal) {
+	var a Ask
+	switch {
+	case len(r.TransferEncoding) > 0 || r.ContentLength < 0:
+		return a, &Refusal{http.StatusLengthRequired, "length"} // nothing hidden behind a body is read as a request
+	case r.URL.Path != Path:
+		return a, &Refusal{http.StatusNotFound, "path"}
+	case r.Method != http.MethodPost:
+		return a, &Refusal{http.StatusMethodNotAllowed, "method"}
+	case r.ContentLength > BodyMost:
+		return a, &Refusal{http.StatusRequestEntityTooLarge, "body"}
+	}
+	for _, f := range []struct {
+		name string
+		into *string
+	}{
+		{"X-Request-Id", &a.ID}, {"X-Priority-Class", &a.Grade}, {"X-Tenant-Id", &a.Channel}, {"X-Route-Key", &a.Session},
+	} {
+		v := r.Header[f.name]
+		if len(v) > 1 || len(v) == 1 && len(v[0]) > idMost {
+			return a, bad(f.name)
+		}
+		if len(v) == 1 {
+			*f.into = v[0]
+		}
+	}
+	if !plain(a.ID) {
+		return a, bad("id")
+	}
+	ms, err := strconv.ParseInt(r.Header.Get("X-Timeout-Ms"), 10, 64)
+	if err != nil || ms <= 0 || ms > leftMost.Milliseconds() || len(r.Header["X-Timeout-Ms"]) > 1 {
+		return a, bad("timeout")
+	}
+	a.Left = time.Duration(ms) * time.Millisecond
+	a.Again = r.Header.Get("X-Retried") == "1"
+	a.Tokens = int(r.ContentLength+toEach-1) / toEach
+	return a, a.lengths(r.Header.Get("X-Attrs"))
+}
+
+// plain tells whether an id can stand in a path.
+func plain(id string) bool {
+	for _, c := range []byte(id) {
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '-' || c == '_' || c == '.') {
+			return false
+		}
+	}
+	return id != "" && id != "." && id != ".."
+}
+
+// lengths reads the list of attributes; those it does not know are left alone.
+func (a *Ask) lengths(attrs string) *Refusal {
+	for attrs != "" {
+		var part string
+		part, attrs, _ = strings.Cut(attrs, ",")
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		into := map[string]*int{"prompt_len": &a.Tokens, "prefix_len": &a.Prefix, "max_out": &a.Most}[name]
+		switch {
+		case name == "prefix":
+			if a.Shared = value; len(value) > idMost {
+				return bad("attrs")
+			}
+		case into != nil:
+			n, err := strconv.ParseFloat(value, 64)
+			if err != nil || !(n >= 0 && n <= tokensMost) {
+				return bad("attrs")
+			}
+			*into = int(math.Round(n))
+		}
+	}
+	a.Prefix = min(a.Prefix, a.Tokens)
+	return nil
+}
+
+// Errand is the head of a request to a box: a question goes on with its method, target, id and body unchanged. wait is how long
+// the trip is waited for.
+func Errand(r *http.Request, service string, a Ask, wait time.Duration) []byte {
+	head := make([]byte, 0, 512)
+	head = fmt.Appendf(head, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-ID: %s\r\nX-Timeout-Ms: %d\r\nContent-Length: %d\r\n", r.RequestURI, service, a.ID,
+		max(wait.Milliseconds(), 1), r.ContentLength)
+	for _, name := range []string{"Content-Type", "X-Priority-Class", "X-Tenant-Id", "X-Route-Key", "X-Attrs", "X-Retried"} {
+		if v := r.Header.Get(name); v != "" {
+			head = fmt.Appendf(head, "%s: %s\r\n", name, v)
+		}
+	}
+	return append(head, "\r\n"...)
+}
+
+// LetGo is the call that has any box release all that is held for a question.
+func LetGo(service, id string) []byte {
+	return fmt.Appendf(nil, "DELETE /v1/holds/%s HTTP/1.1\r\nHost: %s\r\n\r\n", id, service)
+}
--- a/internal/dispatch/books.go
+++ b/internal/dispatch/books.go
@@ -155,7 +155,7 @@
 	if l.books == nil || l.books.Account == nil {
 		return
 	}
-	l.books.Account.Question(ledger.Question{Key: l.key(a), Mark: a.Ask.ID, Channel: a.Channel, Grade: a.Grade, Final: final, Prompt: a.Ask.Tokens,
+	l.books.Account.Question(ledger.Question{Key: l.Key(a), Mark: a.Ask.ID, Channel: a.Channel, Grade: a.Grade, Final: final, Prompt: a.Ask.Tokens,
 		Answer: int(a.streamed()), Trips: len(a.Question.Trips), Why: why})
 }
 
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -20,6 +20,7 @@
 	"sloetrestle/internal/agenda"
 	"sloetrestle/internal/boxlist"
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/news"
 	"sloetrestle/internal/reach"
 	"sloetrestle/internal/storm"
 )
@@ -27,7 +28,7 @@
 // Carrier takes trips and messages out. Its methods are called by the loop and must not wait.
 type Carrier interface {
 	Carry(f *Flight)
-	Release(b *Box, r kserve.Release)
+	Release(b *Box, a *Asked)          // of what the question's trips so far may have left at a box
 	Reach(b *Box, at []addresses.Spec) // none: the box is gone
 	Tell(peer int, n brain.News)
 }
@@ -59,6 +60,7 @@
 	Ask      kserve.Ask
 	Grade    string
 	Channel  string
+	Matter   any                // what the carrier sends of it; dropped when the question is over
 	Tell     func(kserve.Final) // takes the final answer in place of the channel
 	began    chan *Flight       // the trip whose stream goes to the client
 	final    chan kserve.Final  // the one final answer
@@ -75,11 +77,11 @@
 
 // release lets go at a box of what a question's trips so far may have left there.
 func (l *Loop) release(b *Box, a *Asked) {
-	l.carrier.Release(b, kserve.Release{Key: l.key(a), Trip: len(a.Question.Trips) - 1})
+	l.carrier.Release(b, a)
 }
 
-// key names a question at boxes.
-func (l *Loop) key(a *Asked) string { return fmt.Sprintf("%s/%d", l.Epoch, a.Question.ID) }
+// Key names a question at boxes.
+func (l *Loop) Key(a *Asked) string { return fmt.Sprintf("%s/%d", l.Epoch, a.Question.ID) }
 
 // Flight is one trip on its way.
 type Flight struct {
@@ -89,7 +91,7 @@
 	State  *Box // where the read state waits, for a write
 	Wait   time.Duration
 	Off    func(why error) // calls it off: ErrLate or ErrLeft; set by the carrier
-	tokens chan []byte
+	Tokens chan []byte     // the stream, piece by piece; the carrier closes it at its end
 	ctx    context.Context
 	late   bool // its wait is over
 
@@ -469,10 +471,31 @@
 func (l *Loop) forget(a *Asked) {
 	if a.Question.Over && a.Question.Out() == nil {
 		delete(l.asked, a.Question)
+		a.Matter = nil // timers know the question for seconds more
 		l.settle(a)
 	}
 }
 
+// Begun gives the trip whose stream goes to the client, Final the one final answer. A beginning is there before its end is.
+func (a *Asked) Begun() <-chan *Flight      { return a.began }
+func (a *Asked) Final() <-chan kserve.Final { return a.final }
+
+// Wanted tells, when a connection for a trip is there, whether the trip may still go out: while it was waited for, the box may
+// have been told to drain, and the question may have ended.
+func (l *Loop) Wanted(f *Flight) bool {
+	q := f.Trip.Question
+	return !f.late && !f.Trip.Ended && !f.Asked.left && !f.Asked.answered && l.now < q.Expiry && f.Box.Host.Standing == brain.Ready
+}
+
+// News takes a sibling's message.
+func (l *Loop) News(raw []byte) error {
+	got, err := news.Decode(raw, l.hosts)
+	if err == nil && got.Host != nil {
+		l.Heard(got)
+	}
+	return err
+}
+
 // Began takes word of a trip's first token.
 func (l *Loop) Began(f *Flight) {
 	if f.late || f.Trip.Ended || f.Trip.Began > 0 {
@@ -564,7 +587,7 @@
 
 func (l *Loop) Send(t *brain.Trip, wait time.Duration) {
 	a := l.asked[t.Question]
-	f := &Flight{Trip: t, Asked: a, Box: l.byHost[t.Host], Wait: wait, tokens: make(chan []byte, tokenRoom), Key: l.key(a)}
+	f := &Flight{Trip: t, Asked: a, Box: l.byHost[t.Host], Wait: wait, Tokens: make(chan []byte, tokenRoom), Key: l.Key(a)}
 	if t.Stage == brain.ToWrite {
 		f.State = l.byHost[t.Question.State]
 	}
--- a/internal/dispatch/loop_test.go
+++ b/internal/dispatch/loop_test.go
@@ -27,8 +27,8 @@
 	f.ctx, f.Off = context.WithCancelCause(context.Background())
 	h.flights = append(h.flights, f)
 }
-func (h *hand) Release(b *Box, _ kserve.Release) { h.released = append(h.released, b.Name) }
-func (h *hand) Tell(int, brain.News)             {}
+func (h *hand) Release(b *Box, _ *Asked) { h.released = append(h.released, b.Name) }
+func (h *hand) Tell(int, brain.News)     {}
 func (h *hand) Reach(b *Box, at []addresses.Spec) {
 	h.reached = append(h.reached, fmt.Sprint(b.Name, at))
 }
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -136,11 +136,8 @@
 		}
 		raw = append([]byte(nil), raw...)
 		l.Post(func() {
-			got, err := news.Decode(raw, l.hosts)
-			if err != nil {
+			if l.News(raw) != nil {
 				p.Dropped.Add(1)
-			} else if got.Host != nil {
-				l.Heard(got)
 			}
 		})
 	}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -132,7 +132,7 @@
 	}
 	server.Ready = func() bool {
 		ready := false
-		loop.Call(ctx, func() { ready = loop.answers() })
+		loop.Call(ctx, func() { ready = loop.Answers() })
 		return ready
 	}
 	front := func(h http.Handler) *http.Server {
@@ -214,8 +214,8 @@
 	}
 }
 
-// answers tells whether a box that answers is ready.
-func (l *Loop) answers() bool {
+// Answers tells whether a box that answers is ready.
+func (l *Loop) Answers() bool {
 	for _, b := range l.boxes {
 		if b.Host.Standing == brain.Ready && b.Host.Kept != nil && b.Host.Answers() {
 			return true
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -203,17 +203,17 @@
 	for more := true; more; {
 		var piece []byte
 		select {
-		case piece, more = <-trip.tokens:
+		case piece, more = <-trip.Tokens:
 		case <-r.Context().Done():
 			s.left(a)
 			return
 		}
 		for more {
 			kserve.WriteRaw(&out, "", piece)
-			if len(trip.tokens) == 0 {
+			if len(trip.Tokens) == 0 {
 				break
 			}
-			piece, more = <-trip.tokens
+			piece, more = <-trip.Tokens
 		}
 		if out.Len() > 0 && !write() {
 			s.left(a)
@@ -254,7 +254,7 @@
 		case <-r.Context().Done():
 			s.left(a)
 			return nil, f, false
-		case piece, more := <-trip.tokens:
+		case piece, more := <-trip.Tokens:
 			if !more {
 				select {
 				case f = <-a.final:
--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -118,7 +118,7 @@
 			result.Load = seen.Told.Load
 			f.Count = seen.Told.Count
 		}
-		close(f.tokens)
+		close(f.Tokens)
 		c.loop.Post(func() { c.loop.Ended(f, result) })
 		return nil
 	})
@@ -191,7 +191,7 @@
 				return seen // more than was asked for: no answer of this question
 			}
 			select {
-			case f.tokens <- piece.Bytes():
+			case f.Tokens <- piece.Bytes():
 			case <-f.ctx.Done():
 				return seen
 			}
@@ -236,7 +236,8 @@
 )
 
 // Release tells a box to let go of a question's state, until it is known done or the box is gone.
-func (c *Trips) Release(b *Box, key kserve.Release) {
+func (c *Trips) Release(b *Box, a *Asked) {
+	key := kserve.Release{Key: c.loop.Key(a), Trip: len(a.Question.Trips) - 1}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.releases[b]
--- /dev/null
+++ b/internal/endpoints/follow.go
@@ -0,0 +1,181 @@
+package endpoints
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sloetrestle/internal/boxlist"
+)
+
+const (
+	beat     = 2 * time.Second // an empty line comes as often
+	silence  = beat * 3 / 2
+	again    = 20 * time.Millisecond // the first wait for the next try, doubled up to the next value
+	againMax = 300 * time.Millisecond
+	pushMost = 8 << 20
+	dialTime = 500 * time.Millisecond
+)
+
+// Follower keeps a watch on discovery.
+type Follower struct {
+	Log    *slog.Logger
+	Since  func() time.Duration
+	Listed func(lines []boxlist.Box, whole bool) // told in order
+
+	table Table
+	mu    sync.Mutex
+	at    string
+	cut   context.CancelCauseFunc
+	lost  atomic.Int64
+}
+
+var errMoved = errors.New("discovery has another address")
+
+// Take reads a push that came by another way, such as the one that a dispatcher is started with.
+func (f *Follower) Take(raw []byte) error {
+	lines, whole, refused, err := f.table.Take(f.Since(), time.Now().UnixMilli(), raw)
+	if err != nil {
+		return err
+	}
+	if len(refused) > 0 {
+		f.Log.Warn("part of the list is left out", "why", strings.Join(refused, "; "))
+	}
+	if len(lines) > 0 || whole {
+		f.Listed(sorted(lines), whole)
+	}
+	return nil
+}
+
+// Move says where discovery is from now on; the watch on the old address ends.
+func (f *Follower) Move(at string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at == f.at {
+		return
+	}
+	f.at = at
+	if f.cut != nil {
+		f.cut(errMoved)
+	}
+}
+
+// Lost is how often a watch ended.
+func (f *Follower) Lost() int64 { return f.lost.Load() }
+
+// Follow watches until the context ends.
+func (f *Follower) Follow(ctx context.Context) error {
+	wait, known := again, ""
+	for ctx.Err() == nil {
+		one, cut := context.WithCancelCause(ctx)
+		f.mu.Lock()
+		at := f.at
+		f.cut = cut
+		f.mu.Unlock()
+		got, err := f.watch(one, at, at == known)
+		cut(nil)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if got {
+			wait, known = again, at
+		}
+		f.lost.Add(1)
+		if errors.Is(context.Cause(one), errMoved) {
+			f.Log.Info("discovery has moved")
+			wait = again
+			continue
+		}
+		f.Log.Warn("watch lost", "discovery", at, "error", err)
+		select {
+		case <-ctx.Done():
+		case <-one.Done():
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, againMax)
+	}
+	return nil
+}
+
+// watch keeps one watch. Where the address is new to this dispatcher, or nothing is known, the whole list is asked for first.
+func (f *Follower) watch(ctx context.Context, at string, known bool) (got bool, err error) {
+	conn, err := (&net.Dialer{Timeout: dialTime}).DialContext(ctx, "tcp", at)
+	if err != nil {
+		return false, err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	from := bufio.NewReader(conn)
+	ask := func(target string) (*http.Response, error) {
+		conn.SetDeadline(time.Now().Add(silence))
+		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, at); err != nil {
+			return nil, err
+		}
+		resp, err := http.ReadResponse(from, nil)
+		if err == nil && resp.StatusCode != http.StatusOK {
+			err = fmt.Errorf("discovery answers %s", resp.Status)
+		}
+		return resp, err
+	}
+	if !known || !f.table.heard {
+		resp, err := ask("/v1/endpoints")
+		if err != nil {
+			return false, err
+		}
+		raw, err := io.ReadAll(io.LimitReader(resp.Body, pushMost))
+		if err != nil {
+			return false, err
+		}
+		if err := f.Take(raw); err != nil {
+			return false, err
+		}
+		got = true
+		if resp.Close {
+			return got, errors.New("discovery closes after the list")
+		}
+	}
+	resp, err := ask(fmt.Sprintf("/v1/endpoints?stream=1&index=%d", f.table.Rev))
+	if err != nil {
+		return got, err
+	}
+	lines := bufio.NewReader(resp.Body)
+	for {
+		conn.SetDeadline(time.Now().Add(silence))
+		line, err := readLine(lines)
+		if err != nil {
+			return got, err
+		}
+		got = true
+		if len(bytes.TrimSpace(line)) == 0 {
+			continue
+		}
+		if err := f.Take(line); err != nil {
+			return got, err
+		}
+	}
+}
+
+// readLine reads a line of bounded length.
+func readLine(from *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := from.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > pushMost {
+			return nil, errors.New("a push is too long")
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/endpoints/table.go
@@ -0,0 +1,117 @@
+// Package endpoints follows the platform's discovery: Table turns what it says into lines of the box list, without I/O, and
+// Follower keeps a watch on it. It knows only what discovery says and never asks a box; begin with Table.
+package endpoints
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"sloetrestle/internal/addresses"
+	"sloetrestle/internal/boxlist"
+)
+
+const (
+	mostTargets = 10_000
+	mostName    = 253
+	mostUnits   = 1e6
+	olderFor    = 5 * time.Second // an older list than the own is taken if discovery still has it then
+)
+
+// push is what discovery sends.
+type push struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []target `json:"targets"`
+}
+
+type target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Kind     string  `json:"model"`
+	Rack     int64   `json:"pod_group"`
+	State    string  `json:"state"`
+	Units    float64 `json:"capacity_hint"`
+	BootMs   int64   `json:"boot_ms"`
+}
+
+var standings = map[string]string{"in_service": boxlist.Ready, "terminating": boxlist.Draining, "terminated": boxlist.Gone}
+
+// Table is how far discovery was followed.
+type Table struct {
+	Rev   int64
+	heard bool
+	older time.Duration // since when discovery only has older lists; 0: it has not
+}
+
+// Take reads a push and returns the lines that it changes. unix is the wall time in milliseconds, by which boxes tell their
+// start. Lines without sense are left out and named.
+func (t *Table) Take(now time.Duration, unix int64, raw []byte) (lines []boxlist.Box, whole bool, refused []string, err error) {
+	var p push
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, false, nil, fmt.Errorf("a push can't be read: %w", err)
+	}
+	if len(p.Targets) > mostTargets {
+		return nil, false, nil, fmt.Errorf("a push has %d targets, %d are taken at most", len(p.Targets), mostTargets)
+	}
+	// A list that goes back could bring back boxes that are draining.
+	if t.heard && p.Rev < t.Rev {
+		if t.older == 0 {
+			t.older = now
+		}
+		if !p.All || now-t.older < olderFor {
+			return nil, false, []string{fmt.Sprintf("rev %d is older than %d", p.Rev, t.Rev)}, nil
+		}
+	}
+	t.older = 0
+	t.Rev, t.heard = p.Rev, true
+	for _, g := range p.Targets {
+		b, err := g.box(unix)
+		if err != nil {
+			refused = append(refused, err.Error())
+			continue
+		}
+		lines = append(lines, b)
+	}
+	return lines, p.All, refused, nil
+}
+
+func (g target) box(unix int64) (b boxlist.Box, err error) {
+	b = boxlist.Box{Name: g.UID, Kind: g.Kind, Zone: g.Zone, Rack: strconv.FormatInt(g.Rack, 10), Standing: standings[g.State], Units: g.Units,
+		Start: uint64(max(g.BootMs, 0)), UpMs: -1}
+	if g.BootMs > 0 {
+		b.UpMs = max(unix-g.BootMs, 0)
+	}
+	if b.Name == "" || max(len(b.Name), len(b.Kind), len(b.Zone)) > mostName || strings.ContainsAny(b.Name, " \r\n\t") {
+		return b, fmt.Errorf("target %.40q: no name of a box", g.UID)
+	}
+	if b.Standing == "" {
+		return b, fmt.Errorf("target %s: state %.40q is unknown", g.UID, g.State)
+	}
+	if !(g.Units >= 0 && g.Units <= mostUnits) {
+		return b, fmt.Errorf("target %s: capacity of %g", g.UID, g.Units)
+	}
+	if b.Standing != boxlist.Gone {
+		at, err := netip.ParseAddrPort(g.Endpoint)
+		if err != nil {
+			return b, fmt.Errorf("target %s: %w", g.UID, err)
+		}
+		network := addresses.TCP6
+		if at.Addr().Unmap().Is4() {
+			network = addresses.TCP4
+		}
+		b.Addresses = []addresses.Spec{{Network: network, At: g.Endpoint}}
+	}
+	return b, nil
+}
+
+// Sorted puts the lines in the order of their names.
+func sorted(lines []boxlist.Box) []boxlist.Box {
+	slices.SortStableFunc(lines, func(a, b boxlist.Box) int { return strings.Compare(a.Name, b.Name) })
+	return lines
+}
--- a/internal/fleet/trip.go
+++ b/internal/fleet/trip.go
@@ -43,8 +43,9 @@
 	})
 }
 
-func (c *carrier) Release(b *dispatch.Box, r kserve.Release) {
+func (c *carrier) Release(b *dispatch.Box, a *dispatch.Asked) {
 	w := c.w
+	r := kserve.Release{Key: c.loop.Key(a), Trip: len(a.Question.Trips) - 1}
 	to := w.boxes[b.Name]
 	w.after(hop, func() {
 		if to.up {
--- /dev/null
+++ b/internal/platform/carrier.go
@@ -0,0 +1,284 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/addresses"
+	"sloetrestle/internal/chat"
+	"sloetrestle/internal/dispatch"
+	"sloetrestle/internal/reach"
+)
+
+const (
+	headTime  = time.Second             // for an answer's head, and its first events, once its first byte has come
+	stallTime = 4200 * time.Millisecond // without an event, after which a stream is taken for dead
+	shortMost = 64 << 10                // bytes of an answer that is no stream
+	waitedFor = time.Millisecond        // for a connection, after which the loop is asked whether the trip is still wanted
+	letGoTry  = 150 * time.Millisecond  // for one call that releases
+	letGoFor  = 3 * time.Second         // for all of them
+	letGoMost = 64                      // calls that wait for an answer at a time
+)
+
+// matter is what is sent of a question.
+type matter struct {
+	head func(wait time.Duration) []byte
+	id   string
+	body []byte
+}
+
+// carrier takes trips to boxes.
+type carrier struct {
+	service string
+	fields  []string // of load reports
+	boxes   *reach.Boxes
+	loop    *dispatch.Loop
+	life    context.Context
+	group   *errgroup.Group
+	tell    func(peer int, n brain.News)
+	hosts   map[*dispatch.Box]*reach.Host // the loop's
+	order   []*reach.Host                 // the same, by when they came
+
+	calls   chan struct{} // one for each call that waits
+	Calls   atomic.Int64  // that released
+	Unheard atomic.Int64  // that no box answered
+	Stale   atomic.Int64  // trips that were not wanted any more when their connection was there
+	Spoilt  atomic.Int64  // answers that could not be read
+	Strange atomic.Int64  // answers that tell of a fault of this program: 400 and 404
+}
+
+func (c *carrier) Reach(b *dispatch.Box, at []addresses.Spec) {
+	h := c.boxes.Set(b.Name, at, uint64(b.Host.ID))
+	c.forget(b)
+	if len(at) > 0 {
+		c.hosts[b] = h
+		c.order = append(c.order, h)
+	}
+}
+
+func (c *carrier) forget(b *dispatch.Box) {
+	had := c.hosts[b]
+	delete(c.hosts, b)
+	var left []*reach.Host
+	for _, h := range c.order {
+		if h != had {
+			left = append(left, h)
+		}
+	}
+	c.order = left
+}
+
+func (c *carrier) Tell(peer int, n brain.News) { c.tell(peer, n) }
+
+// Carry starts a trip.
+func (c *carrier) Carry(f *dispatch.Flight) {
+	ctx, off := context.WithCancelCause(c.life)
+	f.Off = off
+	m, host := f.Asked.Matter.(*matter), c.hosts[f.Box]
+	c.group.Go(func() error {
+		r := c.fly(ctx, f, host, m)
+		off(nil)
+		close(f.Tokens)
+		c.loop.Post(func() { c.loop.Ended(f, r) })
+		return nil
+	})
+}
+
+// connect gets a connection for a trip, over which all of the request has gone out; until then it can't have run.
+func (c *carrier) connect(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *matter) (*reach.Conn, func() bool) {
+	began := time.Now()
+	for host != nil {
+		conn, err := host.Get(ctx)
+		if err != nil {
+			return nil, nil
+		}
+		if time.Since(began) > waitedFor {
+			wanted := false
+			c.loop.Call(ctx, func() { wanted = c.loop.Wanted(f) })
+			if !wanted {
+				c.Stale.Add(1)
+				conn.Keep()
+				return nil, nil
+			}
+		}
+		stop := context.AfterFunc(ctx, func() { conn.Conn.Close() })
+		whole, _ := conn.Put(m.head(f.Wait-time.Since(began)), m.body)
+		if whole {
+			return conn, stop
+		}
+		stop()
+		conn.Drop()
+		if ctx.Err() != nil || time.Since(began) > c.boxes.Limit {
+			return nil, nil
+		}
+	}
+	return nil, nil
+}
+
+// fly is one trip. Its connection is closed, or at rest again, before its end is told.
+func (c *carrier) fly(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *matter) (r brain.Result) {
+	conn, stop := c.connect(ctx, f, host, m)
+	if conn == nil {
+		if errors.Is(context.Cause(ctx), dispatch.ErrLeft) {
+			return brain.Result{Outcome: brain.Cancelled}
+		}
+		return brain.Result{Outcome: brain.Unreached}
+	}
+	fit := false
+	defer func() {
+		if stop() && fit {
+			conn.Keep()
+		} else {
+			conn.Drop()
+		}
+	}()
+	broken := func() brain.Result {
+		switch cause := context.Cause(ctx); {
+		case errors.Is(cause, dispatch.ErrLate):
+			return brain.Result{Outcome: brain.TimedOut}
+		case errors.Is(cause, dispatch.ErrLeft):
+			return brain.Result{Outcome: brain.Cancelled}
+		}
+		return brain.Result{Outcome: brain.Broken}
+	}
+	if _, err := conn.Bytes().Peek(1); err != nil {
+		if errors.Is(context.Cause(ctx), dispatch.ErrLate) {
+			conn.Lost() // a silent box: what rests there is of no use
+		}
+		return broken()
+	}
+	conn.SetReadDeadline(time.Now().Add(headTime))
+	var resp *http.Response
+	for range chat.InformMost {
+		var err error
+		if resp, err = conn.Head(nil); err != nil {
+			c.Spoilt.Add(1)
+			return broken()
+		}
+		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
+	}
+	if resp.StatusCode != http.StatusOK || f.Trip.Stage == brain.ToRead {
+		body, err := io.ReadAll(io.LimitReader(resp.Body, shortMost+1))
+		if err != nil || len(body) > shortMost {
+			c.Spoilt.Add(1)
+			return broken()
+		}
+		fit = !resp.Close && conn.Bytes().Buffered() == 0
+		if resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusNotFound {
+			c.Strange.Add(1)
+		}
+		r.Outcome, r.Note = chat.Outcome(f.Trip.Stage, resp, body)
+		r.Load = chat.Load(resp.Header.Get("X-Server-Load"), c.fields)
+		return r
+	}
+	if len(resp.TransferEncoding) != 1 || resp.TransferEncoding[0] != "chunked" {
+		c.Spoilt.Add(1)
+		return broken()
+	}
+	stream := chat.NewStream(conn.Bytes())
+	for begun := false; ; {
+		piece, err := stream.Next()
+		if err == io.EOF {
+			fit = !resp.Close && conn.Bytes().Buffered() == 0
+			report := stream.Report
+			if report == "" {
+				report = resp.Header.Get("X-Server-Load")
+			}
+			return brain.Result{Outcome: brain.Answered, Note: stream.Kept, Load: chat.Load(report, c.fields)}
+		}
+		if err != nil {
+			if errors.Is(err, chat.ErrSpoilt) {
+				c.Spoilt.Add(1)
+			}
+			return broken()
+		}
+		if !begun {
+			begun = true
+			c.loop.Post(func() { c.loop.Began(f) })
+		}
+		conn.SetReadDeadline(time.Now().Add(stallTime))
+		select {
+		case f.Tokens <- piece:
+		case <-ctx.Done():
+			return broken()
+		}
+	}
+}
+
+// Release has what is held for a question let go. Any box takes that call: the one that may hold it is asked first, then
+// the others, until one answers.
+func (c *carrier) Release(b *dispatch.Box, a *dispatch.Asked) {
+	m, _ := a.Matter.(*matter)
+	if m == nil {
+		return
+	}
+	call := chat.LetGo(c.service, m.id)
+	at := make([]*reach.Host, 0, len(c.order)+1)
+	if h := c.hosts[b]; h != nil {
+		at = append(at, h)
+	}
+	// From there on around, so that not all calls go to one box.
+	from := 0
+	for i, h := range c.order {
+		if len(at) > 0 && h == at[0] {
+			from = i + 1
+		}
+	}
+	for i := range c.order {
+		at = append(at, c.order[(from+i)%len(c.order)])
+	}
+	c.group.Go(func() error {
+		select {
+		case c.calls <- struct{}{}:
+		case <-c.life.Done():
+			return nil
+		}
+		defer func() { <-c.calls }()
+		for began, i := time.Now(), 0; time.Since(began) < letGoFor && c.life.Err() == nil && len(at) > 0; i++ {
+			if c.letGo(at[i%len(at)], call) {
+				c.Calls.Add(1)
+				return nil
+			}
+			if i >= len(at) {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		c.Unheard.Add(1)
+		return nil
+	})
+}
+
+func (c *carrier) letGo(h *reach.Host, call []byte) bool {
+	ctx, cancel := context.WithTimeout(c.life, letGoTry)
+	defer cancel()
+	conn, err := h.Get(ctx)
+	if err != nil {
+		return false
+	}
+	conn.SetDeadline(time.Now().Add(letGoTry))
+	if whole, _ := conn.Put(call); !whole {
+		conn.Drop()
+		return false
+	}
+	resp, err := conn.Head(nil)
+	if err != nil {
+		conn.Drop()
+		return false
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, shortMost))
+	if err != nil || resp.Close || conn.Bytes().Buffered() > 0 {
+		conn.Drop()
+	} else {
+		conn.Keep()
+	}
+	return resp.StatusCode/100 == 2
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -32,6 +32,9 @@
 	Since func() time.Duration
 	Life  context.Context
 	Group *errgroup.Group
+	Bare  bool          // the far side knows no proof: a connection counts once it is up, and none is made unasked
+	Rest  time.Duration // how long a connection may rest; 0: as usual
+	All   int           // connections to all boxes, above which one at rest makes room for a new one; 0: no bound
 
 	mu     sync.Mutex
 	hosts  map[string]*Host
@@ -179,7 +182,7 @@
 func (h *Host) get(ctx context.Context, until time.Duration) (*Conn, error) {
 	limit := time.NewTimer(until - h.all.Since())
 	defer limit.Stop()
-	for {
+	for roomy := h.all.All == 0; ; {
 		h.mu.Lock()
 		if h.gone {
 			h.mu.Unlock()
@@ -197,11 +200,17 @@
 		if c := h.takeIdle(); c != nil {
 			fresh, within := h.used-c.since < addresses.FreshFor, h.book.Stagger()
 			h.mu.Unlock()
-			if fresh || c.again(ctx, within) {
+			if fresh || h.all.Bare || c.again(ctx, within) {
 				return c, nil
 			}
 			continue
 		}
+		if !roomy {
+			h.mu.Unlock()
+			h.all.makeRoom()
+			roomy = true
+			continue
+		}
 		if h.open < h.all.Most && h.racing < addresses.MostRaces {
 			h.open++
 			h.racing++
@@ -231,7 +240,7 @@
 				continue
 			}
 			h.idle = slices.Delete(h.idle, i, i+1)
-			if now-c.since < idleMost && c.stands() {
+			if now-c.since < h.all.rest() && c.stands() {
 				// Each use has a Conn of its own: whoever had it last may still ask whether its request was sent.
 				return &Conn{Conn: c.Conn, Address: c.Address, host: h, read: c.read, since: c.since}
 			}
@@ -301,7 +310,7 @@
 		if a != nil {
 			h.all.Group.Go(func() error {
 				began := h.all.Since()
-				conn, read, res := connect(ctx, spec, h.Name)
+				conn, read, res := connect(ctx, spec, h.Name, h.all.Bare)
 				h.mu.Lock()
 				defer h.mu.Unlock()
 				now := h.all.Since()
@@ -358,7 +367,7 @@
 }
 
 // connect opens a connection and has it proved: the far side must read a request and answer with the box's name.
-func connect(ctx context.Context, spec addresses.Spec, name string) (net.Conn, *reader, addresses.Result) {
+func connect(ctx context.Context, spec addresses.Spec, name string, bare bool) (net.Conn, *reader, addresses.Result) {
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, spec.Network, spec.At)
 	if err != nil {
@@ -372,7 +381,10 @@
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	read := newReader(conn)
-	res := prove(conn, read, name)
+	res := addresses.Proven
+	if !bare {
+		res = prove(conn, read, name)
+	}
 	if !stop() && res != addresses.OtherOwner {
 		res = addresses.Silent
 	}
@@ -530,6 +542,72 @@
 	return nil
 }
 
+// Put sends the bytes of a request and tells whether the last of them went out: until then the request can't have run.
+func (c *Conn) Put(parts ...[]byte) (whole bool, err error) {
+	total := int64(0)
+	for _, p := range parts {
+		total += int64(len(p))
+	}
+	bufs := net.Buffers(parts)
+	n, err := bufs.WriteTo(c.Conn)
+	c.wrote += n
+	return n == total, err
+}
+
+// Head reads an answer's head; what follows it comes from Bytes.
+func (c *Conn) Head(to *http.Request) (*http.Response, error) { return c.read.response(to) }
+
+// Bytes is what the far side sends.
+func (c *Conn) Bytes() *bufio.Reader { return c.read.Reader }
+
+// Keep puts the connection back for another request; Drop closes it.
+func (c *Conn) Keep() {
+	c.Conn.SetDeadline(time.Time{})
+	c.host.mu.Lock()
+	defer c.host.mu.Unlock()
+	c.host.keep(c, false)
+}
+
+func (c *Conn) Drop() { c.drop() }
+
+// rest is how long a connection may rest.
+func (b *Boxes) rest() time.Duration {
+	if b.Rest > 0 {
+		return b.Rest
+	}
+	return idleMost
+}
+
+// makeRoom closes the connection that has rested longest, of any box, where as many are open as may be.
+func (b *Boxes) makeRoom() {
+	open := 0
+	var from *Host
+	var oldest *Conn
+	for _, h := range b.listed() {
+		h.mu.Lock()
+		open += h.open
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].since < oldest.since) {
+			from, oldest = h, h.idle[0]
+		}
+		h.mu.Unlock()
+	}
+	if open < b.All || oldest == nil {
+		return
+	}
+	from.mu.Lock()
+	from.dropIdle(func(c *Conn) bool { return c == oldest })
+	from.mu.Unlock()
+}
+
+// Close lets go of what rests; used when nothing is sent any more.
+func (b *Boxes) Close() {
+	for _, h := range b.listed() {
+		h.mu.Lock()
+		h.dropIdle(func(*Conn) bool { return true })
+		h.mu.Unlock()
+	}
+}
+
 // drop closes the connection.
 func (c *Conn) drop() {
 	c.Conn.Close()
@@ -563,16 +641,14 @@
 	for {
 		select {
 		case <-b.Life.Done():
-			for _, h := range b.listed() {
-				h.mu.Lock()
-				h.dropIdle(func(*Conn) bool { return true })
-				h.mu.Unlock()
-			}
+			b.Close()
 			return nil
 		case <-tick.C:
 		}
 		b.forget()
-		b.recheck()
+		if !b.Bare {
+			b.recheck()
+		}
 		for _, h := range b.listed() {
 			h.warm()
 		}
@@ -617,9 +693,9 @@
 func (h *Host) warm() {
 	h.mu.Lock()
 	now := h.all.Since()
-	h.dropIdle(func(c *Conn) bool { return now-c.since >= idleMost })
+	h.dropIdle(func(c *Conn) bool { return now-c.since >= h.all.rest() })
 	var want *addresses.Address
-	if h.used > 0 && now-h.used < usedMost && !h.gone && h.racing == 0 && h.open < h.all.Most {
+	if !h.all.Bare && h.used > 0 && now-h.used < usedMost && !h.gone && h.racing == 0 && h.open < h.all.Most {
 		for _, a := range h.book.Warm(now) {
 			if !slices.ContainsFunc(h.idle, func(c *Conn) bool { return c.Address == a }) {
 				want = a
@@ -643,7 +719,7 @@
 		ctx, cancel := context.WithTimeout(b.Life, b.Limit)
 		defer cancel()
 		began := b.Since()
-		conn, read, res := connect(ctx, spec, h.Name)
+		conn, read, res := connect(ctx, spec, h.Name, h.all.Bare)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.racing--
