--- a/internal/chat/answer.go
+++ b/internal/chat/answer.go
@@ -95,6 +95,9 @@
 func (s *Stream) Next() ([]byte, error) {
 	for {
 		chunk, err := s.chunk()
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF // between two chunks a connection that breaks looks like an end
+		}
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/chat/answer_test.go
@@ -0,0 +1,124 @@
+package chat
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"reflect"
+	"strings"
+	"testing"
+
+	"sloetrestle/brain"
+)
+
+const (
+	first = "data: {\"choices\":[{\"delta\":{\"content\":\"oqvh\"}}]}\n\n"
+	usage = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":5120,\"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\n"
+	done  = "data: [DONE]\n\n"
+	load  = ": X-Server-Load: util=0.61,queue=2,x0=0.5\n\n"
+	last  = "0\r\n\r\n"
+)
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+// read reads a stream to its end.
+func read(raw string) (s *Stream, text string, err error) {
+	s = NewStream(bufio.NewReader(strings.NewReader(raw)))
+	for {
+		piece, err := s.Next()
+		if err != nil {
+			return s, text, err
+		}
+		text += string(piece)
+	}
+}
+
+func TestAGoodStreamIsPassedOnWhole(t *testing.T) {
+	s, text, err := read(chunk(first) + chunk(usage[:30]) + chunk(usage[30:]+done+load) + last)
+	if err != io.EOF || text != first+usage+done+load || s.Kept != 4096 || s.Report != "util=0.61,queue=2,x0=0.5" {
+		t.Errorf("%q, %v, kept %d, report %q", text, err, s.Kept, s.Report)
+	}
+}
+
+// A connection that breaks between two chunks reads as an end of the bytes. Taken for the end of the answer, the client's
+// stream was ended as whole.
+func TestAStreamThatBreaksIsNotWhole(t *testing.T) {
+	whole := chunk(first) + chunk(usage+done) + last
+	for n := range whole {
+		if _, _, err := read(whole[:n]); err == io.EOF {
+			t.Errorf("cut after %d of %d bytes it counts as whole", n, len(whole))
+		}
+	}
+}
+
+func TestASpoiltStreamIsNoAnswer(t *testing.T) {
+	for name, raw := range map[string]string{
+		"size of no number":   "zz\r\n" + first,
+		"size far too large":  "c0000000\r\n" + first,
+		"size a little large": fmt.Sprintf("%x\r\n%s\r\n", len(first)+8, first) + chunk(first) + chunk(first),
+		"size too small":      fmt.Sprintf("%x\r\n%s\r\n", len(first)-3, first),
+		"noise":               chunk("\x00\x01\x02\n\n"),
+		"endless line":        strings.Repeat("1", 1000),
+		"ends without an end": chunk(first) + last,
+		"ends within one":     chunk(first+done+"data: {") + last,
+	} {
+		if _, _, err := read(raw); !errors.Is(err, ErrSpoilt) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestOutcomesAreWhatTheBoxProves(t *testing.T) {
+	for _, c := range []struct {
+		stage brain.Stage
+		code  int
+		never string
+		body  string
+		want  brain.Outcome
+		note  int
+	}{
+		{brain.ToRead, 202, "", `{"cached_tokens":4096}`, brain.Read, 4096},
+		{brain.ToRead, 202, "", `{"cached_tokens":-1}`, brain.Read, 0},
+		{brain.Whole, 202, "", `{}`, brain.Failed, 0},
+		{brain.Whole, 500, "1", ``, brain.Failed, 0},
+		{brain.Whole, 503, "1", ``, brain.Full, 0},
+		{brain.Whole, 504, "1", ``, brain.Full, 0},
+		{brain.Whole, 503, "", ``, brain.Failed, 0},
+		{brain.ToWrite, 410, "1", ``, brain.Full, 1},
+		{brain.ToWrite, 410, "", ``, brain.Failed, 0},
+		{brain.ToWrite, 400, "", ``, brain.Failed, 0},
+	} {
+		resp := &http.Response{StatusCode: c.code, Header: http.Header{}}
+		if c.never != "" {
+			resp.Header.Set("X-Not-Processed", c.never)
+		}
+		if o, note := Outcome(c.stage, resp, []byte(c.body)); o != c.want || note != c.note {
+			t.Errorf("%+v: %d, %d", c, o, note)
+		}
+	}
+}
+
+func TestAReportThatCantBeReadIsDropped(t *testing.T) {
+	fields := []string{"util", "queue"}
+	if got := Load("inflight=7, queue=2,util=0.61", fields); !reflect.DeepEqual(got, []float64{0.61, 2}) {
+		t.Error(got)
+	}
+	for _, text := range []string{"", "util=0.6", "util=x,queue=2", "util=NaN,queue=1", "util=-1,queue=1", "util=1e300,queue=1"} {
+		if got := Load(text, fields); got != nil {
+			t.Errorf("%q reads as %v", text, got)
+		}
+	}
+}
+
+func FuzzStream(f *testing.F) {
+	f.Add(chunk(first) + chunk(usage+done+load) + last)
+	f.Add("c0000000\r\n" + first)
+	f.Fuzz(func(t *testing.T, raw string) {
+		s, text, err := read(raw)
+		if err == nil || s.Kept < 0 || len(text) > len(raw) {
+			t.Errorf("%v, kept %d, %d bytes of %d", err, s.Kept, len(text), len(raw))
+		}
+	})
+}
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -94,6 +94,7 @@
 	Tokens chan []byte     // the stream, piece by piece; the carrier closes it at its end
 	ctx    context.Context
 	late   bool // its wait is over
+	Unfit  bool // its box says that the question itself is none; set before its end is told
 
 	Key      string        // of its question, at boxes
 	Streamed atomic.Int64  // tokens that have come
@@ -540,6 +541,9 @@
 		l.release(f.State, a)
 		delete(a.waiting, f.State)
 	}
+	if f.Unfit {
+		l.answer(a, kserve.Final{Final: kserve.Forfeited, Error: "no box can use it"})
+	}
 	r.Over = a.answered || a.left || r.Outcome == brain.Answered || t.Began > 0
 	if r.Outcome == brain.Answered {
 		l.answer(a, kserve.Final{Final: kserve.Satisfied})
--- a/internal/platform/carrier.go
+++ b/internal/platform/carrier.go
@@ -174,7 +174,10 @@
 		}
 		fit = !resp.Close && conn.Bytes().Buffered() == 0
 		if resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusNotFound {
+			// The question is at fault, not the box: it must not speak against the box, and no other would take it either.
 			c.Strange.Add(1)
+			f.Unfit = true
+			return brain.Result{Outcome: brain.Cancelled}
 		}
 		r.Outcome, r.Note = chat.Outcome(f.Trip.Stage, resp, body)
 		r.Load = chat.Load(resp.Header.Get("X-Server-Load"), c.fields)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -36,6 +36,7 @@
 	bodies  int64         // bytes that all bodies may have
 
 	answers  func() bool // the fleet is known
+	crowded  func() bool // clients' connections run short
 	ready    atomic.Bool
 	stopping atomic.Bool
 	asked    atomic.Int64
@@ -47,7 +48,7 @@
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.stopping.Load() {
+	if f.stopping.Load() || f.crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == chat.Ready && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
@@ -240,7 +241,7 @@
 				}
 				if err != nil {
 					f.loop.Post(func() { f.loop.Left(a) })
-					return
+					panic(http.ErrAbortHandler)
 				}
 				if more {
 					continue
@@ -251,7 +252,7 @@
 				case end = <-final:
 				case <-r.Context().Done():
 					f.loop.Post(func() { f.loop.Left(a) })
-					return
+					panic(http.ErrAbortHandler)
 				}
 			}
 			if end.Final != kserve.Satisfied {
@@ -260,7 +261,7 @@
 			return
 		case <-r.Context().Done():
 			f.loop.Post(func() { f.loop.Left(a) })
-			return
+			panic(http.ErrAbortHandler) // a plain return would end the stream as whole
 		}
 	}
 }
--- a/internal/platform/gate.go
+++ b/internal/platform/gate.go
@@ -14,6 +14,10 @@
 	roomWait  = 10 * time.Millisecond // until another look, where none makes room
 )
 
+// crowded is the share of the connections that may be open, above which answers end theirs: one that has just had its answer may
+// else not be closed for idleFor, and clients that ask once and stay would shut out the others.
+const crowded = 0.5
+
 // gate lets clients' connections in. Where as many are open as may be, the oldest that is silent or at rest makes room; where
 // there is none, the next waits outside until one is.
 type gate struct {
@@ -81,6 +85,9 @@
 	}
 }
 
+// Crowded tells whether answers should end their connections.
+func (g *gate) Crowded() bool { return float64(g.count()) > crowded*float64(g.most) }
+
 func (g *gate) count() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/platform/place.go
+++ b/internal/platform/place.go
@@ -90,7 +90,7 @@
 // Shares of the descriptors, and of the memory.
 const (
 	ownSockets  = 24  // what is neither a client's nor a box's: listener, discovery, siblings, the process's own
-	clientShare = 0.5 // of the rest
+	clientShare = 0.6 // of the rest
 	heapShare   = 0.6 // of the memory, above which the collector works harder
 	bodyShare   = 0.2 // of the memory, for the bodies of questions
 	socketsElse = 1024
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -99,6 +99,7 @@
 		return ready
 	}
 	g := &gate{Listener: listener, most: room.clients, conns: map[net.Conn]*standing{}}
+	f.crowded = g.Crowded
 	web := &http.Server{
 		Handler: f, ReadHeaderTimeout: headWait, IdleTimeout: restMost, MaxHeaderBytes: chat.HeadMost, ConnState: g.moved,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
