Streams that still run 3.2 s after a stop are cut, for clients to ask for the rest

Seen on reload: both dispatchers were killed with some 90 streams running; fails of 6% among questions that came 12 s before.

--- a/internal/chat/ask.go
+++ b/internal/chat/ask.go
@@ -40,6 +40,7 @@
 	Most    int    // of the answer
 	Left    time.Duration
 	Again   bool // the client asked before
+	Rest    bool // it asks for the rest of a stream that broke
 }
 
 // Refusal is why a request is no question.
@@ -87,7 +88,7 @@
 		return a, bad("timeout")
 	}
 	a.Left = time.Duration(ms) * time.Millisecond
-	a.Again = r.Header.Get("X-Retried") == "1"
+	a.Again, a.Rest = r.Header.Get("X-Retried") == "1", r.Header.Get("X-Retried") == "again"
 	a.Tokens = int(r.ContentLength+toEach-1) / toEach
 	return a, a.lengths(r.Header.Get("X-Attrs"))
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -39,7 +39,11 @@
 	crowded  func() bool // clients' connections run short
 	ready    atomic.Bool
 	stopping atomic.Bool
+	cut      chan struct{} // closed when streams are to be gone on with elsewhere
 	asked    atomic.Int64
+	Again    atomic.Int64 // questions asked before
+	Rest     atomic.Int64 // questions for the rest of a stream
+	Moved    atomic.Int64 // streams cut for that
 	held     atomic.Int64
 
 	mu      sync.Mutex
@@ -140,6 +144,12 @@
 		f.refuse(w, r, &chat.Refusal{Status: http.StatusBadRequest, Why: "half a request"})
 		return
 	}
+	if ask.Again {
+		f.Again.Add(1)
+	}
+	if ask.Rest {
+		f.Rest.Add(1)
+	}
 	m := &matter{id: ask.ID, body: body, head: func(wait time.Duration) []byte { return chat.Errand(r, f.service, ask, wait) }}
 	a := &dispatch.Asked{
 		Ask:   kserve.Ask{ID: ask.ID, Session: ask.Session, Shared: ask.Shared, Tokens: ask.Tokens, Prefix: ask.Prefix, Most: ask.Most, Again: ask.Again},
@@ -259,6 +269,10 @@
 				panic(http.ErrAbortHandler)
 			}
 			return
+		case <-f.cut:
+			f.Moved.Add(1)
+			f.loop.Post(func() { f.loop.Left(a) })
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			f.loop.Post(func() { f.loop.Left(a) })
 			panic(http.ErrAbortHandler) // a plain return would end the stream as whole
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -24,9 +24,10 @@
 
 const (
 	service   = "backend.local"
-	comeAfter = 450 * time.Millisecond // after a stop, in which the front may still send new connections here
-	restShare = 0.4                    // of how long boxes keep a connection that rests, after which it is not used
-	told      = 10 * time.Second       // between two lines on how things stand
+	comeAfter = 450 * time.Millisecond  // after a stop, in which the front may still send new connections here
+	moveAfter = 3200 * time.Millisecond // after a stop, when the streams that still run are left to be gone on with elsewhere
+	restShare = 0.4                     // of how long boxes keep a connection that rests, after which it is not used
+	told      = 10 * time.Second        // between two lines on how things stand
 )
 
 // Run serves until the context ends; then it answers what it has and returns. again says when the configuration is to be read anew.
@@ -84,7 +85,7 @@
 	group.Go(func() error { return peers.listen(life, loop) })
 
 	f := &front{
-		loop: loop, log: log, service: service, grades: map[string]int{}, tenants: map[string]int{}, ids: map[string]bool{}, refused: map[string]int64{},
+		loop: loop, log: log, service: service, grades: map[string]int{}, tenants: map[string]int{}, ids: map[string]bool{}, cut: make(chan struct{}), refused: map[string]int64{},
 		after: facts.Span("policyLimits.maxRetryAfterUs"), open: int64(facts.Num("policyLimits.maxOpen", 1e4)), bodies: room.bodies,
 	}
 	for i := range int(facts.Num("requestClasses", 0)) {
@@ -111,7 +112,7 @@
 		}
 		return nil
 	})
-	log.Info("serving", "listen", p.Listen, "discovery", p.Discovery, "memory_mb", p.Limits.MemoryMB, "sockets", p.Limits.Sockets, "clients", room.clients, "boxes", room.boxes)
+	log.Info("serving", "listen", p.Listen, "discovery", p.Discovery, "cores", p.Limits.Cores, "memory_mb", p.Limits.MemoryMB, "sockets", p.Limits.Sockets, "clients", room.clients, "boxes", room.boxes)
 	if started != nil {
 		started(listener.Addr())
 	}
@@ -140,6 +141,9 @@
 	if err == nil {
 		time.Sleep(comeAfter)
 	}
+	if facts.Yes("familyInfo.resume") {
+		defer time.AfterFunc(moveAfter-comeAfter, func() { close(f.cut) }).Stop()
+	}
 	web.Shutdown(context.WithoutCancel(ctx)) // waits for every question that is open
 	c.settle(time.Second)
 	tellState(log, loop, c, f, g, peers, follower, life)
@@ -162,7 +166,7 @@
 	runtime.ReadMemStats(&m)
 	loop.Call(life, func() {
 		t := loop.Tally
-		log.Info("state", "taken", t.Taken, "satisfied", t.Satisfied, "declined", t.Declined, "forfeited", t.Forfeited, "left", t.Left, "overdue", t.Overdue,
+		log.Info("state", "taken", t.Taken, "again", f.Again.Load(), "rest", f.Rest.Load(), "moved", f.Moved.Load(), "satisfied", t.Satisfied, "declined", t.Declined, "forfeited", t.Forfeited, "left", t.Left, "overdue", t.Overdue,
 			"trips", t.Trips, "outcomes", fmt.Sprint(t.Outcomes), "open", f.asked.Load(), "bodies", f.held.Load(), "clients", g.count(), "pushed", g.Pushed.Load(),
 			"waited", g.Waited.Load(), "refused", f.state(), "released", c.Calls.Load(), "unheard", c.Unheard.Load(), "stale", c.Stale.Load(),
 			"spoilt", c.Spoilt.Load(), "strange", c.Strange.Load(), "watch_lost", e.Lost(), "strangers", p.Strangers.Load(),
