--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -19,6 +19,7 @@
 	"sloetrestle/brain"
 	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/boxlist"
+	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/reach"
 	"sloetrestle/internal/setup"
 	"sloetrestle/internal/storm"
@@ -224,6 +225,28 @@
 	return false
 }
 
+// Yield ends what has not begun to be answered, so that clients may ask elsewhere: what is held is declined where that promise can be
+// kept, and what is out gets no further trip.
+func (l *Loop) Yield() {
+	for q, a := range l.asked {
+		switch f := a.flight; {
+		case a.answered || a.left || f != nil && f.Trip.Began > 0:
+		case f != nil:
+			q.Last = true
+			f.late = true
+			f.Off(ErrLate)
+		default:
+			if q.Grade.Effect == brain.Idempotent || q.MayHaveRun() == nil {
+				l.answer(a, kserve.Final{Final: kserve.Declined, Error: "this dispatcher is stopping", Harmless: true, AfterMs: 1})
+			} else {
+				l.Forfeit(q)
+			}
+			l.module.Left(q)
+			l.forget(a)
+		}
+	}
+}
+
 // forfeitAll ends what is left when the time to stop is over.
 func (l *Loop) forfeitAll() {
 	for q, a := range l.asked {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -38,7 +38,7 @@
 	answers  func() bool // the fleet is known
 	crowded  func() bool // clients' connections run short
 	ready    atomic.Bool
-	stopping atomic.Bool
+	stopping atomic.Bool   // it wants no new questions
 	cut      chan struct{} // closed when streams are to be gone on with elsewhere
 	asked    atomic.Int64
 	Again    atomic.Int64 // questions asked before
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -24,10 +24,13 @@
 
 const (
 	service   = "backend.local"
-	comeAfter = 450 * time.Millisecond  // after a stop, in which the front may still send new connections here
-	moveAfter = 3200 * time.Millisecond // after a stop, when the streams that still run are left to be gone on with elsewhere
-	restShare = 0.4                     // of how long boxes keep a connection that rests, after which it is not used
-	told      = 10 * time.Second        // between two lines on how things stand
+	comeAfter = 450 * time.Millisecond // after a stop, in which the front may still send new connections here
+	// After a stop, the streams that still run are left to be gone on with elsewhere: before the kill, and before the next dispatcher
+	// of a rolling restart stops, so that somebody is there for their clients.
+	moveAfter  = 2400 * time.Millisecond
+	yieldAfter = 3200 * time.Millisecond // after a stop, when what has not begun is ended
+	restShare  = 0.4                     // of how long boxes keep a connection that rests, after which it is not used
+	told       = 10 * time.Second        // between two lines on how things stand
 )
 
 // Run serves until the context ends; then it answers what it has and returns. again says when the configuration is to be read anew.
@@ -144,6 +147,7 @@
 	if facts.Yes("familyInfo.resume") {
 		defer time.AfterFunc(moveAfter-comeAfter, func() { close(f.cut) }).Stop()
 	}
+	defer time.AfterFunc(yieldAfter-comeAfter, func() { loop.Post(loop.Yield) }).Stop()
 	web.Shutdown(context.WithoutCancel(ctx)) // waits for every question that is open
 	c.settle(time.Second)
 	tellState(log, loop, c, f, g, peers, follower, life)
