--- a/internal/platform/carrier.go
+++ b/internal/platform/carrier.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	headTime  = time.Second             // for an answer's head, and its first events, once its first byte has come
+	headTime  = 400 * time.Millisecond  // for an answer's head, and its first events, once its first byte has come
 	stallTime = 4200 * time.Millisecond // without an event, after which a stream is taken for dead
 	shortMost = 64 << 10                // bytes of an answer that is no stream
 	waitedFor = time.Millisecond        // for a connection, after which the loop is asked whether the trip is still wanted
