--- a/cmd/sloetrestle/platform.go
+++ b/cmd/sloetrestle/platform.go
@@ -32,7 +32,7 @@
 		if err != nil {
 			return err
 		}
-		return platform.Run(cmd.Context(), place, reload, read, log, nil)
+		return platform.Run(cmd.Context(), place, reload, read, log)
 	})
 	return c
 }
--- /dev/null
+++ b/internal/chat/ask_test.go
@@ -0,0 +1,57 @@
+package chat
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func request(t testing.TB, raw string) *http.Request {
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(raw)))
+	if err != nil {
+		t.Skip(err)
+	}
+	return r
+}
+
+const asked = "POST /v1/chat/completions?a=b HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: 9b1f03aa5c7e2d41\r\nX-Priority-Class: chat\r\nX-Tenant-Id: acme\r\n" +
+	"X-Route-Key: 7f3a\r\nX-Timeout-Ms: 4800\r\nX-Attrs: prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800,new=1\r\nX-Retried: 1\r\nContent-Length: 2\r\n\r\n{}"
+
+func TestAHeadIsReadForItsQuestion(t *testing.T) {
+	a, no := Read(request(t, asked))
+	want := Ask{ID: "9b1f03aa5c7e2d41", Grade: "chat", Channel: "acme", Session: "7f3a", Shared: "5c0f", Tokens: 5120, Prefix: 2048, Most: 800,
+		Left: 4800 * time.Millisecond, Again: true}
+	if no != nil || a != want {
+		t.Errorf("%+v, %v", a, no)
+	}
+}
+
+// Asking for the rest of a stream is no second try: the question is taken at its full worth.
+func TestTheRestOfAStreamIsNoRepeat(t *testing.T) {
+	a, no := Read(request(t, strings.Replace(asked, "X-Retried: 1", "X-Retried: again", 1)))
+	if no != nil || a.Again || !a.Rest {
+		t.Errorf("%+v, %v", a, no)
+	}
+}
+
+func TestATripsHeadNamesWhatGoesOn(t *testing.T) {
+	r := request(t, asked)
+	a, _ := Read(r)
+	on := request(t, string(Errand(r, "backend.local", a, 1500*time.Millisecond))+"{}")
+	if on.RequestURI != r.RequestURI || on.Header.Get("X-Request-ID") != a.ID || on.ContentLength != 2 || on.Header.Get("X-Timeout-Ms") != "1500" {
+		t.Errorf("%s %v", on.RequestURI, on.Header)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(asked)
+	f.Add(strings.Replace(asked, "prompt_len=5120", "prompt_len=NaN", 1))
+	f.Fuzz(func(t *testing.T, raw string) {
+		a, no := Read(request(t, raw))
+		if no == nil && (a.ID == "" || a.Left <= 0 || a.Tokens < 0 || a.Prefix < 0 || a.Prefix > a.Tokens || a.Most < 0 || a.Most > tokensMost) {
+			t.Errorf("%+v", a)
+		}
+	})
+}
--- /dev/null
+++ b/internal/endpoints/endpoints_test.go
@@ -0,0 +1,166 @@
+package endpoints
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"sloetrestle/internal/boxlist"
+	"sloetrestle/internal/hosts"
+)
+
+func TestATargetBecomesALine(t *testing.T) {
+	var tab Table
+	lines, whole, refused, err := tab.Take(0, 10_000, []byte(`{"rev":41,"all":true,"targets":[
+		{"uid":"a","endpoint":"10.1.0.18:8081","az":"z","model":"m2","pod_group":3,"state":"in_service","capacity_hint":1.5,"boot_ms":9000},
+		{"uid":"b","endpoint":"10.1.0.19:8081","az":"z","model":"m2","pod_group":3,"state":"terminated","capacity_hint":1,"boot_ms":0},
+		{"uid":"c","endpoint":"nowhere","state":"in_service"},{"uid":"d","endpoint":"10.1.0.20:1","state":"asleep"},{"uid":"","state":"in_service"}]}`))
+	if err != nil || !whole || len(lines) != 2 || len(refused) != 3 || tab.Rev != 41 {
+		t.Fatalf("%v, whole %t, %+v, refused %q", err, whole, lines, refused)
+	}
+	if a := lines[0]; a.UpMs != 1000 || a.Start != 9000 || a.Standing != boxlist.Ready || a.Rack != "3" || a.Units != 1.5 || a.Addresses[0].At != "10.1.0.18:8081" {
+		t.Errorf("%+v", a)
+	}
+	if b := lines[1]; b.UpMs != -1 || b.Standing != boxlist.Gone {
+		t.Errorf("%+v", b)
+	}
+}
+
+// An older list could bring back boxes that are draining. It is taken only once discovery has had nothing newer for a while: then it
+// has begun anew.
+func TestAnOlderListIsNotTakenAtOnce(t *testing.T) {
+	var tab Table
+	take := func(now time.Duration, raw string) int {
+		lines, _, _, err := tab.Take(now, 0, []byte(raw))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(lines)
+	}
+	draining := `{"rev":43,"all":true,"targets":[{"uid":"a","endpoint":"10.0.0.1:1","state":"terminating","capacity_hint":1}]}`
+	older := `{"rev":42,"all":true,"targets":[{"uid":"a","endpoint":"10.0.0.1:1","state":"in_service","capacity_hint":1}]}`
+	if take(0, draining) != 1 || take(time.Second, older) != 0 || take(2*time.Second, older) != 0 {
+		t.Error("an older list was taken")
+	}
+	if take(time.Second+olderFor, older) != 1 || tab.Rev != 42 {
+		t.Error("a list that has begun anew is never taken")
+	}
+}
+
+func FuzzTake(f *testing.F) {
+	f.Add([]byte(`{"rev":1,"all":true,"targets":[{"uid":"a","endpoint":"10.0.0.1:1","state":"in_service","capacity_hint":1,"boot_ms":5}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var tab Table
+		lines, _, _, _ := tab.Take(0, 1000, raw)
+		for _, b := range lines {
+			if b.Name == "" || b.Standing == "" || !(b.Units >= 0) || b.UpMs < -1 {
+				t.Errorf("%+v", b)
+			}
+		}
+	})
+}
+
+// following is a follower on an agent, with what it was told.
+type following struct {
+	*Follower
+	mu    sync.Mutex
+	lines []boxlist.Box
+}
+
+func follow(t *testing.T, at string) *following {
+	before := goleak.IgnoreCurrent()
+	began := time.Now()
+	f := &following{}
+	f.Follower = &Follower{Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Since: func() time.Duration { return time.Since(began) }, Listed: func(lines []boxlist.Box, whole bool) {
+		f.mu.Lock()
+		f.lines = append(f.lines, lines...)
+		f.mu.Unlock()
+	}}
+	f.Move(at)
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { f.Follow(ctx); close(ended) }()
+	t.Cleanup(func() {
+		end()
+		<-ended
+		goleak.VerifyNone(t, before)
+	})
+	return f
+}
+
+// until waits until the last line that was told of a box says so.
+func (f *following) until(t *testing.T, name, standing string) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		f.mu.Lock()
+		last := ""
+		for _, b := range f.lines {
+			if b.Name == name {
+				last = b.Standing
+			}
+		}
+		f.mu.Unlock()
+		if last == standing {
+			return
+		}
+	}
+	t.Fatalf("%s is never %s", name, standing)
+}
+
+func TestAWatchGoesOnAfterWhateverCutsIt(t *testing.T) {
+	site := hosts.New()
+	t.Cleanup(site.Close)
+	box := site.Box("a", hosts.Reader)
+	agent := site.Agent()
+	f := follow(t, agent.At)
+	f.until(t, "a", boxlist.Ready)
+	for i, cut := range []func(){
+		agent.Cut,
+		func() { agent.Say("20\r\n{\"rev\":9"); agent.Cut() },
+		func() { agent.Say(hosts.Chunk("{\"rev\":\n")) },
+	} {
+		cut()
+		site.Change(func() { box.State = []string{"terminating", "in_service", "terminating"}[i] })
+		f.until(t, "a", []string{boxlist.Draining, boxlist.Ready, boxlist.Draining}[i])
+	}
+}
+
+// A watch that has gone silent is taken up anew, and silence takes nothing off the list.
+func TestASilentWatchIsTakenUpAnew(t *testing.T) {
+	site := hosts.New()
+	t.Cleanup(site.Close)
+	box := site.Box("a", hosts.Reader)
+	agent := site.Agent()
+	f := follow(t, agent.At)
+	f.until(t, "a", boxlist.Ready)
+	agent.SetMute(true)
+	site.Change(func() { box.State = "terminating" })
+	agent.SetMute(false)
+	f.until(t, "a", boxlist.Draining)
+	if f.Lost() == 0 {
+		t.Error("the silent watch was not given up")
+	}
+}
+
+func TestANewAddressIsAskedForItsWholeList(t *testing.T) {
+	site := hosts.New()
+	t.Cleanup(site.Close)
+	site.Box("a", hosts.Reader)
+	b := site.Box("b", hosts.Reader)
+	b.State = "terminated"
+	one, two := site.Agent(), site.Agent()
+	f := follow(t, one.At)
+	f.until(t, "a", boxlist.Ready)
+	one.SetMute(true)
+	site.Change(func() { b.State = "in_service" })
+	f.Move(two.At)
+	f.until(t, "b", boxlist.Ready)
+	if asked := two.Targets(); len(asked) == 0 || asked[0] != "/v1/endpoints" {
+		t.Errorf("asked for %q", asked)
+	}
+}
--- /dev/null
+++ b/internal/hosts/hosts.go
@@ -0,0 +1,449 @@
+// Package hosts is what the project plays itself of the users' platform, from the platform's own pages: boxes that speak its
+// protocol with scripted faults, and the agent of its discovery. It keeps a record of what reached it, and knows nothing of the
+// dispatcher. Begin with Site.
+package hosts
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Kinds of boxes, and what they are called in the settings.
+const (
+	Reader = "prompt-side"
+	Writer = "answer-side"
+)
+
+// Exchange is one request whose last byte has come to a box.
+type Exchange struct {
+	Box    *Box
+	Nth    int // of all that came to the box
+	Method string
+	Target string
+	ID     string
+	Head   http.Header
+	Body   string
+	Left   <-chan struct{} // closed when the dispatcher has closed the connection
+	w      net.Conn
+}
+
+// Site is a set of boxes, their discovery and the record of both.
+type Site struct {
+	mu     sync.Mutex
+	boxes  []*Box
+	seen   []*Exchange
+	out    map[string]int // requests by id that are out
+	held   map[string]string
+	Faults []string // rules that were broken, as the boxes saw it
+	agents []*Agent
+	rev    int64
+	wait   sync.WaitGroup
+	gone   bool
+}
+
+func New() *Site { return &Site{out: map[string]int{}, held: map[string]string{}, rev: 1} }
+
+// Box is one box.
+type Box struct {
+	UID   string
+	Kind  string
+	At    string
+	State string
+	Boot  int64
+	// Do answers in place of the box's own way; it tells whether the connection may be used again.
+	Do    func(e *Exchange) bool
+	site  *Site
+	l     net.Listener
+	conns map[net.Conn]bool
+	n     int
+}
+
+// Box adds a box that is in service.
+func (s *Site) Box(uid, kind string) *Box {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	b := &Box{UID: uid, Kind: kind, At: l.Addr().String(), State: "in_service", site: s, l: l, conns: map[net.Conn]bool{}}
+	s.mu.Lock()
+	s.boxes = append(s.boxes, b)
+	s.mu.Unlock()
+	s.wait.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			b.conns[c] = true
+			s.mu.Unlock()
+			s.wait.Go(func() { b.serve(c) })
+		}
+	})
+	return b
+}
+
+// Kill ends a box's process: its connections are reset, and new ones refused.
+func (b *Box) Kill() {
+	b.l.Close()
+	b.site.mu.Lock()
+	defer b.site.mu.Unlock()
+	for c := range b.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		c.Close()
+	}
+	for id, at := range b.site.held {
+		if at == b.UID {
+			delete(b.site.held, id)
+		}
+	}
+}
+
+// CloseListener has new connections refused; those that stand go on.
+func (b *Box) CloseListener() { b.l.Close() }
+
+// Rest closes the connections on which nothing is out, as a box does with those that stood idle.
+func (b *Box) Rest() {
+	b.site.mu.Lock()
+	defer b.site.mu.Unlock()
+	for c, idle := range b.conns {
+		if idle {
+			c.Close()
+		}
+	}
+}
+
+func (b *Box) serve(c net.Conn) {
+	s := b.site
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		delete(b.conns, c)
+		s.mu.Unlock()
+	}()
+	from := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(from)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		left := make(chan struct{})
+		e := &Exchange{Box: b, Method: r.Method, Target: r.RequestURI, ID: r.Header.Get("X-Request-Id"), Head: r.Header, Body: string(body), Left: left, w: c}
+		s.mu.Lock()
+		b.conns[c] = false
+		e.Nth = b.n
+		b.n++
+		s.seen = append(s.seen, e)
+		if e.ID != "" {
+			if s.out[e.ID]++; s.out[e.ID] > 1 {
+				s.Faults = append(s.Faults, "a second copy of "+e.ID+" is out")
+			}
+		}
+		do := b.Do
+		s.mu.Unlock()
+		// Whoever waits for the far side to leave reads on; what comes is the next request's first byte.
+		watched := make(chan struct{})
+		go func() {
+			defer close(watched)
+			if _, err := from.Peek(1); err != nil {
+				close(left)
+			}
+		}()
+		if do == nil {
+			do = (*Exchange).Serve
+		}
+		keep := do(e)
+		s.mu.Lock()
+		if e.ID != "" {
+			s.out[e.ID]--
+		}
+		b.conns[c] = true
+		s.mu.Unlock()
+		if !keep {
+			c.Close()
+		}
+		<-watched
+		if !keep {
+			return
+		}
+	}
+}
+
+// Serve is a box's own way: a reader reads and holds, a writer answers, a call releases.
+func (e *Exchange) Serve() bool {
+	s := e.Box.site
+	switch {
+	case e.Method == http.MethodDelete:
+		s.mu.Lock()
+		delete(s.held, strings.TrimPrefix(e.Target, "/v1/holds/"))
+		s.mu.Unlock()
+		return e.Write("HTTP/1.1 204 No Content\r\n\r\n")
+	case e.Box.Kind == Reader:
+		e.Hold()
+		return e.Write("HTTP/1.1 202 Accepted\r\nX-Server-Load: util=0.5,queue=2,x0=0.25\r\nContent-Length: 21\r\n\r\n{\"cached_tokens\":100}")
+	}
+	return e.Write(Opening) && e.Write(Chunk(Event("a"))+Chunk(Event("b"))) && e.Write(Chunk(Usage+Done)+Last)
+}
+
+// Hold takes note that a question's state waits at the box.
+func (e *Exchange) Hold() {
+	e.Box.site.mu.Lock()
+	defer e.Box.site.mu.Unlock()
+	e.Box.site.held[e.ID] = e.Box.UID
+}
+
+// Write writes bytes as they are. With the opening of an answer a writer has taken the state.
+func (e *Exchange) Write(raw string) bool {
+	if strings.HasPrefix(raw, Opening) && e.Box.Kind == Writer {
+		e.Box.site.mu.Lock()
+		delete(e.Box.site.held, e.ID)
+		e.Box.site.mu.Unlock()
+	}
+	_, err := io.WriteString(e.w, raw)
+	return err == nil
+}
+
+// Pieces of an answer.
+const (
+	Opening = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	Usage   = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":400,\"completion_tokens\":2,\"prompt_tokens_details\":{\"cached_tokens\":40}}}\n\n: X-Server-Load: util=0.6,queue=1,x0=0.5\n\n"
+	Done    = "data: [DONE]\n\n"
+	Last    = "0\r\n\r\n"
+)
+
+func Event(text string) string {
+	return fmt.Sprintf("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", text)
+}
+
+func Chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// Refuse is an answer without a stream.
+func Refuse(code int, never bool) string {
+	mark := ""
+	if never {
+		mark = "X-Not-Processed: 1\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %d No\r\n%sContent-Length: 0\r\n\r\n", code, mark)
+}
+
+// Seen lists what came to a box, or to all with an empty name, under a method.
+func (s *Site) Seen(uid, method string) []*Exchange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []*Exchange
+	for _, e := range s.seen {
+		if (uid == "" || e.Box.UID == uid) && e.Method == method {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// Held counts states that wait, Out requests that are out.
+func (s *Site) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.held)
+}
+
+func (s *Site) Out() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, k := range s.out {
+		n += k
+	}
+	return n
+}
+
+// Change changes what discovery says of boxes and tells its agents.
+func (s *Site) Change(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	s.rev++
+	for _, a := range s.agents {
+		a.tell(s.list(false))
+	}
+}
+
+type target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Kind     string  `json:"model"`
+	Rack     int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Units    float64 `json:"capacity_hint"`
+	Boot     int64   `json:"boot_ms"`
+}
+
+// list is what discovery says; the site is locked.
+func (s *Site) list(whole bool) []byte {
+	targets := []target{}
+	for i, b := range s.boxes {
+		targets = append(targets, target{b.UID, b.At, "hall-1", b.Kind, i % 2, b.State, 1, b.Boot})
+	}
+	raw, err := json.Marshal(map[string]any{"rev": s.rev, "all": whole, "targets": targets})
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// List is the whole list.
+func (s *Site) List() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list(true)
+}
+
+// Agent is discovery at one address.
+type Agent struct {
+	At      string
+	site    *Site
+	l       net.Listener
+	watches map[net.Conn]bool
+	conns   map[net.Conn]bool
+	asked   []string
+	mute    bool // it takes connections and says nothing
+}
+
+// Agent opens another one.
+func (s *Site) Agent() *Agent {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	a := &Agent{At: l.Addr().String(), site: s, l: l, watches: map[net.Conn]bool{}, conns: map[net.Conn]bool{}}
+	s.mu.Lock()
+	s.agents = append(s.agents, a)
+	s.mu.Unlock()
+	s.wait.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			a.conns[c] = true
+			s.mu.Unlock()
+			s.wait.Go(func() { a.serve(c) })
+		}
+	})
+	return a
+}
+
+func (a *Agent) serve(c net.Conn) {
+	s := a.site
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		delete(a.watches, c)
+		delete(a.conns, c)
+		s.mu.Unlock()
+	}()
+	from := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(from)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		a.asked = append(a.asked, r.RequestURI)
+		switch {
+		case a.mute:
+		case r.URL.Query().Get("stream") == "":
+			raw := s.list(true)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(raw), raw)
+		default:
+			a.watches[c] = true
+			raw := string(s.list(true)) + "\n"
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%s", Chunk(raw))
+		}
+		s.mu.Unlock()
+	}
+}
+
+// tell writes a change to the watches; the site is locked.
+func (a *Agent) tell(raw []byte) {
+	if a.mute {
+		return
+	}
+	for c := range a.watches {
+		io.WriteString(c, Chunk(string(raw)+"\n"))
+	}
+}
+
+// Say writes bytes to the watches as they are.
+func (a *Agent) Say(raw string) {
+	a.site.mu.Lock()
+	defer a.site.mu.Unlock()
+	for c := range a.watches {
+		io.WriteString(c, raw)
+	}
+}
+
+// Cut ends the watches; the agent goes on listening.
+func (a *Agent) Cut() {
+	a.site.mu.Lock()
+	defer a.site.mu.Unlock()
+	for c := range a.conns {
+		c.Close()
+	}
+}
+
+// SetMute has it say nothing, or speak again; Targets lists what it was asked for.
+func (a *Agent) SetMute(mute bool) {
+	a.site.mu.Lock()
+	defer a.site.mu.Unlock()
+	a.mute = mute
+}
+
+func (a *Agent) Targets() []string {
+	a.site.mu.Lock()
+	defer a.site.mu.Unlock()
+	return slices.Clone(a.asked)
+}
+
+// Watched tells how many watches there are.
+func (a *Agent) Watched() int {
+	a.site.mu.Lock()
+	defer a.site.mu.Unlock()
+	return len(a.watches)
+}
+
+// Close ends all of it.
+func (s *Site) Close() {
+	s.mu.Lock()
+	boxes, agents := slices.Clone(s.boxes), slices.Clone(s.agents)
+	s.mu.Unlock()
+	for _, b := range boxes {
+		b.Kill()
+	}
+	for _, a := range agents {
+		a.l.Close()
+		a.Cut()
+	}
+	done := make(chan struct{})
+	go func() { s.wait.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		panic("a scripted box does not end")
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -4,13 +4,13 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"sloetrestle/brain"
 	"sloetrestle/internal/chat"
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/kserve"
@@ -27,7 +27,6 @@
 // front takes questions from clients.
 type front struct {
 	loop    *dispatch.Loop
-	log     *slog.Logger
 	service string
 	grades  map[string]int
 	tenants map[string]int
@@ -51,6 +50,20 @@
 	refused map[string]int64
 }
 
+func newFront(loop *dispatch.Loop, facts brain.Facts, bodies int64) *front {
+	f := &front{
+		loop: loop, service: service, grades: map[string]int{}, tenants: map[string]int{}, ids: map[string]bool{}, refused: map[string]int64{},
+		cut: make(chan struct{}), after: facts.Span("policyLimits.maxRetryAfterUs"), open: int64(facts.Num("policyLimits.maxOpen", 1e4)), bodies: bodies,
+	}
+	for i := range int(facts.Num("requestClasses", 0)) {
+		f.grades[facts.Text(fmt.Sprintf("requestClasses.%d.name", i))] = i
+	}
+	for i := range int(facts.Num("tenants", 0)) {
+		f.tenants[facts.Text(fmt.Sprintf("tenants.%d.name", i))] = i
+	}
+	return f
+}
+
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if f.stopping.Load() || f.crowded() {
 		w.Header().Set("Connection", "close")
--- /dev/null
+++ b/internal/platform/node_test.go
@@ -0,0 +1,621 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/hosts"
+)
+
+// settings are those of a small deployment, in the form in which the platform hands them over.
+const settings = `{"siblings":1,"slotNo":0,"discovery":"automatic","dcs":["hall-1"],"kinds":["prompt-side","answer-side"],
+"familyInfo":{"kindRole":["read","write"],"localRead":false,"resume":true,"tokensByKind":[200000,200000],"pinLimitUs":500000},
+"policyLimits":{"cancelling":true,"maxAttempts":4,"connIdleUs":30000000,"dialTimeoutUs":250000,"retryAfter":true,"maxRetryAfterUs":2000000,"maxOpen":1000},
+"report":{"fields":["util","queue","x0"],"source":"piggyback"},"rules":{"tipMultiple":2.5,"tipAfterUs":2000000,"coldFrom":0.4,"rampTimeUs":9000000},
+"requestClasses":[{"name":"trail-info","effect":"repeatable","aimUs":1500000,"worth":2,"lateWorth":0.1,"giveUpUs":6000000},
+{"name":"hut-booking","effect":"once","aimUs":800000,"worth":5,"lateWorth":0.3,"giveUpUs":4000000}],
+"tenants":[{"name":"web-app","quotaPerS":1000}],"overShareWorth":0.05,"valueBy":"work"}`
+
+// house is a dispatcher in this process with a reader and two writers.
+type house struct {
+	t       *testing.T
+	site    *hosts.Site
+	agent   *hosts.Agent
+	reader  *hosts.Box
+	writers []*hosts.Box
+	node    *node
+	at      string
+	again   chan os.Signal
+	read    func() (Place, error)
+	quit    context.CancelFunc
+	ended   chan error
+	ids     int
+}
+
+// open starts everything; all of it has ended when the test has, and the boxes saw no rule broken.
+func enter(t *testing.T, change func(h *house, p *Place)) *house {
+	t.Helper()
+	before := goleak.IgnoreCurrent()
+	h := &house{t: t, site: hosts.New(), again: make(chan os.Signal, 1), ended: make(chan error, 1)}
+	h.reader = h.site.Box("r1", hosts.Reader)
+	h.writers = []*hosts.Box{h.site.Box("w1", hosts.Writer), h.site.Box("w2", hosts.Writer)}
+	h.agent = h.site.Agent()
+	p := Place{Name: "n1", Listen: "127.0.0.1:0", Discovery: h.agent.At, Seed: "8c1f30d27a5be964"}
+	if err := json.Unmarshal([]byte(settings), &p.Settings); err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(h, &p)
+	}
+	var err error
+	if h.node, err = open(context.Background(), p, slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
+		t.Fatal(err)
+	}
+	h.at = h.node.gate.Addr().String()
+	h.read = func() (Place, error) { return p, nil }
+	ctx, quit := context.WithCancel(context.Background())
+	h.quit = quit
+	go func() { h.ended <- h.node.run(ctx, h.again, func() (Place, error) { return h.read() }) }()
+	h.until("the dispatcher is ready", func() bool {
+		resp, err := http.Get("http://" + h.at + "/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 200
+	})
+	http.DefaultClient.CloseIdleConnections()
+	t.Cleanup(func() {
+		h.quit()
+		select {
+		case err := <-h.ended:
+			if err != nil {
+				t.Error(err)
+			}
+		case <-time.After(15 * time.Second):
+			t.Error("it does not end")
+		}
+		for _, f := range h.site.Faults {
+			t.Error("rule broken: " + f)
+		}
+		h.site.Close()
+		goleak.VerifyNone(t, before)
+	})
+	return h
+}
+
+// until waits for something to become true.
+func (h *house) until(what string, is func() bool) {
+	h.t.Helper()
+	for end := time.Now().Add(8 * time.Second); !is(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			h.t.Fatal("it never came to be that " + what)
+		}
+	}
+}
+
+// settled waits until nothing is out, held or open, at the dispatcher as at the boxes: rule 5, and every count back at nought.
+func (h *house) settled() {
+	h.t.Helper()
+	h.until("nothing is left of the questions", func() bool {
+		still := h.site.Out() + h.site.Held() + int(h.node.front.asked.Load()) + int(h.node.front.held.Load()) + len(h.node.carrier.calls)
+		h.node.loop.Call(context.Background(), func() {
+			for _, b := range []*hosts.Box{h.reader, h.writers[0], h.writers[1]} {
+				if m := h.node.loop.HostOf(b.UID); m != nil && (m.Streams != 0 || m.Tokens != 0 || m.Unread != 0) {
+					still++
+				}
+			}
+		})
+		return still == 0
+	})
+}
+
+// ask is a client's request as text.
+func (h *house) ask(class string, change ...string) string {
+	h.ids++
+	raw := fmt.Sprintf("POST /v1/chat/completions?x=1 HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: q%d\r\nX-Priority-Class: %s\r\nX-Tenant-Id: web-app\r\n"+
+		"X-Route-Key: s%d\r\nX-Timeout-Ms: 3000\r\nX-Attrs: prefix=ab,prompt_len=400,prefix_len=100,max_out=50\r\nContent-Length: 12\r\n\r\n{\"model\":\"\"}", h.ids, class, h.ids)
+	return strings.NewReplacer(change...).Replace(raw)
+}
+
+// client is one connection.
+type client struct {
+	net.Conn
+	from *bufio.Reader
+}
+
+func (h *house) client() *client {
+	h.t.Helper()
+	c, err := net.Dial("tcp", h.at)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	return &client{c, bufio.NewReader(c)}
+}
+
+// said is what came back: a status of 0 is a close without an answer, whole tells whether the answer ended in good order.
+type said struct {
+	status int
+	after  string
+	closes bool
+	text   string
+	whole  bool
+}
+
+func (c *client) said() said {
+	resp, err := http.ReadResponse(c.from, nil)
+	if err != nil {
+		return said{}
+	}
+	text, err := io.ReadAll(resp.Body)
+	return said{resp.StatusCode, resp.Header.Get("Retry-After"), resp.Close, string(text), err == nil}
+}
+
+func (h *house) says(raw string) said {
+	h.t.Helper()
+	c := h.client()
+	io.WriteString(c, raw)
+	return c.said()
+}
+
+func TestAQuestionGoesThroughByteForByte(t *testing.T) {
+	h := enter(t, nil)
+	got := h.says(h.ask("hut-booking"))
+	if got.status != 200 || got.text != hosts.Event("a")+hosts.Event("b")+hosts.Usage+hosts.Done || !got.whole {
+		t.Errorf("%+v", got)
+	}
+	for _, e := range h.site.Seen("", "POST") {
+		if e.Target != "/v1/chat/completions?x=1" || e.Body != `{"model":""}` || e.ID != "q1" || e.Head.Get("X-Timeout-Ms") == "" {
+			t.Errorf("%s %s %q as %s, %v", e.Box.UID, e.Target, e.Body, e.ID, e.Head)
+		}
+	}
+	h.settled()
+	h.node.loop.Call(context.Background(), func() {
+		if r := h.node.loop.HostOf("r1"); r.Util != 0.5 || r.Queue != 2 {
+			t.Errorf("the reader's report is taken for %g, %g", r.Util, r.Queue)
+		}
+	})
+}
+
+// What ends a trip at the writer, and what the client of an unrepeatable and of an idempotent question gets then. Where the trip is
+// proven not to have run, another may follow for both.
+func TestEachEndOfATripIsTakenForWhatItProves(t *testing.T) {
+	spoilt := func(raw string) func(e *hosts.Exchange) bool {
+		return func(e *hosts.Exchange) bool { e.Write(raw); <-e.Left; return false }
+	}
+	says := func(raw string) func(e *hosts.Exchange) bool {
+		return func(e *hosts.Exchange) bool { return e.Write(raw) }
+	}
+	for _, c := range []struct {
+		name string
+		do   func(e *hosts.Exchange) bool
+		once int // the status that the client of an unrepeatable question gets
+	}{
+		{"turned away", says(hosts.Refuse(503, true)), 200},
+		{"over at the box", says(hosts.Refuse(504, true)), 200},
+		{"state gone", says(hosts.Refuse(410, true)), 200},
+		{"503 of somebody", says(hosts.Refuse(503, false)), 502},
+		{"error", says(hosts.Refuse(500, false)), 502},
+		{"reset", func(*hosts.Exchange) bool { return false }, 502},
+		{"noise", spoilt("\x00\x01\x02\x03 noise\r\n\r\n"), 502},
+		{"endless head", spoilt("HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: b\r\n", 9000)), 502},
+		{"a head that stops", spoilt("HTTP/1.1 200 OK\r\nX-"), 502},
+		{"no chunk", spoilt(hosts.Opening + "zz\r\n"), 502},
+		{"a chunk of 3 GB", spoilt(hosts.Opening + "c0000000\r\n" + hosts.Event("a")), 502},
+		{"length and no chunks", spoilt("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n" + hosts.Event("a")), 502},
+		{"a 1xx in front", func(e *hosts.Exchange) bool { e.Write("HTTP/1.1 103 Early Hints\r\n\r\n"); return e.Serve() }, 200},
+		{"a second answer behind", func(e *hosts.Exchange) bool { return e.Serve() && e.Write(hosts.Opening+hosts.Chunk(hosts.Event("z"))) }, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := enter(t, nil)
+			// The first trip to any writer ends so, the others well.
+			for _, w := range h.writers {
+				w.Do = func(e *hosts.Exchange) bool {
+					if e.Method == "POST" && len(h.site.Seen("w1", "POST"))+len(h.site.Seen("w2", "POST")) == 1 {
+						return c.do(e)
+					}
+					return e.Serve()
+				}
+			}
+			if got := h.says(h.ask("hut-booking")); got.status != c.once || got.status == 200 && !got.whole {
+				t.Errorf("unrepeatable: %+v", got)
+			}
+			h.settled()
+			if got := h.says(h.ask("trail-info")); got.status != 200 || strings.Contains(got.text, `"z"`) || !got.whole {
+				t.Errorf("the next one: %+v", got)
+			}
+			h.settled()
+		})
+	}
+}
+
+// An unrepeatable question must not be asked again while its first trip may have run; an idempotent one may.
+func TestAnIdempotentQuestionOutlivesASpoiltAnswer(t *testing.T) {
+	h := enter(t, nil)
+	for _, w := range h.writers {
+		w.Do = func(e *hosts.Exchange) bool {
+			if len(h.site.Seen("w1", "POST"))+len(h.site.Seen("w2", "POST")) == 1 {
+				return e.Write("HTTP/1.1 200 OK\r\n\x01\x02\r\n") && false
+			}
+			return e.Serve()
+		}
+	}
+	if got := h.says(h.ask("trail-info")); got.status != 200 || !got.whole {
+		t.Errorf("%+v", got)
+	}
+	h.settled()
+}
+
+// A stream that breaks after its first event ends the client's connection without the last chunk, soon.
+func TestABrokenStreamIsNotEndedAsWhole(t *testing.T) {
+	for name, tail := range map[string]string{"between chunks": "", "in a chunk": "20\r\ndata", "a chunk's size": "zz\r\n", "early end": hosts.Last} {
+		t.Run(name, func(t *testing.T) {
+			h := enter(t, nil)
+			for _, w := range h.writers {
+				w.Do = func(e *hosts.Exchange) bool {
+					e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")) + tail)
+					return false
+				}
+			}
+			if got := h.says(h.ask("trail-info")); got.status != 200 || got.text != hosts.Event("a") || got.whole {
+				t.Errorf("%+v", got)
+			}
+			h.settled()
+		})
+	}
+}
+
+// A box that goes silent in a stream is given up within 5 s.
+func TestASilentStreamIsGivenUp(t *testing.T) {
+	h := enter(t, nil)
+	for _, w := range h.writers {
+		w.Do = func(e *hosts.Exchange) bool {
+			e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")))
+			<-e.Left
+			return false
+		}
+	}
+	began := time.Now()
+	if got := h.says(h.ask("trail-info")); got.whole || time.Since(began) > 5*time.Second {
+		t.Errorf("%+v after %v", got, time.Since(began))
+	}
+	h.settled()
+}
+
+func TestWhatIsNoQuestionIsRefusedAtOnce(t *testing.T) {
+	h := enter(t, nil)
+	huge := strings.Repeat("A", 40<<10)
+	for name, raw := range map[string]string{
+		"noise":             "\x16\x03\x01 what\r\n\r\n",
+		"endless head":      "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-A: " + huge,
+		"no id":             h.ask("trail-info", "X-Request-ID", "X-Other"),
+		"id of a path":      h.ask("trail-info", "X-Request-ID: q", "X-Request-ID: ../q"),
+		"class":             h.ask("no-such"),
+		"tenant":            h.ask("trail-info", "web-app", "nobody"),
+		"deadline no word":  h.ask("trail-info", "X-Timeout-Ms: 3000", "X-Timeout-Ms: soon"),
+		"deadline missing":  h.ask("trail-info", "X-Timeout-Ms", "X-Other"),
+		"deadline negative": h.ask("trail-info", "X-Timeout-Ms: 3000", "X-Timeout-Ms: -1"),
+		"deadline huge":     h.ask("trail-info", "X-Timeout-Ms: 3000", "X-Timeout-Ms: 99999999999999999999"),
+		"length negative":   h.ask("trail-info", "Content-Length: 12", "Content-Length: -12"),
+		"length huge":       h.ask("trail-info", "Content-Length: 12", "Content-Length: 60000000"),
+		"length twice":      h.ask("trail-info", "Content-Length: 12", "Content-Length: 12\r\nContent-Length: 13"),
+		"length no number":  h.ask("trail-info", "Content-Length: 12", "Content-Length: x"),
+		"tokens negative":   h.ask("trail-info", "prompt_len=400", "prompt_len=-400"),
+		"tokens not finite": h.ask("trail-info", "prompt_len=400", "prompt_len=NaN"),
+		"tokens huge":       h.ask("trail-info", "prompt_len=400", "prompt_len=1e300"),
+		"hidden": h.ask("trail-info", "Content-Length: 12", "Content-Length: 200\r\nTransfer-Encoding: chunked",
+			`{"model":""}`, "0\r\n\r\n"+h.ask("hut-booking")),
+		"chunks":         h.ask("trail-info", "Content-Length: 12", "Transfer-Encoding: chunked", `{"model":""}`, "c\r\n{\"model\":\"\"}\r\n0\r\n\r\n"),
+		"another path":   h.ask("trail-info", "/v1/chat/completions", "/v1/other"),
+		"another method": h.ask("trail-info", "POST", "PUT"),
+		"half a body":    h.ask("trail-info", `{"model":""}`, `{"mod`),
+		"half a head":    "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n",
+		"nothing":        "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := h.client()
+			began := time.Now()
+			io.WriteString(c, raw)
+			if got := c.said(); got.status != 0 && got.status/100 != 4 || time.Since(began) > 3*time.Second {
+				t.Errorf("%+v after %v", got, time.Since(began))
+			}
+			c.SetReadDeadline(time.Now().Add(time.Second))
+			if n, err := io.Copy(io.Discard, c.from); err != nil && os.IsTimeout(err) || n > 0 {
+				t.Errorf("the connection stays open, %d bytes more, %v", n, err)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		if n := h.node.loop.Tally.Taken; n != 0 {
+			t.Errorf("%d reached the module", n)
+		}
+	})
+}
+
+// The id of a question that is open is refused, and the open one goes on.
+func TestTheIDOfAnOpenQuestionIsRefused(t *testing.T) {
+	h := enter(t, nil)
+	hold := make(chan struct{})
+	h.reader.Do = func(e *hosts.Exchange) bool { <-hold; return e.Serve() }
+	raw := h.ask("hut-booking")
+	c := h.client()
+	io.WriteString(c, raw)
+	h.until("it is read", func() bool { return len(h.site.Seen("r1", "POST")) == 1 })
+	if got := h.says(raw); got.status != 409 || !got.closes {
+		t.Errorf("%+v", got)
+	}
+	close(hold)
+	if got := c.said(); got.status != 200 {
+		t.Errorf("%+v", got)
+	}
+	h.settled()
+}
+
+// A client that goes away ends its trip, and nothing stays held, wherever its question was.
+func TestAClientThatLeavesLeavesNothingBehind(t *testing.T) {
+	for _, at := range []string{"reading", "writing", "streaming"} {
+		t.Run(at, func(t *testing.T) {
+			h := enter(t, nil)
+			there := make(chan *hosts.Exchange, 1)
+			stay := func(e *hosts.Exchange) bool {
+				if e.Method != "POST" {
+					return e.Serve()
+				}
+				switch at {
+				case "reading":
+					e.Hold() // it ends well just as the trip is called off
+				case "streaming":
+					e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")))
+				}
+				there <- e
+				<-e.Left
+				return false
+			}
+			if at == "reading" {
+				h.reader.Do = stay
+			} else {
+				for _, w := range h.writers {
+					w.Do = stay
+				}
+			}
+			c := h.client()
+			io.WriteString(c, h.ask("trail-info"))
+			<-there
+			c.Close()
+			h.settled()
+		})
+	}
+}
+
+// A state is released also where the box that may hold it can't be reached: any box takes the call.
+func TestAStateIsReleasedThroughAnotherBox(t *testing.T) {
+	h := enter(t, nil)
+	h.reader.Do = func(e *hosts.Exchange) bool {
+		if e.Method != "POST" {
+			return e.Serve()
+		}
+		e.Hold()
+		h.reader.Do = nil
+		<-e.Left
+		return false
+	}
+	c := h.client()
+	io.WriteString(c, h.ask("trail-info"))
+	h.until("it is read", func() bool { return h.site.Held() == 1 })
+	h.reader.CloseListener()
+	c.Close()
+	h.until("a box was told", func() bool { return len(h.site.Seen("", "DELETE")) > 0 })
+	h.settled()
+}
+
+// A connection that its box has closed while it rested is not written to: for an unrepeatable question that would be a loss.
+func TestAClosedConnectionIsNotUsed(t *testing.T) {
+	h := enter(t, nil)
+	for range 3 {
+		if got := h.says(h.ask("hut-booking")); got.status != 200 {
+			t.Fatalf("%+v", got)
+		}
+		h.settled()
+		for _, b := range append(h.writers, h.reader) {
+			b.Rest()
+		}
+	}
+}
+
+// What a box says of the question itself is passed on, and speaks neither against the box nor for a trip elsewhere.
+func TestAQuestionThatNoBoxCanUseIsNotRepeated(t *testing.T) {
+	h := enter(t, nil)
+	h.reader.Do = func(e *hosts.Exchange) bool { return e.Write(hosts.Refuse(400, false)) }
+	if got := h.says(h.ask("trail-info")); got.status != 502 || len(h.site.Seen("", "POST")) != 1 {
+		t.Errorf("%+v after %d trips", got, len(h.site.Seen("", "POST")))
+	}
+	h.node.loop.Call(context.Background(), func() {
+		if r := h.node.loop.HostOf("r1").Records[0]; r.Missed != 0 {
+			t.Error("it speaks against the box")
+		}
+	})
+	h.settled()
+}
+
+// Where connections run short, those that say nothing make room, and answers end theirs.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	h := enter(t, func(h *house, p *Place) { p.Limits.Sockets = 64 })
+	for range 200 {
+		c, err := net.Dial("tcp", h.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	c := h.client()
+	io.WriteString(c, h.ask("hut-booking"))
+	if got := c.said(); got.status != 200 || !got.closes {
+		t.Errorf("%+v", got)
+	}
+	if n := h.node.gate.count(); n > h.node.gate.most+1 {
+		t.Errorf("%d connections are open, %d may be", n, h.node.gate.most)
+	}
+}
+
+// Bodies of more than there is room for are declined; the others go on.
+func TestBodiesHaveABound(t *testing.T) {
+	h := enter(t, func(h *house, p *Place) { p.Limits.MemoryMB = 1 })
+	big := h.ask("trail-info", "Content-Length: 12", "Content-Length: 250000", `{"model":""}`, strings.Repeat("x", 250000))
+	if got := h.says(big); got.status != 503 || got.after == "" {
+		t.Errorf("%+v", got)
+	}
+	if got := h.says(h.ask("trail-info")); got.status != 200 {
+		t.Errorf("%+v", got)
+	}
+	h.settled()
+}
+
+// A new configuration moves discovery; one that is torn or absent changes nothing. No question notices.
+func TestTheConfigurationIsReadAnew(t *testing.T) {
+	h := enter(t, nil)
+	other := h.site.Agent()
+	h.read = func() (Place, error) { return Load(t.TempDir()+"/absent.json", os.Getenv) }
+	h.again <- syscall.SIGHUP
+	torn := t.TempDir() + "/torn.json"
+	if err := os.WriteFile(torn, []byte(`{"name":"n1","listen`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	h.until("the absent one was looked for", func() bool { return len(h.again) == 0 })
+	h.read = func() (Place, error) { return Load(torn, os.Getenv) }
+	h.again <- syscall.SIGHUP
+	if got := h.says(h.ask("hut-booking")); got.status != 200 || other.Watched() != 0 {
+		t.Errorf("%+v, %d watches on the new address", got, other.Watched())
+	}
+	h.until("the torn one was read", func() bool { return len(h.again) == 0 })
+	p := h.node.place
+	p.Discovery = other.At
+	raw, err := json.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := t.TempDir() + "/whole.json"
+	if err := os.WriteFile(whole, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	h.read = func() (Place, error) { return Load(whole, os.Getenv) }
+	h.again <- syscall.SIGHUP
+	h.until("discovery was followed", func() bool { return other.Watched() == 1 && h.agent.Watched() == 0 })
+	h.site.Change(func() { h.reader.State = "terminating" })
+	h.until("the change is known", func() bool {
+		standing := brain.Ready
+		h.node.loop.Call(context.Background(), func() { standing = h.node.loop.HostOf("r1").Standing })
+		return standing == brain.Draining
+	})
+}
+
+// At a stop every question that was taken gets its answer, streams that still run are cut, and new clients are sent elsewhere.
+func TestAStopAnswersWhatWasTaken(t *testing.T) {
+	h := enter(t, nil)
+	for _, w := range h.writers {
+		w.Do = func(e *hosts.Exchange) bool {
+			if e.Method != "POST" || e.ID != "q1" && e.ID != "q2" {
+				return e.Serve()
+			}
+			if e.ID == "q2" {
+				<-e.Left // never begins
+				return false
+			}
+			e.Write(hosts.Opening)
+			for e.Write(hosts.Chunk(hosts.Event("a"))) {
+				select {
+				case <-e.Left:
+					return false
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+			return false
+		}
+	}
+	long, never, late := h.client(), h.client(), h.client()
+	io.WriteString(long, h.ask("trail-info"))
+	io.WriteString(never, h.ask("trail-info", "X-Timeout-Ms: 3000", "X-Timeout-Ms: 60000"))
+	h.until("both are out", func() bool { return len(h.site.Seen("w1", "POST"))+len(h.site.Seen("w2", "POST")) == 2 })
+	h.quit()
+	h.until("it wants no new clients", func() bool { return h.node.front.stopping.Load() })
+	io.WriteString(late, h.ask("trail-info"))
+	if got := late.said(); got.status != 200 || !got.closes {
+		t.Errorf("asked after the stop: %+v", got)
+	}
+	if got := long.said(); got.status != 200 || got.whole {
+		t.Errorf("a long stream: %+v", got.status)
+	}
+	if got := never.said(); got.status != 503 {
+		t.Errorf("one that never began: %+v", got)
+	}
+}
+
+// Ids of boxes and of clients that are always new leave nothing behind.
+func TestChurnLeavesNothingBehind(t *testing.T) {
+	h := enter(t, nil)
+	for i := range 40 {
+		var fresh *hosts.Box
+		h.site.Change(func() {})
+		fresh = h.site.Box(fmt.Sprintf("n%d", i), hosts.Writer)
+		h.site.Change(func() {})
+		if got := h.says(h.ask("trail-info")); got.status != 200 {
+			t.Fatalf("%+v", got)
+		}
+		h.site.Change(func() { fresh.State = "terminated" })
+		h.until("it is forgotten as a way", func() bool {
+			known := 0
+			h.node.loop.Call(context.Background(), func() { known = len(h.node.carrier.hosts) })
+			return known == 3
+		})
+		fresh.Kill()
+	}
+	h.settled()
+	h.until("no connection to them is left", func() bool { return h.node.carrier.boxes.Known() == 3 })
+	if len(h.node.front.ids) != 0 || len(h.node.front.refused) != 0 {
+		t.Errorf("%d ids, %d reasons", len(h.node.front.ids), len(h.node.front.refused))
+	}
+}
+
+// News of siblings count by where they come from; a stranger's are dropped.
+func TestNewsOfStrangersAreDropped(t *testing.T) {
+	sibling, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sibling.Close()
+	stranger, err := net.Dial("udp", "127.0.0.1:9")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stranger.Close()
+	h := enter(t, func(h *house, p *Place) {
+		p.PeerListen, p.Peers = "127.0.0.1:0", []string{"127.0.0.1:1", sibling.LocalAddr().String()}
+	})
+	to := h.node.peers.conn.LocalAddr().(*net.UDPAddr)
+	other, err := net.DialUDP("udp", nil, to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	other.Write(make([]byte, 8))
+	h.until("the stranger is counted", func() bool { return h.node.peers.Strangers.Load() == 1 })
+	sibling.WriteToUDP(make([]byte, 8), to)
+	sibling.WriteToUDP(make([]byte, 3), to)
+	h.until("what is no news is counted", func() bool { return h.node.peers.Strangers.Load() == 2 })
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -148,6 +148,9 @@
 	}
 }
 
+// Known is how many boxes there are.
+func (b *Boxes) Known() int { return len(b.listed()) }
+
 func (b *Boxes) listed() []*Host {
 	b.mu.Lock()
 	defer b.mu.Unlock()
