Refused connections are tried again before a box counts as away; each trip has its own connection

With the module's belief in the log: 14 of 14 boxes 'cold' from 10 s on. Each Unreached marks its box as restarting (brain: Heard, h.Unmet), siblings hear of it, and 11 and 21 of them in 25 s shut out the fleet.

--- /dev/null
+++ b/brain/belief.go
@@ -0,0 +1,30 @@
+package brain
+
+// Belief is what a dispatcher takes to be so; operators compare it with what passed.
+type Belief struct {
+	Window  float64 // how many own questions may be out without a first token
+	Unbegun int     // how many are
+	Held    int
+	Average float64 // tokens left to read
+	Ahead   float64 // seconds from going out to a first token
+	Streams float64 // own streams
+	Cold    int     // hosts that are taken for cold
+	Doubted int     // hosts more likely to fail than not
+}
+
+// Believes tells it.
+func (d *Dispatcher) Believes() Belief {
+	b := Belief{Window: d.window, Unbegun: d.unbegun, Held: len(d.held), Average: d.average, Ahead: d.ahead.Or(0), Streams: d.streams}
+	for _, h := range d.hosts {
+		if h.Standing != Ready {
+			continue
+		}
+		if d.cold(h) {
+			b.Cold++
+		}
+		if r := &h.Records[0]; r.Bad.Sum(d.door.Now())+min(r.Missed, 4) > 1+r.Good.Sum(d.door.Now()) {
+			b.Doubted++
+		}
+	}
+	return b
+}
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -583,6 +583,14 @@
 	return nil
 }
 
+// Believes is what the module takes to be so; nothing of a module that does not say.
+func (l *Loop) Believes() (b brain.Belief) {
+	if m, ok := l.module.(interface{ Believes() brain.Belief }); ok {
+		b = m.Believes()
+	}
+	return b
+}
+
 // Heard takes a sibling's news.
 func (l *Loop) Heard(n brain.News) { l.module.Heard(n) }
 
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -76,6 +76,12 @@
 	s.mu.Lock()
 	s.boxes = append(s.boxes, b)
 	s.mu.Unlock()
+	b.listen(l)
+	return b
+}
+
+func (b *Box) listen(l net.Listener) {
+	s := b.site
 	s.wait.Go(func() {
 		for {
 			c, err := l.Accept()
@@ -88,7 +94,6 @@
 			s.wait.Go(func() { b.serve(c) })
 		}
 	})
-	return b
 }
 
 // Kill ends a box's process: its connections are reset, and new ones refused.
@@ -109,6 +114,18 @@
 	}
 }
 
+// Reopen has connections taken again at the old address.
+func (b *Box) Reopen() {
+	l, err := net.Listen("tcp", b.At)
+	if err != nil {
+		panic(err)
+	}
+	b.site.mu.Lock()
+	b.l = l
+	b.site.mu.Unlock()
+	b.listen(l)
+}
+
 // CloseListener has new connections refused; those that stand go on.
 func (b *Box) CloseListener() { b.l.Close() }
 
--- a/internal/platform/carrier.go
+++ b/internal/platform/carrier.go
@@ -19,6 +19,8 @@
 
 const (
 	headTime  = 400 * time.Millisecond  // for an answer's head, and its first events, once its first byte has come
+	dialTries = 4                       // connections that are refused before a box counts as away
+	dialWait  = 10 * time.Millisecond   // between them
 	stallTime = 4200 * time.Millisecond // without an event, after which a stream is taken for dead
 	shortMost = 64 << 10                // bytes of an answer that is no stream
 	waitedFor = time.Millisecond        // for a connection, after which the loop is asked whether the trip is still wanted
@@ -93,10 +95,16 @@
 
 // connect gets a connection for a trip, over which all of the request has gone out; until then it can't have run.
 func (c *carrier) connect(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *matter) (*reach.Conn, func() bool) {
-	began := time.Now()
+	began, tries := time.Now(), 0
 	for host != nil {
 		conn, err := host.Get(ctx)
 		if err != nil {
+			// One that is refused or reset while it is made says little: a box that is really away refuses the next too. Told at
+			// once, a rash of resets had the module take a whole fleet for restarting.
+			if tries++; tries < dialTries && ctx.Err() == nil && time.Since(began) < c.boxes.Limit/2 {
+				time.Sleep(dialWait)
+				continue
+			}
 			return nil, nil
 		}
 		if time.Since(began) > waitedFor {
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -439,6 +439,23 @@
 	}
 }
 
+// Connections that are refused in a rash of resets must not have the module take a box for restarting, and so for cold: a whole fleet
+// was shut out by that.
+func TestARefusedConnectionAloneIsNoRestart(t *testing.T) {
+	h := enter(t, nil)
+	h.reader.CloseListener()
+	time.AfterFunc(dialWait*3/2, h.reader.Reopen)
+	if got := h.says(h.ask("hut-booking")); got.status != 200 {
+		t.Errorf("%+v", got)
+	}
+	h.node.loop.Call(context.Background(), func() {
+		if b := h.node.loop.Believes(); b.Cold != 0 || h.node.loop.Tally.Outcomes[brain.Unreached] != 0 {
+			t.Errorf("%+v, outcomes %v", b, h.node.loop.Tally.Outcomes)
+		}
+	})
+	h.settled()
+}
+
 // What a box says of the question itself is passed on, and speaks neither against the box nor for a trip elsewhere.
 func TestAQuestionThatNoBoxCanUseIsNotRepeated(t *testing.T) {
 	h := enter(t, nil)
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -25,8 +25,8 @@
 const (
 	service   = "backend.local"
 	comeAfter = 450 * time.Millisecond // after a stop, in which the front may still send new connections here
-	restShare = 0.4                    // of how long boxes keep a connection that rests, after which it is not used
-	tellEach  = 10 * time.Second       // between two lines on how things stand
+
+	tellEach = 2 * time.Second // between two lines on how things stand
 	// After a stop, the streams that still run are left to be gone on with elsewhere: before the kill, and before the next dispatcher
 	// of a rolling restart stops, so that somebody is there for their clients.
 	moveAfter  = 2400 * time.Millisecond
@@ -70,7 +70,7 @@
 	n.life, n.end = context.WithCancel(ctx)
 	boxes := &reach.Boxes{
 		Limit: max(facts.Span("policyLimits.dialTimeoutUs"), 10*time.Millisecond), Most: room.boxes, All: room.boxes, Since: since, Life: n.life, Group: &n.trips,
-		Bare: true, Rest: time.Duration(restShare * float64(facts.Span("policyLimits.connIdleUs"))),
+		Bare: true, Once: true,
 	}
 	n.carrier = &carrier{service: service, boxes: boxes, life: n.life, group: &n.trips, hosts: map[*dispatch.Box]*reach.Host{}, calls: make(chan struct{}, letGoMost)}
 	for i := range int(facts.Num("report.fields", 0)) {
@@ -194,7 +194,7 @@
 		t := n.loop.Tally
 		n.log.Info("state", "taken", t.Taken, "again", f.Again.Load(), "rest", f.Rest.Load(), "moved", f.Moved.Load(), "satisfied", t.Satisfied,
 			"declined", t.Declined, "forfeited", t.Forfeited, "left", t.Left, "overdue", t.Overdue, "trips", t.Trips, "outcomes", fmt.Sprint(t.Outcomes),
-			"open", f.asked.Load(), "bodies", f.held.Load(), "clients", g.count(), "pushed", g.Pushed.Load(), "waited", g.Waited.Load(), "refused", f.state(),
+			"believes", fmt.Sprintf("%+v", n.loop.Believes()), "open", f.asked.Load(), "bodies", f.held.Load(), "clients", g.count(), "pushed", g.Pushed.Load(), "waited", g.Waited.Load(), "refused", f.state(),
 			"released", c.Calls.Load(), "unheard", c.Unheard.Load(), "stale", c.Stale.Load(), "spoilt", c.Spoilt.Load(), "strange", c.Strange.Load(),
 			"watch_lost", n.follower.Lost(), "strangers", n.peers.Strangers.Load(), "heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine())
 	})
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -32,9 +32,9 @@
 	Since func() time.Duration
 	Life  context.Context
 	Group *errgroup.Group
-	Bare  bool          // the far side knows no proof: a connection counts once it is up, and none is made unasked
-	Rest  time.Duration // how long a connection may rest; 0: as usual
-	All   int           // connections to all boxes, above which one at rest makes room for a new one; 0: no bound
+	Bare  bool // the far side knows no proof: a connection counts once it is up, and none is made unasked
+	Once  bool // each connection takes one request
+	All   int  // connections to all boxes, above which one at rest makes room for a new one; 0: no bound
 
 	mu     sync.Mutex
 	hosts  map[string]*Host
@@ -243,7 +243,7 @@
 				continue
 			}
 			h.idle = slices.Delete(h.idle, i, i+1)
-			if now-c.since < h.all.rest() && c.stands() {
+			if now-c.since < idleMost && c.stands() {
 				// Each use has a Conn of its own: whoever had it last may still ask whether its request was sent.
 				return &Conn{Conn: c.Conn, Address: c.Address, host: h, read: c.read, since: c.since}
 			}
@@ -353,7 +353,7 @@
 // keep puts a proven connection among the idle ones, if there is use for it; the host is locked. fresh: it has no
 // place among the open ones yet.
 func (h *Host) keep(c *Conn, fresh bool) {
-	if c.Address.Dropped || h.gone || h.all.Life.Err() != nil || fresh && h.open >= h.all.Most {
+	if c.Address.Dropped || h.gone || h.all.Life.Err() != nil || h.all.Once || fresh && h.open >= h.all.Most {
 		c.Conn.Close()
 		if !fresh {
 			h.open--
@@ -573,14 +573,6 @@
 
 func (c *Conn) Drop() { c.drop() }
 
-// rest is how long a connection may rest.
-func (b *Boxes) rest() time.Duration {
-	if b.Rest > 0 {
-		return b.Rest
-	}
-	return idleMost
-}
-
 // makeRoom closes the connection that has rested longest, of any box, where as many are open as may be.
 func (b *Boxes) makeRoom() {
 	open := 0
@@ -696,7 +688,7 @@
 func (h *Host) warm() {
 	h.mu.Lock()
 	now := h.all.Since()
-	h.dropIdle(func(c *Conn) bool { return now-c.since >= h.all.rest() })
+	h.dropIdle(func(c *Conn) bool { return now-c.since >= idleMost })
 	var want *addresses.Address
 	if !h.all.Bare && h.used > 0 && now-h.used < usedMost && !h.gone && h.racing == 0 && h.open < h.all.Most {
 		for _, a := range h.book.Warm(now) {
