--- a/brain/brain.go
+++ b/brain/brain.go
@@ -631,7 +631,8 @@
 	if x > calm {
 		d.window = max(d.window, d.least)
 	}
-	d.window = max(d.window, 1)
+	// While the gate bars every host, what is held widens it; it must not be a flood when the gate opens again.
+	d.window = max(min(d.window, perHost*float64(len(d.hosts))), 1)
 }
 
 // takable tells whether a host that answers may take the question now.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -531,7 +531,7 @@
 // to narrow the window, it would close to nothing, and learn nothing for minutes.
 func TestWhatWasOutWhenAJamBeganHalvesTheWindowAtMost(t *testing.T) {
 	d, out := begin(t)
-	d.window = 80
+	d.window = 20
 	for range 60 {
 		q := ask(d)
 		q.Unbegun, q.LetOut = true, out.now-2*time.Second
@@ -541,14 +541,14 @@
 		d.tell(q)
 	}
 	out.now += 3 * time.Second
-	if d.window != 40 {
+	if d.window != 10 {
 		t.Errorf("the window is %g", d.window)
 	}
 	q := ask(d) // one let out after the jam was told of another
 	q.Unbegun, q.LetOut, d.unbegun = true, out.now-2*time.Second, d.unbegun+1
 	went(q, d.hosts[0], Full, out.now)
 	d.tell(q)
-	if d.window >= 40 || d.window < 20 {
+	if d.window >= 10 || d.window < 5 {
 		t.Errorf("after the next one it is %g", d.window)
 	}
 }
@@ -634,3 +634,20 @@
 		t.Errorf("%d held, %d answers to a client that has gone", len(d.held), len(out.declined)+len(out.lost))
 	}
 }
+
+// While the gate bars every host, what is held widens the window with each answer that still begins. Without a bound it stood at
+// 1e16 when the gate opened, and flooded the fleet.
+func TestTheWindowHasABound(t *testing.T) {
+	d, _ := begin(t)
+	d.held = []*Question{ask(d)}
+	for range 200 {
+		q := ask(d)
+		went(q, d.hosts[2], Answered, d.door.Now())
+		q.Unbegun, q.LetOut = true, d.door.Now()
+		d.unbegun++
+		d.tell(q)
+	}
+	if most := perHost * float64(len(d.hosts)); d.window != most {
+		t.Errorf("the window is %g, %g at most", d.window, most)
+	}
+}
