--- a/brain/belief.go
+++ b/brain/belief.go
@@ -8,6 +8,10 @@
 	Average float64 // tokens left to read
 	Ahead   float64 // seconds from going out to a first token
 	Streams float64 // own streams
+	Room    float64 // tokens that answering hosts are trusted with
+	Tokens  float64 // own tokens there
+	Unread  float64 // own tokens at readers
+	Roomy   int     // answering hosts that would take one more question of the mean size
 	Cold    int     // hosts that are taken for cold
 	Doubted int     // hosts more likely to fail than not
 }
@@ -19,6 +23,14 @@
 		if h.Standing != Ready {
 			continue
 		}
+		if h.Answers() {
+			b.Room, b.Tokens = b.Room+h.Room, b.Tokens+h.Tokens
+			if h.Streams == 0 || h.Tokens+1500 <= h.Room {
+				b.Roomy++
+			}
+		} else {
+			b.Unread += h.Unread
+		}
 		if d.cold(h) {
 			b.Cold++
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -442,6 +442,7 @@
 		{"turned away as full", time.Millisecond, true, false},
 	} {
 		d, out := begin(t)
+		d.window = 10
 		q := ask(d)
 		trip := went(q, d.hosts[2], TimedOut, out.now)
 		if c.full {
