--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -26,7 +26,7 @@
 	service   = "backend.local"
 	comeAfter = 450 * time.Millisecond // after a stop, in which the front may still send new connections here
 
-	tellEach = 2 * time.Second // between two lines on how things stand
+	tellEach = 5 * time.Second // between two lines on how things stand
 	// After a stop, the streams that still run are left to be gone on with elsewhere: before the kill, and before the next dispatcher
 	// of a rolling restart stops, so that somebody is there for their clients.
 	moveAfter  = 2400 * time.Millisecond
