--- a/internal/platform/carrier.go
+++ b/internal/platform/carrier.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +49,9 @@
 	tell    func(peer int, n brain.News)
 	hosts   map[*dispatch.Box]*reach.Host // the loop's
 	order   []*reach.Host                 // the same, by when they came
+	log     *slog.Logger
+	mu      sync.Mutex
+	passed  map[string]*passed // by box: what went over its connections
 
 	calls   chan struct{} // one for each call that waits
 	Calls   atomic.Int64  // that released
@@ -68,6 +73,11 @@
 func (c *carrier) forget(b *dispatch.Box) {
 	had := c.hosts[b]
 	delete(c.hosts, b)
+	c.mu.Lock()
+	if p := c.passed[b.Name]; p != nil && p.reads+p.writes == 0 {
+		delete(c.passed, b.Name)
+	}
+	c.mu.Unlock()
 	var left []*reach.Host
 	for _, h := range c.order {
 		if h != had {
@@ -79,6 +89,35 @@
 
 func (c *carrier) Tell(peer int, n brain.News) { c.tell(peer, n) }
 
+// passed is what went over a box's connections.
+type passed struct {
+	reads, writes int // requests that are out, since their last byte
+	sent          int64
+	load          string // its last report
+}
+
+// pass takes note of a request that went out whole, or of its end.
+func (c *carrier) pass(f *dispatch.Flight, out int, load string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.passed[f.Box.Name]
+	if p == nil {
+		p = &passed{}
+		c.passed[f.Box.Name] = p
+	}
+	if f.Trip.Stage == brain.ToRead {
+		p.reads += out
+	} else {
+		p.writes += out
+	}
+	if out > 0 {
+		p.sent++
+	}
+	if load != "" {
+		p.load = load
+	}
+}
+
 // Carry starts a trip.
 func (c *carrier) Carry(f *dispatch.Flight) {
 	ctx, off := context.WithCancelCause(c.life)
@@ -139,8 +178,11 @@
 		}
 		return brain.Result{Outcome: brain.Unreached}
 	}
-	fit := false
+	fit, load, began := false, "", time.Now()
+	c.pass(f, 1, "")
 	defer func() {
+		c.pass(f, -1, load)
+		c.log.Debug("trip over", "box", f.Box.Name, "stage", f.Stage(), "number", f.Trip.Number, "outcome", r.Outcome, "took", time.Since(began), "wait", f.Wait)
 		if stop() && fit {
 			conn.Keep()
 		} else {
@@ -188,7 +230,8 @@
 			return brain.Result{Outcome: brain.Cancelled}
 		}
 		r.Outcome, r.Note = chat.Outcome(f.Trip.Stage, resp, body)
-		r.Load = chat.Load(resp.Header.Get("X-Server-Load"), c.fields)
+		load = resp.Header.Get("X-Server-Load")
+		r.Load = chat.Load(load, c.fields)
 		return r
 	}
 	if len(resp.TransferEncoding) != 1 || resp.TransferEncoding[0] != "chunked" {
@@ -200,11 +243,10 @@
 		piece, err := stream.Next()
 		if err == io.EOF {
 			fit = !resp.Close && conn.Bytes().Buffered() == 0
-			report := stream.Report
-			if report == "" {
-				report = resp.Header.Get("X-Server-Load")
+			if load = stream.Report; load == "" {
+				load = resp.Header.Get("X-Server-Load")
 			}
-			return brain.Result{Outcome: brain.Answered, Note: stream.Kept, Load: chat.Load(report, c.fields)}
+			return brain.Result{Outcome: brain.Answered, Note: stream.Kept, Load: chat.Load(load, c.fields)}
 		}
 		if err != nil {
 			if errors.Is(err, chat.ErrSpoilt) {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -247,6 +247,7 @@
 	ctl := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header()["Date"] = nil
+	var cut chan struct{} // a client that has had no event has had no answer: its stream is not cut yet
 	for {
 		select {
 		case piece, more := <-trip.Tokens:
@@ -266,6 +267,7 @@
 					f.loop.Post(func() { f.loop.Left(a) })
 					panic(http.ErrAbortHandler)
 				}
+				cut = f.cut
 				if more {
 					continue
 				}
@@ -282,7 +284,7 @@
 				panic(http.ErrAbortHandler)
 			}
 			return
-		case <-f.cut:
+		case <-cut:
 			f.Moved.Add(1)
 			f.loop.Post(func() { f.loop.Left(a) })
 			panic(http.ErrAbortHandler)
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -583,6 +583,26 @@
 	}
 }
 
+// A question that begins when streams are cut already has its first event all the same: a client without one has had no answer.
+func TestAStreamIsNotCutBeforeItsFirstEvent(t *testing.T) {
+	h := enter(t, nil)
+	for _, w := range h.writers {
+		w.Do = func(e *hosts.Exchange) bool {
+			e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")))
+			<-e.Left
+			return false
+		}
+	}
+	close(h.node.front.cut)
+	for range 20 {
+		if got := h.says(h.ask("trail-info")); got.status != 200 || got.text != hosts.Event("a") || got.whole {
+			t.Fatalf("%+v", got)
+		}
+	}
+	h.settled()
+	h.node.front.cut = make(chan struct{}) // for the stop
+}
+
 // Ids of boxes and of clients that are always new leave nothing behind.
 func TestChurnLeavesNothingBehind(t *testing.T) {
 	h := enter(t, nil)
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -72,7 +72,7 @@
 		Limit: max(facts.Span("policyLimits.dialTimeoutUs"), 10*time.Millisecond), Most: room.boxes, All: room.boxes, Since: since, Life: n.life, Group: &n.trips,
 		Bare: true, Once: true,
 	}
-	n.carrier = &carrier{service: service, boxes: boxes, life: n.life, group: &n.trips, hosts: map[*dispatch.Box]*reach.Host{}, calls: make(chan struct{}, letGoMost)}
+	n.carrier = &carrier{service: service, boxes: boxes, life: n.life, group: &n.trips, log: log, passed: map[string]*passed{}, hosts: map[*dispatch.Box]*reach.Host{}, calls: make(chan struct{}, letGoMost)}
 	for i := range int(facts.Num("report.fields", 0)) {
 		n.carrier.fields = append(n.carrier.fields, facts.Text(fmt.Sprintf("report.fields.%d", i)))
 	}
@@ -197,5 +197,20 @@
 			"believes", fmt.Sprintf("%+v", n.loop.Believes()), "open", f.asked.Load(), "bodies", f.held.Load(), "clients", g.count(), "pushed", g.Pushed.Load(), "waited", g.Waited.Load(), "refused", f.state(),
 			"released", c.Calls.Load(), "unheard", c.Unheard.Load(), "stale", c.Stale.Load(), "spoilt", c.Spoilt.Load(), "strange", c.Strange.Load(),
 			"watch_lost", n.follower.Lost(), "strangers", n.peers.Strangers.Load(), "heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine())
+		n.compare()
 	})
 }
+
+// compare logs what the module believes of each box beside what passed on its connections, and forgets boxes that are gone.
+func (n *node) compare() {
+	n.carrier.mu.Lock()
+	defer n.carrier.mu.Unlock()
+	for name, p := range n.carrier.passed {
+		if h := n.loop.HostOf(name); h == nil && p.reads+p.writes == 0 {
+			delete(n.carrier.passed, name)
+		} else if h != nil {
+			n.log.Debug("box", "name", name, "role", h.Role, "standing", h.Standing, "streams", h.Streams, "writes", p.writes, "unread", h.Unread, "reads", p.reads,
+				"tokens", h.Tokens, "room", h.Room, "util", h.Util, "queue", h.Queue, "said", p.load, "sent", p.sent)
+		}
+	}
+}
