--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -22,6 +22,15 @@
 	Writer = "answer-side"
 )
 
+// Settings are those of a small deployment, in the form in which the platform hands them over.
+const Settings = `{"siblings":1,"slotNo":0,"discovery":"automatic","dcs":["hall-1"],"kinds":["prompt-side","answer-side"],
+"familyInfo":{"kindRole":["read","write"],"localRead":false,"resume":true,"tokensByKind":[200000,200000],"pinLimitUs":500000},
+"policyLimits":{"cancelling":true,"maxAttempts":4,"connIdleUs":30000000,"dialTimeoutUs":250000,"retryAfter":true,"maxRetryAfterUs":2000000,"maxOpen":1000},
+"report":{"fields":["util","queue","x0"],"source":"piggyback"},"rules":{"tipMultiple":2.5,"tipAfterUs":2000000,"coldFrom":0.4,"rampTimeUs":9000000},
+"requestClasses":[{"name":"trail-info","effect":"repeatable","aimUs":1500000,"worth":2,"lateWorth":0.1,"giveUpUs":6000000},
+{"name":"hut-booking","effect":"once","aimUs":800000,"worth":5,"lateWorth":0.3,"giveUpUs":4000000}],
+"tenants":[{"name":"web-app","quotaPerS":1000}],"overShareWorth":0.05,"valueBy":"work"}`
+
 // Exchange is one request whose last byte has come to a box.
 type Exchange struct {
 	Box    *Box
@@ -33,6 +42,7 @@
 	Body   string
 	Left   <-chan struct{} // closed when the dispatcher has closed the connection
 	w      net.Conn
+	over   bool
 }
 
 // Site is a set of boxes, their discovery and the record of both.
@@ -166,12 +176,11 @@
 		b.n++
 		s.seen = append(s.seen, e)
 		if e.ID != "" {
-			if s.out[e.ID]++; s.out[e.ID] > 1 {
-				s.Faults = append(s.Faults, "a second copy of "+e.ID+" is out")
-			}
+			s.out[e.ID]++
 		}
 		do := b.Do
 		s.mu.Unlock()
+		s.alone(e.ID)
 		// Whoever waits for the far side to leave reads on; what comes is the next request's first byte.
 		watched := make(chan struct{})
 		go func() {
@@ -184,10 +193,8 @@
 			do = (*Exchange).Serve
 		}
 		keep := do(e)
+		e.end()
 		s.mu.Lock()
-		if e.ID != "" {
-			s.out[e.ID]--
-		}
 		b.conns[c] = true
 		s.mu.Unlock()
 		if !keep {
@@ -216,6 +223,35 @@
 	return e.Write(Opening) && e.Write(Chunk(Event("a"))+Chunk(Event("b"))) && e.Write(Chunk(Usage+Done)+Last)
 }
 
+// end takes note that the request is not out any more.
+func (e *Exchange) end() {
+	e.Box.site.mu.Lock()
+	defer e.Box.site.mu.Unlock()
+	if !e.over && e.ID != "" {
+		e.Box.site.out[e.ID]--
+	}
+	e.over = true
+}
+
+// alone takes note of a fault if another copy of a request is out. A box may see a moment late that its connection was closed.
+func (s *Site) alone(id string) {
+	if id == "" {
+		return
+	}
+	for end := time.Now().Add(50 * time.Millisecond); ; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		n := s.out[id]
+		if n > 1 && time.Now().After(end) {
+			s.Faults = append(s.Faults, "a second copy of "+id+" is out")
+			n = 1
+		}
+		s.mu.Unlock()
+		if n <= 1 {
+			return
+		}
+	}
+}
+
 // Hold takes note that a question's state waits at the box.
 func (e *Exchange) Hold() {
 	e.Box.site.mu.Lock()
@@ -230,6 +266,9 @@
 		delete(e.Box.site.held, e.ID)
 		e.Box.site.mu.Unlock()
 	}
+	if strings.HasSuffix(raw, Last) || strings.HasPrefix(raw, "HTTP/1.1 ") && raw[9] > '1' && !strings.HasPrefix(raw, "HTTP/1.1 200") {
+		e.end() // with its last byte the dispatcher may send the next
+	}
 	_, err := io.WriteString(e.w, raw)
 	return err == nil
 }
