What the platform wrote again is called instead; what connections for one trip made dead is gone

Behaviour stays. Asked.Start waits for a stream or a final answer for three callers that each did; dispatch.Peers serves the platform too (Plain: the sender is known by its address); discovery's lines use boxlist's Check and SortByName, its watch a scanner like the list's; lists of names in settings are read in one place (Facts.Names). Since each trip has a connection of its own, nothing rests: reach.Bare says so alone, and the room that was sought among resting connections before every connection, Keep, Lost and the fitness of a connection are gone from the path of a trip. The stand-in boxes and agents share one loop that accepts; tests of the platform script both writers in one place, their assertions as they were.

--- a/brain/belief.go
+++ b/brain/belief.go
@@ -19,13 +19,14 @@
 // Believes tells it.
 func (d *Dispatcher) Believes() Belief {
 	b := Belief{Window: d.window, Unbegun: d.unbegun, Held: len(d.held), Average: d.average, Ahead: d.ahead.Or(0), Streams: d.streams}
+	mean := Question{Memory: 1500}
 	for _, h := range d.hosts {
 		if h.Standing != Ready {
 			continue
 		}
 		if h.Answers() {
 			b.Room, b.Tokens = b.Room+h.Room, b.Tokens+h.Tokens
-			if h.Streams == 0 || h.Tokens+1500 <= h.Room {
+			if hasRoom(h, &mean) {
 				b.Roomy++
 			}
 		} else {
--- a/brain/facts.go
+++ b/brain/facts.go
@@ -1,8 +1,10 @@
 package brain
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -133,15 +135,22 @@
 	return grades, nil
 }
 
-// Index finds a name in a list of names, or of objects that have one; -1 where it is not stated.
-func (f Facts) Index(list, name string) int {
-	for i := range int(f.Num(list, 0)) {
+// Names lists the names in a list of them, or of objects that have one.
+func (f Facts) Names(list string) []string {
+	names := make([]string, int(f.Num(list, 0)))
+	for i := range names {
 		at := fmt.Sprintf("%s.%d", list, i)
-		if t := f.Text(at); name != "" && (t == name || t == "" && f.Text(at+".name") == name) {
-			return i
-		}
+		names[i] = cmp.Or(f.Text(at), f.Text(at+".name"))
+	}
+	return names
+}
+
+// Index finds a name among them; -1 where it is not stated.
+func (f Facts) Index(list, name string) int {
+	if name == "" {
+		return -1
 	}
-	return -1
+	return slices.Index(f.Names(list), name)
 }
 
 // Channels reads the tenants.
--- a/internal/boxlist/fuzz_test.go
+++ b/internal/boxlist/fuzz_test.go
@@ -29,8 +29,8 @@
 			t.Fatalf("%q: %v, and yet %v", raw, err, table.Whole())
 		}
 		for _, b := range table.Whole() {
-			if b.check() != nil {
-				t.Fatalf("%q: holds %+v: %v", raw, b, b.check())
+			if b.Check() != nil {
+				t.Fatalf("%q: holds %+v: %v", raw, b, b.Check())
 			}
 		}
 	})
@@ -48,7 +48,7 @@
 		}
 		follower := &Follower{Name: "d", Keep: dir, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Listed: func(lines []Box, _ bool) {
 			for _, b := range lines {
-				if b.check() != nil || b.UpMs > 2*mostUp {
+				if b.Check() != nil || b.UpMs > 2*mostUp {
 					t.Fatalf("%q: %+v is handed on", raw, b)
 				}
 			}
--- a/internal/boxlist/table.go
+++ b/internal/boxlist/table.go
@@ -67,7 +67,7 @@
 	var faults []error
 	next := map[string]Box{}
 	for _, b := range p.Boxes {
-		fault := b.check()
+		fault := b.Check()
 		if _, twice := next[b.Name]; twice && fault == nil {
 			fault = fmt.Errorf("box %s: listed twice, the first line counts", b.Name)
 		} else if had, known := t.boxes[b.Name]; fault != nil && known && p.Whole && !twice {
@@ -93,7 +93,7 @@
 		}
 	}
 	t.Version = p.Version
-	sortByName(changed)
+	SortByName(changed)
 	return changed, errors.Join(faults...), nil
 }
 
@@ -103,15 +103,17 @@
 	for _, b := range t.boxes {
 		all = append(all, b)
 	}
-	sortByName(all)
+	SortByName(all)
 	return all
 }
 
-func sortByName(boxes []Box) {
-	slices.SortFunc(boxes, func(a, b Box) int { return strings.Compare(a.Name, b.Name) })
+// SortByName puts lines in the order of their names.
+func SortByName(boxes []Box) {
+	slices.SortStableFunc(boxes, func(a, b Box) int { return strings.Compare(a.Name, b.Name) })
 }
 
-func (b Box) check() error {
+// Check tells what is wrong with a line.
+func (b Box) Check() error {
 	switch {
 	case b.Name == "":
 		return errors.New("a box without a name")
--- a/internal/chat/answer.go
+++ b/internal/chat/answer.go
@@ -83,10 +83,9 @@
 	Kept   int    // tokens found kept, as the end says
 	Report string // the load report, as the end says
 
-	from  *bufio.Reader
-	rest  []byte // of an event that is not whole yet
-	done  bool
-	ended bool
+	from *bufio.Reader
+	rest []byte // of an event that is not whole yet
+	done bool
 }
 
 func NewStream(from *bufio.Reader) *Stream { return &Stream{from: from} }
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -477,8 +477,27 @@
 	}
 }
 
-// Begun gives the trip whose stream goes to the client, Final the one final answer. A beginning is there before its end is.
-func (a *Asked) Begun() <-chan *Flight      { return a.began }
+// Start waits for the trip whose stream goes to the client, or for a final answer without one: then there is no trip. ok is false
+// where the context ended first.
+func (a *Asked) Start(ctx context.Context) (trip *Flight, f kserve.Final, ok bool) {
+	select {
+	case <-ctx.Done():
+		return nil, f, false
+	case trip = <-a.began:
+		return trip, f, true
+	case f = <-a.final:
+	}
+	// The end of a short answer may be seen before its beginning.
+	select {
+	case trip = <-a.began:
+		a.final <- f
+		return trip, kserve.Final{}, true
+	default:
+		return nil, f, true
+	}
+}
+
+// Final gives the one final answer.
 func (a *Asked) Final() <-chan kserve.Final { return a.final }
 
 // Wanted tells, when a connection for a trip is there, whether the trip may still go out: while it was waited for, the box may
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -36,6 +36,7 @@
 	Own     int
 	To      []*net.UDPAddr
 	Conn    *net.UDPConn
+	Plain   bool // a message is the news alone: the address that it comes from tells who sent it
 	Dropped atomic.Int64
 	Budget  func(from int, w budgetWord) // called in the loop; nil: such messages are dropped
 }
@@ -75,13 +76,13 @@
 	for i, other := range others {
 		at, err := net.ResolveUDPAddr("udp", other)
 		if err != nil {
-			return nil, fmt.Errorf("dispatcher.peers.%d: %w", i, err)
+			return nil, fmt.Errorf("peers.%d: %w", i, err)
 		}
 		p.To = append(p.To, at)
 	}
 	at, err := net.ResolveUDPAddr("udp", listen)
 	if err != nil {
-		return nil, fmt.Errorf("dispatcher.news: %w", err)
+		return nil, fmt.Errorf("news: %w", err)
 	}
 	p.Conn, err = net.ListenUDP("udp", at)
 	return p, err
@@ -92,8 +93,11 @@
 	if peer < 0 || peer >= len(p.To) || peer == p.Own {
 		return
 	}
-	raw := binary.BigEndian.AppendUint16([]byte{peerVersion}, uint16(p.Own))
-	p.Conn.WriteToUDP(append(raw, news.Encode(n)...), p.To[peer])
+	raw := news.Encode(n)
+	if !p.Plain {
+		raw = append(binary.BigEndian.AppendUint16([]byte{peerVersion}, uint16(p.Own)), raw...)
+	}
+	p.Conn.WriteToUDP(raw, p.To[peer])
 }
 
 // check returns the news in a message.
@@ -107,20 +111,30 @@
 	return raw[3:], nil
 }
 
+// sibling tells whether a plain message comes from one.
+func (p *Peers) sibling(from *net.UDPAddr) error {
+	for i, to := range p.To {
+		if i != p.Own && to.Port == from.Port && to.IP.Equal(from.IP) {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is no sibling", from)
+}
+
 // Listen takes messages until the context ends.
 func (p *Peers) Listen(ctx context.Context, l *Loop) error {
 	stop := context.AfterFunc(ctx, func() { p.Conn.Close() })
 	defer stop()
 	buf := make([]byte, 2048)
 	for {
-		n, _, err := p.Conn.ReadFromUDP(buf)
+		n, sender, err := p.Conn.ReadFromUDP(buf)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
 			continue // such as a port that nobody listens at
 		}
-		if n > 0 && buf[0] == peerBudget {
+		if n > 0 && buf[0] == peerBudget && !p.Plain {
 			from, w, err := p.readBudget(buf[:n])
 			if err != nil || p.Budget == nil {
 				p.Dropped.Add(1)
@@ -129,7 +143,12 @@
 			l.Post(func() { p.Budget(from, w) })
 			continue
 		}
-		raw, err := p.check(buf[:n])
+		raw := buf[:n]
+		if p.Plain {
+			err = p.sibling(sender)
+		} else {
+			raw, err = p.check(raw)
+		}
 		if err != nil {
 			p.Dropped.Add(1)
 			continue
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -103,7 +103,7 @@
 	}
 	if d.Limits.Siblings || len(d.Budgets) > 0 && d.Place.Siblings > 1 {
 		if trips.Peers, err = ListenPeers(d.Place.Number, d.Place.News, d.Place.Peers); err != nil {
-			return err
+			return fmt.Errorf("dispatcher.%w", err)
 		}
 		group.Go(func() error { return trips.Peers.Listen(life, loop) })
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -168,20 +168,12 @@
 		return
 	}
 	defer s.open.Add(-1)
-	select {
-	case <-r.Context().Done():
+	switch trip, f, ok := a.Start(r.Context()); {
+	case !ok:
 		s.left(a)
-		return
-	case f := <-a.final:
-		// The end of a short answer may be seen before its beginning.
-		select {
-		case trip := <-a.began:
-			a.final <- f
-			s.pour(w, r, a, trip)
-		default:
-			kserve.WriteFinal(w, f)
-		}
-	case trip := <-a.began:
+	case trip == nil:
+		kserve.WriteFinal(w, f)
+	default:
 		s.pour(w, r, a, trip)
 	}
 }
@@ -235,19 +227,13 @@
 
 // gather waits for the whole answer.
 func (s *Server) gather(r *http.Request, a *Asked) (text []byte, f kserve.Final, ok bool) {
-	var trip *Flight
-	select {
-	case <-r.Context().Done():
+	trip, f, ok := a.Start(r.Context())
+	if !ok {
 		s.left(a)
 		return nil, f, false
-	case f = <-a.final:
-		select {
-		case trip = <-a.began:
-			a.final <- f
-		default:
-			return nil, f, true
-		}
-	case trip = <-a.began:
+	}
+	if trip == nil {
+		return nil, f, true
 	}
 	for {
 		select {
--- a/internal/endpoints/follow.go
+++ b/internal/endpoints/follow.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -52,7 +53,8 @@
 		f.Log.Warn("part of the list is left out", "why", strings.Join(refused, "; "))
 	}
 	if len(lines) > 0 || whole {
-		f.Listed(sorted(lines), whole)
+		boxlist.SortByName(lines)
+		f.Listed(lines, whole)
 	}
 	return nil
 }
@@ -148,34 +150,18 @@
 	if err != nil {
 		return got, err
 	}
-	lines := bufio.NewReader(resp.Body)
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, pushMost)
 	for {
 		conn.SetDeadline(time.Now().Add(silence))
-		line, err := readLine(lines)
-		if err != nil {
-			return got, err
+		if !lines.Scan() {
+			return got, cmp.Or(lines.Err(), io.EOF)
 		}
 		got = true
-		if len(bytes.TrimSpace(line)) == 0 {
-			continue
-		}
-		if err := f.Take(line); err != nil {
-			return got, err
-		}
-	}
-}
-
-// readLine reads a line of bounded length.
-func readLine(from *bufio.Reader) ([]byte, error) {
-	var line []byte
-	for {
-		part, err := from.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > pushMost {
-			return nil, errors.New("a push is too long")
-		}
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return line, err
+		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
+			if err := f.Take(line); err != nil {
+				return got, err
+			}
 		}
 	}
 }
--- a/internal/endpoints/table.go
+++ b/internal/endpoints/table.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,8 +16,6 @@
 
 const (
 	mostTargets = 10_000
-	mostName    = 253
-	mostUnits   = 1e6
 	olderFor    = 5 * time.Second // an older list than the own is taken if discovery still has it then
 )
 
@@ -87,15 +84,9 @@
 	if g.BootMs > 0 {
 		b.UpMs = max(unix-g.BootMs, 0)
 	}
-	if b.Name == "" || max(len(b.Name), len(b.Kind), len(b.Zone)) > mostName || strings.ContainsAny(b.Name, " \r\n\t") {
+	if strings.ContainsAny(b.Name, " \r\n\t") {
 		return b, fmt.Errorf("target %.40q: no name of a box", g.UID)
 	}
-	if b.Standing == "" {
-		return b, fmt.Errorf("target %s: state %.40q is unknown", g.UID, g.State)
-	}
-	if !(g.Units >= 0 && g.Units <= mostUnits) {
-		return b, fmt.Errorf("target %s: capacity of %g", g.UID, g.Units)
-	}
 	if b.Standing != boxlist.Gone {
 		at, err := netip.ParseAddrPort(g.Endpoint)
 		if err != nil {
@@ -107,11 +98,5 @@
 		}
 		b.Addresses = []addresses.Spec{{Network: network, At: g.Endpoint}}
 	}
-	return b, nil
-}
-
-// Sorted puts the lines in the order of their names.
-func sorted(lines []boxlist.Box) []boxlist.Box {
-	slices.SortStableFunc(lines, func(a, b boxlist.Box) int { return strings.Compare(a.Name, b.Name) })
-	return lines
+	return b, b.Check()
 }
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -34,7 +34,6 @@
 // Exchange is one request whose last byte has come to a box.
 type Exchange struct {
 	Box    *Box
-	Nth    int // of all that came to the box
 	Method string
 	Target string
 	ID     string
@@ -56,7 +55,6 @@
 	agents []*Agent
 	rev    int64
 	wait   sync.WaitGroup
-	gone   bool
 }
 
 func New() *Site { return &Site{out: map[string]int{}, held: map[string]string{}, rev: 1} }
@@ -67,13 +65,11 @@
 	Kind  string
 	At    string
 	State string
-	Boot  int64
 	// Do answers in place of the box's own way; it tells whether the connection may be used again.
 	Do    func(e *Exchange) bool
 	site  *Site
 	l     net.Listener
 	conns map[net.Conn]bool
-	n     int
 }
 
 // Box adds a box that is in service.
@@ -86,12 +82,12 @@
 	s.mu.Lock()
 	s.boxes = append(s.boxes, b)
 	s.mu.Unlock()
-	b.listen(l)
+	s.accept(l, b.conns, b.serve)
 	return b
 }
 
-func (b *Box) listen(l net.Listener) {
-	s := b.site
+// accept takes connections until the listener closes; conns has those that are open.
+func (s *Site) accept(l net.Listener, conns map[net.Conn]bool, serve func(net.Conn)) {
 	s.wait.Go(func() {
 		for {
 			c, err := l.Accept()
@@ -99,9 +95,9 @@
 				return
 			}
 			s.mu.Lock()
-			b.conns[c] = true
+			conns[c] = true
 			s.mu.Unlock()
-			s.wait.Go(func() { b.serve(c) })
+			s.wait.Go(func() { serve(c) })
 		}
 	})
 }
@@ -133,7 +129,7 @@
 	b.site.mu.Lock()
 	b.l = l
 	b.site.mu.Unlock()
-	b.listen(l)
+	b.site.accept(l, b.conns, b.serve)
 }
 
 // CloseListener has new connections refused; those that stand go on.
@@ -172,8 +168,6 @@
 		e := &Exchange{Box: b, Method: r.Method, Target: r.RequestURI, ID: r.Header.Get("X-Request-Id"), Head: r.Header, Body: string(body), Left: left, w: c}
 		s.mu.Lock()
 		b.conns[c] = false
-		e.Nth = b.n
-		b.n++
 		s.seen = append(s.seen, e)
 		if e.ID != "" {
 			s.out[e.ID]++
@@ -352,7 +346,7 @@
 func (s *Site) list(whole bool) []byte {
 	targets := []target{}
 	for i, b := range s.boxes {
-		targets = append(targets, target{b.UID, b.At, "hall-1", b.Kind, i % 2, b.State, 1, b.Boot})
+		targets = append(targets, target{b.UID, b.At, "hall-1", b.Kind, i % 2, b.State, 1, 0})
 	}
 	raw, err := json.Marshal(map[string]any{"rev": s.rev, "all": whole, "targets": targets})
 	if err != nil {
@@ -389,18 +383,7 @@
 	s.mu.Lock()
 	s.agents = append(s.agents, a)
 	s.mu.Unlock()
-	s.wait.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			s.mu.Lock()
-			a.conns[c] = true
-			s.mu.Unlock()
-			s.wait.Go(func() { a.serve(c) })
-		}
-	})
+	s.accept(l, a.conns, a.serve)
 	return a
 }
 
--- a/internal/platform/carrier.go
+++ b/internal/platform/carrier.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,18 +41,17 @@
 
 // carrier takes trips to boxes.
 type carrier struct {
-	service string
-	fields  []string // of load reports
-	boxes   *reach.Boxes
-	loop    *dispatch.Loop
-	life    context.Context
-	group   *errgroup.Group
-	tell    func(peer int, n brain.News)
-	hosts   map[*dispatch.Box]*reach.Host // the loop's
-	order   []*reach.Host                 // the same, by when they came
-	log     *slog.Logger
-	mu      sync.Mutex
-	passed  map[string]*passed // by box: what went over its connections
+	fields []string // of load reports
+	boxes  *reach.Boxes
+	loop   *dispatch.Loop
+	life   context.Context
+	group  *errgroup.Group
+	tell   func(peer int, n brain.News)
+	hosts  map[*dispatch.Box]*reach.Host // the loop's
+	order  []*reach.Host                 // the same, by when they came
+	log    *slog.Logger
+	mu     sync.Mutex
+	passed map[string]*passed // by box: what went over its connections
 
 	calls   chan struct{} // one for each call that waits
 	Calls   atomic.Int64  // that released
@@ -63,30 +63,14 @@
 
 func (c *carrier) Reach(b *dispatch.Box, at []addresses.Spec) {
 	h := c.boxes.Set(b.Name, at, uint64(b.Host.ID))
-	c.forget(b)
+	c.order = slices.DeleteFunc(c.order, func(o *reach.Host) bool { return o == c.hosts[b] })
+	delete(c.hosts, b)
 	if len(at) > 0 {
 		c.hosts[b] = h
 		c.order = append(c.order, h)
 	}
 }
 
-func (c *carrier) forget(b *dispatch.Box) {
-	had := c.hosts[b]
-	delete(c.hosts, b)
-	c.mu.Lock()
-	if p := c.passed[b.Name]; p != nil && p.reads+p.writes == 0 {
-		delete(c.passed, b.Name)
-	}
-	c.mu.Unlock()
-	var left []*reach.Host
-	for _, h := range c.order {
-		if h != had {
-			left = append(left, h)
-		}
-	}
-	c.order = left
-}
-
 func (c *carrier) Tell(peer int, n brain.News) { c.tell(peer, n) }
 
 // passed is what went over a box's connections.
@@ -151,7 +135,7 @@
 			c.loop.Call(ctx, func() { wanted = c.loop.Wanted(f) })
 			if !wanted {
 				c.Stale.Add(1)
-				conn.Keep()
+				conn.Drop()
 				return nil, nil
 			}
 		}
@@ -169,7 +153,7 @@
 	return nil, nil
 }
 
-// fly is one trip. Its connection is closed, or at rest again, before its end is told.
+// fly is one trip. Its connection is closed before its end is told.
 func (c *carrier) fly(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *matter) (r brain.Result) {
 	conn, stop := c.connect(ctx, f, host, m)
 	if conn == nil {
@@ -178,16 +162,13 @@
 		}
 		return brain.Result{Outcome: brain.Unreached}
 	}
-	fit, load, began := false, "", time.Now()
+	load, began := "", time.Now()
 	c.pass(f, 1, "")
 	defer func() {
 		c.pass(f, -1, load)
 		c.log.Debug("trip over", "box", f.Box.Name, "stage", f.Stage(), "number", f.Trip.Number, "outcome", r.Outcome, "took", time.Since(began), "wait", f.Wait)
-		if stop() && fit {
-			conn.Keep()
-		} else {
-			conn.Drop()
-		}
+		stop()
+		conn.Drop()
 	}()
 	broken := func() brain.Result {
 		switch cause := context.Cause(ctx); {
@@ -199,9 +180,6 @@
 		return brain.Result{Outcome: brain.Broken}
 	}
 	if _, err := conn.Bytes().Peek(1); err != nil {
-		if errors.Is(context.Cause(ctx), dispatch.ErrLate) {
-			conn.Lost() // a silent box: what rests there is of no use
-		}
 		return broken()
 	}
 	conn.SetReadDeadline(time.Now().Add(headTime))
@@ -222,7 +200,6 @@
 			c.Spoilt.Add(1)
 			return broken()
 		}
-		fit = !resp.Close && conn.Bytes().Buffered() == 0
 		if resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusNotFound {
 			// The question is at fault, not the box: it must not speak against the box, and no other would take it either.
 			c.Strange.Add(1)
@@ -242,7 +219,6 @@
 	for begun := false; ; {
 		piece, err := stream.Next()
 		if err == io.EOF {
-			fit = !resp.Close && conn.Bytes().Buffered() == 0
 			if load = stream.Report; load == "" {
 				load = resp.Header.Get("X-Server-Load")
 			}
@@ -274,21 +250,10 @@
 	if m == nil {
 		return
 	}
-	call := chat.LetGo(c.service, m.id)
-	at := make([]*reach.Host, 0, len(c.order)+1)
-	if h := c.hosts[b]; h != nil {
-		at = append(at, h)
-	}
+	call := chat.LetGo(service, m.id)
 	// From there on around, so that not all calls go to one box.
-	from := 0
-	for i, h := range c.order {
-		if len(at) > 0 && h == at[0] {
-			from = i + 1
-		}
-	}
-	for i := range c.order {
-		at = append(at, c.order[(from+i)%len(c.order)])
-	}
+	first := max(slices.Index(c.order, c.hosts[b]), 0)
+	at := slices.Concat(c.order[first:], c.order[:first])
 	c.group.Go(func() error {
 		select {
 		case c.calls <- struct{}{}:
@@ -317,21 +282,15 @@
 	if err != nil {
 		return false
 	}
+	defer conn.Drop()
 	conn.SetDeadline(time.Now().Add(letGoTry))
 	if whole, _ := conn.Put(call); !whole {
-		conn.Drop()
 		return false
 	}
 	resp, err := conn.Head(nil)
 	if err != nil {
-		conn.Drop()
 		return false
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, shortMost))
-	if err != nil || resp.Close || conn.Bytes().Buffered() > 0 {
-		conn.Drop()
-	} else {
-		conn.Keep()
-	}
+	io.Copy(io.Discard, io.LimitReader(resp.Body, shortMost))
 	return resp.StatusCode/100 == 2
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -27,7 +27,6 @@
 // front takes questions from clients.
 type front struct {
 	loop    *dispatch.Loop
-	service string
 	grades  map[string]int
 	tenants map[string]int
 	after   time.Duration // told to clients that find no room
@@ -52,14 +51,14 @@
 
 func newFront(loop *dispatch.Loop, facts brain.Facts, bodies int64) *front {
 	f := &front{
-		loop: loop, service: service, grades: map[string]int{}, tenants: map[string]int{}, ids: map[string]bool{}, refused: map[string]int64{},
+		loop: loop, grades: map[string]int{}, tenants: map[string]int{}, ids: map[string]bool{}, refused: map[string]int64{},
 		cut: make(chan struct{}), after: facts.Span("policyLimits.maxRetryAfterUs"), open: int64(facts.Num("policyLimits.maxOpen", 1e4)), bodies: bodies,
 	}
-	for i := range int(facts.Num("requestClasses", 0)) {
-		f.grades[facts.Text(fmt.Sprintf("requestClasses.%d.name", i))] = i
+	for i, name := range facts.Names("requestClasses") {
+		f.grades[name] = i
 	}
-	for i := range int(facts.Num("tenants", 0)) {
-		f.tenants[facts.Text(fmt.Sprintf("tenants.%d.name", i))] = i
+	for i, name := range facts.Names("tenants") {
+		f.tenants[name] = i
 	}
 	return f
 }
@@ -163,15 +162,13 @@
 	if ask.Rest {
 		f.Rest.Add(1)
 	}
-	m := &matter{id: ask.ID, body: body, head: func(wait time.Duration) []byte { return chat.Errand(r, f.service, ask, wait) }}
+	m := &matter{id: ask.ID, body: body, head: func(wait time.Duration) []byte { return chat.Errand(r, service, ask, wait) }}
 	a := &dispatch.Asked{
 		Ask:   kserve.Ask{ID: ask.ID, Session: ask.Session, Shared: ask.Shared, Tokens: ask.Tokens, Prefix: ask.Prefix, Most: ask.Most, Again: ask.Again},
 		Grade: ask.Grade, Channel: ask.Channel, Matter: m,
 	}
-	begun, final := make(<-chan *dispatch.Flight), make(<-chan kserve.Final)
 	if !f.loop.Call(r.Context(), func() {
 		f.loop.Arrive(a, grade, channel, ask.Left-time.Since(came))
-		begun, final = a.Begun(), a.Final()
 	}) {
 		if r.Context().Err() == nil {
 			f.full(w, r, "stopped")
@@ -184,24 +181,18 @@
 		})
 		return
 	}
-	var trip *dispatch.Flight
-	var end kserve.Final
-	select {
-	case <-r.Context().Done():
+	trip, end, there := a.Start(r.Context())
+	switch {
+	case !there:
 		f.loop.Post(func() { f.loop.Left(a) })
 		return
-	case trip = <-begun:
-	case end = <-final:
-		select {
-		case trip = <-begun: // the end of a short answer may be seen before its beginning
-		default:
-			f.answer(w, end)
-			return
-		}
+	case trip == nil:
+		f.answer(w, end)
+		return
 	}
 	m.body, body = nil, nil
 	giveBack()
-	f.pour(w, r, a, trip, end, final)
+	f.pour(w, r, a, trip)
 }
 
 var errNoRoom = errors.New("too many bodies are held")
@@ -243,7 +234,7 @@
 }
 
 // pour passes a stream on as it comes. One that breaks ends the client's connection without the last chunk.
-func (f *front) pour(w http.ResponseWriter, r *http.Request, a *dispatch.Asked, trip *dispatch.Flight, end kserve.Final, final <-chan kserve.Final) {
+func (f *front) pour(w http.ResponseWriter, r *http.Request, a *dispatch.Asked, trip *dispatch.Flight) {
 	ctl := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header()["Date"] = nil
@@ -272,18 +263,16 @@
 					continue
 				}
 			}
-			if end.Final == "" {
-				select {
-				case end = <-final:
-				case <-r.Context().Done():
-					f.loop.Post(func() { f.loop.Left(a) })
+			select {
+			case end := <-a.Final():
+				if end.Final != kserve.Satisfied {
 					panic(http.ErrAbortHandler)
 				}
-			}
-			if end.Final != kserve.Satisfied {
+				return
+			case <-r.Context().Done():
+				f.loop.Post(func() { f.loop.Left(a) })
 				panic(http.ErrAbortHandler)
 			}
-			return
 		case <-cut:
 			f.Moved.Add(1)
 			f.loop.Post(func() { f.loop.Left(a) })
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -99,6 +99,22 @@
 	}
 }
 
+// write has both writers answer so; first only the first trip to either, and the others well.
+func (h *house) write(do func(e *hosts.Exchange) bool) {
+	for _, w := range h.writers {
+		w.Do = do
+	}
+}
+
+func (h *house) first(do func(e *hosts.Exchange) bool) {
+	h.write(func(e *hosts.Exchange) bool {
+		if e.Method == "POST" && len(h.site.Seen("w1", "POST"))+len(h.site.Seen("w2", "POST")) == 1 {
+			return do(e)
+		}
+		return e.Serve()
+	})
+}
+
 // settled waits until nothing is out, held or open, at the dispatcher as at the boxes: rule 5, and every count back at nought.
 func (h *house) settled() {
 	h.t.Helper()
@@ -215,15 +231,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := enter(t, nil)
-			// The first trip to any writer ends so, the others well.
-			for _, w := range h.writers {
-				w.Do = func(e *hosts.Exchange) bool {
-					if e.Method == "POST" && len(h.site.Seen("w1", "POST"))+len(h.site.Seen("w2", "POST")) == 1 {
-						return c.do(e)
-					}
-					return e.Serve()
-				}
-			}
+			h.first(c.do)
 			if got := h.says(h.ask("hut-booking")); got.status != c.once || got.status == 200 && !got.whole {
 				t.Errorf("unrepeatable: %+v", got)
 			}
@@ -239,14 +247,7 @@
 // An unrepeatable question must not be asked again while its first trip may have run; an idempotent one may.
 func TestAnIdempotentQuestionOutlivesASpoiltAnswer(t *testing.T) {
 	h := enter(t, nil)
-	for _, w := range h.writers {
-		w.Do = func(e *hosts.Exchange) bool {
-			if len(h.site.Seen("w1", "POST"))+len(h.site.Seen("w2", "POST")) == 1 {
-				return e.Write("HTTP/1.1 200 OK\r\n\x01\x02\r\n") && false
-			}
-			return e.Serve()
-		}
-	}
+	h.first(func(e *hosts.Exchange) bool { return e.Write("HTTP/1.1 200 OK\r\n\x01\x02\r\n") && false })
 	if got := h.says(h.ask("trail-info")); got.status != 200 || !got.whole {
 		t.Errorf("%+v", got)
 	}
@@ -258,12 +259,10 @@
 	for name, tail := range map[string]string{"between chunks": "", "in a chunk": "20\r\ndata", "a chunk's size": "zz\r\n", "early end": hosts.Last} {
 		t.Run(name, func(t *testing.T) {
 			h := enter(t, nil)
-			for _, w := range h.writers {
-				w.Do = func(e *hosts.Exchange) bool {
-					e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")) + tail)
-					return false
-				}
-			}
+			h.write(func(e *hosts.Exchange) bool {
+				e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")) + tail)
+				return false
+			})
 			if got := h.says(h.ask("trail-info")); got.status != 200 || got.text != hosts.Event("a") || got.whole {
 				t.Errorf("%+v", got)
 			}
@@ -275,13 +274,11 @@
 // A box that goes silent in a stream is given up within 5 s.
 func TestASilentStreamIsGivenUp(t *testing.T) {
 	h := enter(t, nil)
-	for _, w := range h.writers {
-		w.Do = func(e *hosts.Exchange) bool {
-			e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")))
-			<-e.Left
-			return false
-		}
-	}
+	h.write(func(e *hosts.Exchange) bool {
+		e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")))
+		<-e.Left
+		return false
+	})
 	began := time.Now()
 	if got := h.says(h.ask("trail-info")); got.whole || time.Since(began) > 5*time.Second {
 		t.Errorf("%+v after %v", got, time.Since(began))
@@ -382,9 +379,7 @@
 			if at == "reading" {
 				h.reader.Do = stay
 			} else {
-				for _, w := range h.writers {
-					w.Do = stay
-				}
+				h.write(stay)
 			}
 			c := h.client()
 			io.WriteString(c, h.ask("trail-info"))
@@ -536,26 +531,24 @@
 // At a stop every question that was taken gets its answer, streams that still run are cut, and new clients are sent elsewhere.
 func TestAStopAnswersWhatWasTaken(t *testing.T) {
 	h := enter(t, nil)
-	for _, w := range h.writers {
-		w.Do = func(e *hosts.Exchange) bool {
-			if e.Method != "POST" || e.ID != "q1" && e.ID != "q2" {
-				return e.Serve()
-			}
-			if e.ID == "q2" {
-				<-e.Left // never begins
+	h.write(func(e *hosts.Exchange) bool {
+		if e.Method != "POST" || e.ID != "q1" && e.ID != "q2" {
+			return e.Serve()
+		}
+		if e.ID == "q2" {
+			<-e.Left // never begins
+			return false
+		}
+		e.Write(hosts.Opening)
+		for e.Write(hosts.Chunk(hosts.Event("a"))) {
+			select {
+			case <-e.Left:
 				return false
+			case <-time.After(20 * time.Millisecond):
 			}
-			e.Write(hosts.Opening)
-			for e.Write(hosts.Chunk(hosts.Event("a"))) {
-				select {
-				case <-e.Left:
-					return false
-				case <-time.After(20 * time.Millisecond):
-				}
-			}
-			return false
 		}
-	}
+		return false
+	})
 	long, never, late := h.client(), h.client(), h.client()
 	io.WriteString(long, h.ask("trail-info"))
 	io.WriteString(never, h.ask("trail-info", "X-Timeout-Ms: 3000", "X-Timeout-Ms: 60000"))
@@ -577,13 +570,11 @@
 // A question that begins when streams are cut already has its first event all the same: a client without one has had no answer.
 func TestAStreamIsNotCutBeforeItsFirstEvent(t *testing.T) {
 	h := enter(t, nil)
-	for _, w := range h.writers {
-		w.Do = func(e *hosts.Exchange) bool {
-			e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")))
-			<-e.Left
-			return false
-		}
-	}
+	h.write(func(e *hosts.Exchange) bool {
+		e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")))
+		<-e.Left
+		return false
+	})
 	close(h.node.front.cut)
 	for range 20 {
 		if got := h.says(h.ask("trail-info")); got.status != 200 || got.text != hosts.Event("a") || got.whole {
@@ -635,15 +626,15 @@
 	h := enter(t, func(h *house, p *Place) {
 		p.PeerListen, p.Peers = "127.0.0.1:0", []string{"127.0.0.1:1", sibling.LocalAddr().String()}
 	})
-	to := h.node.peers.conn.LocalAddr().(*net.UDPAddr)
+	to := h.node.peers.Conn.LocalAddr().(*net.UDPAddr)
 	other, err := net.DialUDP("udp", nil, to)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer other.Close()
 	other.Write(make([]byte, 8))
-	h.until("the stranger is counted", func() bool { return h.node.peers.Strangers.Load() == 1 })
+	h.until("the stranger is counted", func() bool { return h.node.peers.Dropped.Load() == 1 })
 	sibling.WriteToUDP(make([]byte, 8), to)
 	sibling.WriteToUDP(make([]byte, 3), to)
-	h.until("what is no news is counted", func() bool { return h.node.peers.Strangers.Load() == 2 })
+	h.until("what is no news is counted", func() bool { return h.node.peers.Dropped.Load() == 2 })
 }
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -46,7 +46,7 @@
 	carrier  *carrier
 	front    *front
 	gate     *gate
-	peers    *peers
+	peers    *dispatch.Peers // none that listens where the configuration has no address
 	follower *endpoints.Follower
 }
 
@@ -69,12 +69,11 @@
 	n := &node{place: p, facts: facts, log: log}
 	n.life, n.end = context.WithCancel(ctx)
 	boxes := &reach.Boxes{
-		Limit: max(facts.Span("policyLimits.dialTimeoutUs"), 10*time.Millisecond), Most: room.boxes, All: room.boxes, Since: since, Life: n.life, Group: &n.trips,
-		Bare: true, Once: true,
+		Limit: max(facts.Span("policyLimits.dialTimeoutUs"), 10*time.Millisecond), Most: room.boxes, Since: since, Life: n.life, Group: &n.trips, Bare: true,
 	}
-	n.carrier = &carrier{service: service, boxes: boxes, life: n.life, group: &n.trips, log: log, passed: map[string]*passed{}, hosts: map[*dispatch.Box]*reach.Host{}, calls: make(chan struct{}, letGoMost)}
-	for i := range int(facts.Num("report.fields", 0)) {
-		n.carrier.fields = append(n.carrier.fields, facts.Text(fmt.Sprintf("report.fields.%d", i)))
+	n.carrier = &carrier{
+		fields: facts.Names("report.fields"), boxes: boxes, life: n.life, group: &n.trips, log: log, passed: map[string]*passed{},
+		hosts: map[*dispatch.Box]*reach.Host{}, calls: make(chan struct{}, letGoMost),
 	}
 	places := dispatch.Places{
 		Zone: func(name string) int { return facts.Index("dcs", name) },
@@ -84,14 +83,19 @@
 	if err != nil {
 		return nil, err
 	}
-	if n.peers, err = listenPeers(int(facts.Num("slotNo", 0)), p.PeerListen, p.Peers); err != nil {
-		listener.Close()
-		return nil, err
+	if n.peers = (&dispatch.Peers{}); p.PeerListen != "" {
+		if n.peers, err = dispatch.ListenPeers(int(facts.Num("slotNo", 0)), p.PeerListen, p.Peers); err != nil {
+			listener.Close()
+			return nil, fmt.Errorf("siblings: %w", err)
+		}
+		n.peers.Plain = true
 	}
-	n.carrier.tell = n.peers.tell
+	n.carrier.tell = n.peers.Tell
 	if n.loop, err = dispatch.NewLoop(facts, p.chance(), places, n.carrier, since, p.Name, log); err != nil {
 		listener.Close()
-		n.peers.close()
+		if n.peers.Conn != nil {
+			n.peers.Conn.Close()
+		}
 		return nil, err
 	}
 	n.carrier.loop = n.loop
@@ -119,7 +123,9 @@
 	n.trips.Go(n.carrier.boxes.Tend)
 	n.group.Go(func() error { return n.loop.Run(n.life) })
 	n.group.Go(func() error { return n.follower.Follow(n.life) })
-	n.group.Go(func() error { return n.peers.listen(n.life, n.loop) })
+	if n.peers.Conn != nil {
+		n.group.Go(func() error { return n.peers.Listen(n.life, n.loop) })
+	}
 	web := &http.Server{
 		Handler: n.front, ReadHeaderTimeout: headWait, IdleTimeout: restMost, MaxHeaderBytes: chat.HeadMost, ConnState: n.gate.moved,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
@@ -133,7 +139,7 @@
 	})
 	p := n.place
 	n.log.Info("serving", "listen", n.gate.Addr().String(), "discovery", p.Discovery, "cores", p.Limits.Cores, "memory_mb", p.Limits.MemoryMB,
-		"sockets", p.Limits.Sockets, "clients", n.gate.most, "boxes", n.carrier.boxes.All)
+		"sockets", p.Limits.Sockets, "clients", n.gate.most, "boxes", n.carrier.boxes.Most)
 	tick := time.NewTicker(tellEach)
 	defer tick.Stop()
 	for run := true; run; {
@@ -173,7 +179,6 @@
 	n.carrier.settle(time.Second)
 	n.tell()
 	n.end()
-	n.peers.close()
 	n.trips.Wait()
 	n.group.Wait()
 }
@@ -196,7 +201,7 @@
 			"declined", t.Declined, "forfeited", t.Forfeited, "left", t.Left, "overdue", t.Overdue, "trips", t.Trips, "outcomes", fmt.Sprint(t.Outcomes),
 			"believes", fmt.Sprintf("%+v", n.loop.Believes()), "open", f.asked.Load(), "bodies", f.held.Load(), "clients", g.count(), "pushed", g.Pushed.Load(), "waited", g.Waited.Load(), "refused", f.state(),
 			"released", c.Calls.Load(), "unheard", c.Unheard.Load(), "stale", c.Stale.Load(), "spoilt", c.Spoilt.Load(), "strange", c.Strange.Load(),
-			"watch_lost", n.follower.Lost(), "strangers", n.peers.Strangers.Load(), "heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine())
+			"watch_lost", n.follower.Lost(), "strangers", n.peers.Dropped.Load(), "heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine())
 		n.compare()
 	})
 }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -32,9 +32,7 @@
 	Since func() time.Duration
 	Life  context.Context
 	Group *errgroup.Group
-	Bare  bool // the far side knows no proof: a connection counts once it is up, and none is made unasked
-	Once  bool // each connection takes one request
-	All   int  // connections to all boxes, above which one at rest makes room for a new one; 0: no bound
+	Bare  bool // the far side knows no proof: a connection counts once it is up, takes one request, and none is made unasked
 
 	mu     sync.Mutex
 	hosts  map[string]*Host
@@ -185,7 +183,7 @@
 func (h *Host) get(ctx context.Context, until time.Duration) (*Conn, error) {
 	limit := time.NewTimer(until - h.all.Since())
 	defer limit.Stop()
-	for roomy := h.all.All == 0; ; {
+	for {
 		h.mu.Lock()
 		if h.gone {
 			h.mu.Unlock()
@@ -203,17 +201,11 @@
 		if c := h.takeIdle(); c != nil {
 			fresh, within := h.used-c.since < addresses.FreshFor, h.book.Stagger()
 			h.mu.Unlock()
-			if fresh || h.all.Bare || c.again(ctx, within) {
+			if fresh || c.again(ctx, within) {
 				return c, nil
 			}
 			continue
 		}
-		if !roomy {
-			h.mu.Unlock()
-			h.all.makeRoom()
-			roomy = true
-			continue
-		}
 		if h.open < h.all.Most && h.racing < addresses.MostRaces {
 			h.open++
 			h.racing++
@@ -353,7 +345,7 @@
 // keep puts a proven connection among the idle ones, if there is use for it; the host is locked. fresh: it has no
 // place among the open ones yet.
 func (h *Host) keep(c *Conn, fresh bool) {
-	if c.Address.Dropped || h.gone || h.all.Life.Err() != nil || h.all.Once || fresh && h.open >= h.all.Most {
+	if c.Address.Dropped || h.gone || h.all.Life.Err() != nil || fresh && h.open >= h.all.Most {
 		c.Conn.Close()
 		if !fresh {
 			h.open--
@@ -563,47 +555,9 @@
 // Bytes is what the far side sends.
 func (c *Conn) Bytes() *bufio.Reader { return c.read.Reader }
 
-// Keep puts the connection back for another request; Drop closes it.
-func (c *Conn) Keep() {
-	c.Conn.SetDeadline(time.Time{})
-	c.host.mu.Lock()
-	defer c.host.mu.Unlock()
-	c.host.keep(c, false)
-}
-
+// Drop closes the connection.
 func (c *Conn) Drop() { c.drop() }
 
-// makeRoom closes the connection that has rested longest, of any box, where as many are open as may be.
-func (b *Boxes) makeRoom() {
-	open := 0
-	var from *Host
-	var oldest *Conn
-	for _, h := range b.listed() {
-		h.mu.Lock()
-		open += h.open
-		if len(h.idle) > 0 && (oldest == nil || h.idle[0].since < oldest.since) {
-			from, oldest = h, h.idle[0]
-		}
-		h.mu.Unlock()
-	}
-	if open < b.All || oldest == nil {
-		return
-	}
-	from.mu.Lock()
-	from.dropIdle(func(c *Conn) bool { return c == oldest })
-	from.mu.Unlock()
-}
-
-// Close lets go of what rests; used when nothing is sent any more.
-func (b *Boxes) Close() {
-	for _, h := range b.listed() {
-		h.mu.Lock()
-		h.dropIdle(func(*Conn) bool { return true })
-		h.mu.Unlock()
-	}
-}
-
-// drop closes the connection.
 func (c *Conn) drop() {
 	c.Conn.Close()
 	h := c.host
@@ -636,7 +590,11 @@
 	for {
 		select {
 		case <-b.Life.Done():
-			b.Close()
+			for _, h := range b.listed() {
+				h.mu.Lock()
+				h.dropIdle(func(*Conn) bool { return true })
+				h.mu.Unlock()
+			}
 			return nil
 		case <-tick.C:
 		}
