--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -139,12 +139,6 @@
 	Guard *storm.Guard // in front of the module; nil: every try goes to it, and its own advice to clients
 }
 
-// Tally counts what a loop has seen; it is read by the loop's goroutine only.
-type Tally struct {
-	Taken, Satisfied, Declined, Forfeited, Left, Overdue, Trips, Damped int64
-	Outcomes                                                            [brain.Moot + 1]int64
-}
-
 // NewLoop makes a loop and its module. since is the clock, a span since the start.
 func NewLoop(facts brain.Facts, seed uint64, places Places, carrier Carrier, since func() time.Duration, epoch string, log *slog.Logger) (*Loop, error) {
 	if places.Allows == nil {
@@ -530,6 +524,7 @@
 		a.began <- f
 	}
 	l.module.Began(f.Trip, l.now-f.Trip.Sent)
+	l.Tally.began(f.Trip)
 	l.forget(a)
 }
 
@@ -548,7 +543,9 @@
 	}
 	l.accountEnded(f, r)
 	r.Took = l.now - t.Sent
-	l.Tally.Outcomes[r.Outcome]++
+	l.Tally.ended(t, r)
+	l.Log.Debug("trip over", "id", a.Ask.ID, "box", f.Box.Name, "stage", f.Stage(), "number", t.Number, "outcome", r.Outcome, "took", r.Took, "wait", f.Wait,
+		"prompt", t.Question.Prompt, "left", t.Left, "kept", r.Note)
 	switch {
 	case r.Outcome == brain.Read:
 		a.waiting[f.Box] = true
