--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
@@ -47,6 +48,11 @@
 	if take(0, draining) != 1 || take(time.Second, older) != 0 || take(2*time.Second, older) != 0 {
 		t.Error("an older list was taken")
 	}
+	mixed := `{"rev":42,"all":true,"targets":[{"uid":"a","endpoint":"10.0.0.1:1","state":"in_service","capacity_hint":1},
+		{"uid":"b","endpoint":"10.0.0.1:1","state":"terminating","capacity_hint":1}]}`
+	if take(2*time.Second, mixed) != 1 || tab.Rev != 43 {
+		t.Error("a drain that an older list tells of is not taken at once")
+	}
 	if take(time.Second+olderFor, older) != 1 || tab.Rev != 42 {
 		t.Error("a list that has begun anew is never taken")
 	}
@@ -147,6 +153,67 @@
 	}
 }
 
+// Lists may come over many lines, several in one chunk, or in pieces; the watch goes on through all of that.
+func TestAWatchReadsListsInAnyForm(t *testing.T) {
+	site := hosts.New()
+	t.Cleanup(site.Close)
+	box := site.Box("a", hosts.Reader)
+	agent := site.Agent()
+	agent.SetIndent(true)
+	f := follow(t, agent.At)
+	f.until(t, "a", boxlist.Ready)
+	site.Change(func() { box.State = "terminating" })
+	f.until(t, "a", boxlist.Draining)
+	say := func(rev int, state string) string {
+		return fmt.Sprintf(`{"rev":%d,"all":false,"targets":[{"uid":"a","endpoint":%q,"state":%q,"capacity_hint":1}]}`, rev, box.At, state)
+	}
+	agent.Say(hosts.Chunk("\n") + hosts.Chunk(say(10, "terminating")+say(11, "in_service")+"\n"))
+	f.until(t, "a", boxlist.Ready)
+	for _, c := range []byte(hosts.Chunk("\n  " + say(12, "terminating"))) {
+		agent.Say(string(c))
+	}
+	f.until(t, "a", boxlist.Draining)
+	if n := f.Lost(); n != 0 {
+		t.Errorf("the watch was lost %d times", n)
+	}
+}
+
+// A change counts as told 6 s after the watch fell silent, also where the watch that is opened in its place stops half-way.
+func TestASilentWatchIsMadeGoodInTime(t *testing.T) {
+	site := hosts.New()
+	t.Cleanup(site.Close)
+	box := site.Box("a", hosts.Reader)
+	agent := site.Agent()
+	f := follow(t, agent.At)
+	f.until(t, "a", boxlist.Ready)
+	agent.SetMute(true)
+	began := time.Now()
+	site.Change(func() { box.State = "terminating" })
+	agent.SetStop(90)
+	agent.SetMute(false)
+	time.AfterFunc(silence+answer/2, func() { agent.SetStop(0) })
+	f.until(t, "a", boxlist.Draining)
+	if took := time.Since(began); took > 5900*time.Millisecond {
+		t.Errorf("it is known after %v", took)
+	}
+}
+
+// A push that never ends is no sign of life.
+func TestAPushThatDripsIsGivenUp(t *testing.T) {
+	site := hosts.New()
+	t.Cleanup(site.Close)
+	site.Box("a", hosts.Reader)
+	agent := site.Agent()
+	f := follow(t, agent.At)
+	f.until(t, "a", boxlist.Ready)
+	for end := time.Now().Add(2 * silence); f.Lost() == 0; time.Sleep(silence / 10) {
+		if time.Now().After(end) {
+			t.Fatal("the watch is kept")
+		}
+		agent.Say(hosts.Chunk(" {"))
+	}
+}
+
 func TestANewAddressIsAskedForItsWholeList(t *testing.T) {
 	site := hosts.New()
 	t.Cleanup(site.Close)
--- a/internal/endpoints/follow.go
+++ b/internal/endpoints/follow.go
@@ -3,8 +3,8 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,9 +20,10 @@
 )
 
 const (
-	beat     = 2 * time.Second // an empty line comes as often
-	silence  = beat * 3 / 2
-	again    = 20 * time.Millisecond // the first wait for the next try, doubled up to the next value
+	beat     = 2 * time.Second         // an empty line comes as often
+	silence  = beat * 5 / 4            // a watch that says nothing for so long is taken for broken
+	answer   = 1500 * time.Millisecond // for an answer's head, or for one list: the agent answers at once, or not
+	again    = 20 * time.Millisecond   // the first wait for the next try, doubled up to the next value
 	againMax = 300 * time.Millisecond
 	pushMost = 8 << 20
 	dialTime = 500 * time.Millisecond
@@ -35,13 +36,17 @@
 	Listed func(lines []boxlist.Box, whole bool) // told in order
 
 	table Table
+	whole bool // what came last could not be used: the whole list is asked for next
 	mu    sync.Mutex
 	at    string
 	cut   context.CancelCauseFunc
 	lost  atomic.Int64
 }
 
-var errMoved = errors.New("discovery has another address")
+var (
+	errMoved = errors.New("discovery has another address")
+	errOlder = errors.New("discovery has an older list than the own")
+)
 
 // Take reads a push that came by another way, such as the one that a dispatcher is started with.
 func (f *Follower) Take(raw []byte) error {
@@ -119,7 +124,7 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	from := bufio.NewReader(conn)
 	ask := func(target string) (*http.Response, error) {
-		conn.SetDeadline(time.Now().Add(silence))
+		conn.SetDeadline(time.Now().Add(answer))
 		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, at); err != nil {
 			return nil, err
 		}
@@ -129,7 +134,8 @@
 		}
 		return resp, err
 	}
-	if !known || !f.table.heard {
+	if !known || !f.table.heard || f.whole {
+		f.whole = true
 		resp, err := ask("/v1/endpoints")
 		if err != nil {
 			return false, err
@@ -141,7 +147,10 @@
 		if err := f.Take(raw); err != nil {
 			return false, err
 		}
-		got = true
+		if f.table.older != 0 {
+			return false, errOlder
+		}
+		f.whole, got = false, true
 		if resp.Close {
 			return got, errors.New("discovery closes after the list")
 		}
@@ -150,18 +159,58 @@
 	if err != nil {
 		return got, err
 	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(nil, pushMost)
-	for {
-		conn.SetDeadline(time.Now().Add(silence))
-		if !lines.Scan() {
-			return got, cmp.Or(lines.Err(), io.EOF)
+	pushes := &pushes{conn: conn, from: resp.Body, left: pushMost}
+	for decoder := json.NewDecoder(pushes); ; {
+		var raw json.RawMessage
+		if err := decoder.Decode(&raw); err != nil {
+			var torn *json.SyntaxError
+			f.whole = errors.As(err, &torn)
+			return got, err
 		}
-		got = true
-		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
-			if err := f.Take(line); err != nil {
-				return got, err
-			}
+		if err := f.Take(raw); err != nil {
+			f.whole = true
+			return got, err
 		}
+		if f.table.older != 0 {
+			f.whole = true
+			return false, errOlder
+		}
+		got = true
+		rest, _ := io.ReadAll(decoder.Buffered())
+		pushes.left, pushes.begun = pushMost, time.Time{}
+		pushes.look(rest)
+	}
+}
+
+// pushes is what a watch brings. Each byte shows that the watch lives, but not that it does what it is for: a push that has begun
+// has to end in its time, however it drips, and within a bound on its size.
+type pushes struct {
+	conn  net.Conn
+	from  io.Reader
+	left  int       // bytes that the present push may still have
+	begun time.Time // when it did; zero: nothing but empty lines came
+}
+
+func (p *pushes) Read(into []byte) (int, error) {
+	if p.left <= 0 {
+		return 0, fmt.Errorf("a push has over %d bytes", pushMost)
+	}
+	until := time.Now().Add(silence)
+	if !p.begun.IsZero() {
+		until = p.begun.Add(answer)
+	}
+	p.conn.SetReadDeadline(until)
+	n, err := p.from.Read(into[:min(len(into), p.left)])
+	p.look(into[:n])
+	return n, err
+}
+
+// look takes note of what came for a push.
+func (p *pushes) look(raw []byte) {
+	if p.begun.IsZero() && len(bytes.TrimSpace(raw)) > 0 {
+		p.begun = time.Now()
+	}
+	if !p.begun.IsZero() {
+		p.left -= len(raw)
 	}
 }
--- a/internal/endpoints/table.go
+++ b/internal/endpoints/table.go
@@ -56,26 +56,34 @@
 	if len(p.Targets) > mostTargets {
 		return nil, false, nil, fmt.Errorf("a push has %d targets, %d are taken at most", len(p.Targets), mostTargets)
 	}
-	// A list that goes back could bring back boxes that are draining.
-	if t.heard && p.Rev < t.Rev {
+	// A list that goes back could bring back boxes that are draining. What it takes out of service is taken at once: discovery may
+	// have begun to count anew, and that change counts as told.
+	older := t.heard && p.Rev < t.Rev
+	if older {
+		refused = append(refused, fmt.Sprintf("rev %d is older than %d", p.Rev, t.Rev))
+		if !p.All {
+			return nil, false, refused, nil
+		}
 		if t.older == 0 {
 			t.older = now
 		}
-		if !p.All || now-t.older < olderFor {
-			return nil, false, []string{fmt.Sprintf("rev %d is older than %d", p.Rev, t.Rev)}, nil
-		}
+		older = now-t.older < olderFor
+	}
+	if !older {
+		t.older = 0
+		t.Rev, t.heard = p.Rev, true
 	}
-	t.older = 0
-	t.Rev, t.heard = p.Rev, true
 	for _, g := range p.Targets {
 		b, err := g.box(unix)
 		if err != nil {
 			refused = append(refused, err.Error())
 			continue
 		}
-		lines = append(lines, b)
+		if !older || b.Standing != boxlist.Ready {
+			lines = append(lines, b)
+		}
 	}
-	return lines, p.All, refused, nil
+	return lines, p.All && !older, refused, nil
 }
 
 func (g target) box(unix int64) (b boxlist.Box, err error) {
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -51,13 +53,17 @@
 	seen   []*Exchange
 	out    map[string]int // requests by id that are out
 	held   map[string]string
-	Faults []string // rules that were broken, as the boxes saw it
+	waits  map[string]time.Time // by id, since when a state is held with no request out
+	Faults []string             // rules that were broken, as the boxes saw it
+	Pin    time.Duration        // for which a state may wait with no request out
 	agents []*Agent
 	rev    int64
 	wait   sync.WaitGroup
 }
 
-func New() *Site { return &Site{out: map[string]int{}, held: map[string]string{}, rev: 1} }
+func New() *Site {
+	return &Site{out: map[string]int{}, held: map[string]string{}, waits: map[string]time.Time{}, rev: 1, Pin: 850 * time.Millisecond}
+}
 
 // Box is one box.
 type Box struct {
@@ -116,6 +122,7 @@
 	for id, at := range b.site.held {
 		if at == b.UID {
 			delete(b.site.held, id)
+			delete(b.site.waits, id)
 		}
 	}
 }
@@ -171,6 +178,7 @@
 		s.seen = append(s.seen, e)
 		if e.ID != "" {
 			s.out[e.ID]++
+			s.waited(e.ID)
 		}
 		do := b.Do
 		s.mu.Unlock()
@@ -207,7 +215,7 @@
 	switch {
 	case e.Method == http.MethodDelete:
 		s.mu.Lock()
-		delete(s.held, strings.TrimPrefix(e.Target, "/v1/holds/"))
+		s.take(strings.TrimPrefix(e.Target, "/v1/holds/"))
 		s.mu.Unlock()
 		return e.Write("HTTP/1.1 204 No Content\r\n\r\n")
 	case e.Box.Kind == Reader:
@@ -221,12 +229,54 @@
 func (e *Exchange) end() {
 	e.Box.site.mu.Lock()
 	defer e.Box.site.mu.Unlock()
+	s := e.Box.site
 	if !e.over && e.ID != "" {
-		e.Box.site.out[e.ID]--
+		s.out[e.ID]--
+		if s.held[e.ID] != "" && s.out[e.ID] == 0 {
+			s.waits[e.ID] = time.Now()
+		}
 	}
 	e.over = true
 }
 
+// waited ends a state's wait, and take the state with it; the site is locked.
+func (s *Site) waited(id string) {
+	if since, ok := s.waits[id]; ok && time.Since(since) > s.Pin {
+		s.Faults = append(s.Faults, fmt.Sprintf("a state for %s waited for %v", id, time.Since(since)))
+	}
+	delete(s.waits, id)
+}
+
+func (s *Site) take(id string) {
+	s.waited(id)
+	delete(s.held, id)
+}
+
+// Vanish has the box's machine say nothing: connections that stand stay, and new ones neither come up nor are refused.
+func (b *Box) Vanish() {
+	b.l.Close()
+	l, err := net.Listen("tcp", b.At)
+	if err != nil {
+		panic(err)
+	}
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		panic(err)
+	}
+	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) })
+	b.site.mu.Lock()
+	defer b.site.mu.Unlock()
+	b.l = l
+	for range 4 {
+		c, err := net.DialTimeout("tcp", b.At, 30*time.Millisecond)
+		if err != nil {
+			return
+		}
+		b.conns[c] = false // closed with the box
+	}
+	panic("a box that has vanished takes connections")
+}
+
 // alone takes note of a fault if another copy of a request is out. A box may see a moment late that its connection was closed.
 func (s *Site) alone(id string) {
 	if id == "" {
@@ -257,7 +307,7 @@
 func (e *Exchange) Write(raw string) bool {
 	if strings.HasPrefix(raw, Opening) && e.Box.Kind == Writer {
 		e.Box.site.mu.Lock()
-		delete(e.Box.site.held, e.ID)
+		e.Box.site.take(e.ID)
 		e.Box.site.mu.Unlock()
 	}
 	if strings.HasSuffix(raw, Last) || strings.HasPrefix(raw, "HTTP/1.1 ") && raw[9] > '1' && !strings.HasPrefix(raw, "HTTP/1.1 200") {
@@ -371,6 +421,8 @@
 	conns   map[net.Conn]bool
 	asked   []string
 	mute    bool // it takes connections and says nothing
+	indent  bool
+	stop    int // bytes of its next answers to a watch, after which it says no more; 0: all of them
 }
 
 // Agent opens another one.
@@ -407,12 +459,17 @@
 		switch {
 		case a.mute:
 		case r.URL.Query().Get("stream") == "":
-			raw := s.list(true)
+			raw := a.form(s.list(true))
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(raw), raw)
 		default:
+			raw := string(a.form(s.list(true))) + "\n"
+			whole := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(raw)
+			if a.stop > 0 {
+				io.WriteString(c, whole[:min(a.stop, len(whole))])
+				break
+			}
 			a.watches[c] = true
-			raw := string(s.list(true)) + "\n"
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%s", Chunk(raw))
+			io.WriteString(c, whole)
 		}
 		s.mu.Unlock()
 	}
@@ -424,8 +481,31 @@
 		return
 	}
 	for c := range a.watches {
-		io.WriteString(c, Chunk(string(raw)+"\n"))
+		io.WriteString(c, Chunk(string(a.form(raw))+"\n"))
+	}
+}
+
+// form is how the agent writes a list.
+func (a *Agent) form(raw []byte) []byte {
+	if !a.indent {
+		return raw
 	}
+	var b bytes.Buffer
+	json.Indent(&b, raw, "", "  ")
+	return b.Bytes()
+}
+
+// SetIndent has it write lists over many lines; SetStop has it stop in the middle of its next answers to a watch.
+func (a *Agent) SetIndent(indent bool) {
+	a.site.mu.Lock()
+	defer a.site.mu.Unlock()
+	a.indent = indent
+}
+
+func (a *Agent) SetStop(after int) {
+	a.site.mu.Lock()
+	defer a.site.mu.Unlock()
+	a.stop = after
 }
 
 // Say writes bytes to the watches as they are.
