--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -144,6 +144,11 @@
 		delete(f.ids, ask.ID)
 		f.mu.Unlock()
 	}()
+	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
+		ctx, over := c.open(r.Context())
+		defer over()
+		r = r.WithContext(ctx)
+	}
 	took := int64(0)
 	giveBack := func() { f.held.Add(-took); took = 0 }
 	defer giveBack()
--- a/internal/platform/gate.go
+++ b/internal/platform/gate.go
@@ -39,13 +39,15 @@
 		g.Waited.Add(1)
 		time.Sleep(roomWait)
 	}
-	c, err := g.Listener.Accept()
-	if err == nil {
-		g.mu.Lock()
-		g.conns[c] = &standing{http.StateNew, time.Now()}
-		g.mu.Unlock()
+	raw, err := g.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
-	return c, err
+	c := &clientConn{Conn: raw}
+	g.mu.Lock()
+	g.conns[c] = &standing{http.StateNew, time.Now()}
+	g.mu.Unlock()
+	return c, nil
 }
 
 // makeRoom tells whether there is room for a connection.
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -271,6 +271,29 @@
 	}
 }
 
+// A state that no writer can be reached for is released in its time, also where the box that holds it can't be reached either.
+func TestAStateIsLetGoWhereNoConnectionComesUp(t *testing.T) {
+	h := enter(t, func(h *house, p *Place) {
+		p.Settings["familyInfo"].(map[string]any)["pinLimitUs"] = 300_000.0
+		h.site.Pin = 650 * time.Millisecond
+		h.site.Box("r2", hosts.Writer).State = "terminating" // it takes no questions, but that call
+	})
+	h.reader.Do = func(e *hosts.Exchange) bool {
+		if e.Method == "POST" {
+			for _, b := range append(h.writers, h.reader) {
+				b.Vanish()
+			}
+		}
+		return e.Serve()
+	}
+	c := h.client()
+	io.WriteString(c, h.ask("trail-info"))
+	h.until("it is read", func() bool { return h.site.Held() == 1 })
+	h.until("it is released", func() bool { return h.site.Held() == 0 })
+	c.Close()
+	h.settled()
+}
+
 // A box that goes silent in a stream is given up within 5 s.
 func TestASilentStreamIsGivenUp(t *testing.T) {
 	h := enter(t, nil)
@@ -390,6 +413,46 @@
 	}
 }
 
+// A client that has sent a further request behind its open one is seen to go all the same; while it stays, both are answered.
+func TestAClientThatPipelinesIsSeenToGo(t *testing.T) {
+	h := enter(t, nil)
+	there := make(chan *hosts.Exchange, 1)
+	h.reader.Do = func(e *hosts.Exchange) bool {
+		if e.Method != "POST" {
+			return e.Serve()
+		}
+		e.Hold()
+		there <- e
+		<-e.Left
+		return false
+	}
+	c := h.client()
+	io.WriteString(c, h.ask("trail-info"))
+	e := <-there
+	io.WriteString(c, h.ask("hut-booking"))
+	time.Sleep(20 * time.Millisecond)
+	c.Close()
+	select {
+	case <-e.Left:
+	case <-time.After(100 * time.Millisecond):
+		t.Error("its trip goes on")
+	}
+	h.settled()
+	if n := len(h.site.Seen("", "POST")); n != 1 {
+		t.Errorf("%d trips", n)
+	}
+	h.reader.Do = nil
+	c = h.client()
+	io.WriteString(c, h.ask("trail-info"))
+	io.WriteString(c, h.ask("hut-booking")+h.ask("trail-info"))
+	for range 3 {
+		if got := c.said(); got.status != 200 || !got.whole {
+			t.Errorf("%+v", got)
+		}
+	}
+	h.settled()
+}
+
 // A state is released also where the box that may hold it can't be reached: any box takes the call.
 func TestAStateIsReleasedThroughAnotherBox(t *testing.T) {
 	h := enter(t, nil)
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -127,7 +127,7 @@
 		n.group.Go(func() error { return n.peers.Listen(n.life, n.loop) })
 	}
 	web := &http.Server{
-		Handler: n.front, ReadHeaderTimeout: headWait, IdleTimeout: restMost, MaxHeaderBytes: chat.HeadMost, ConnState: n.gate.moved,
+		Handler: n.front, ReadHeaderTimeout: headWait, IdleTimeout: restMost, MaxHeaderBytes: chat.HeadMost, ConnState: n.gate.moved, ConnContext: withConn,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 	failed := make(chan error, 1)
@@ -199,6 +199,7 @@
 		t := n.loop.Tally
 		n.log.Info("state", "taken", t.Taken, "again", f.Again.Load(), "rest", f.Rest.Load(), "moved", f.Moved.Load(), "satisfied", t.Satisfied,
 			"declined", t.Declined, "forfeited", t.Forfeited, "left", t.Left, "overdue", t.Overdue, "trips", t.Trips, "outcomes", fmt.Sprint(t.Outcomes),
+			"prefills", fmt.Sprint(t.Prefills), "began", t.Began, "in_time", t.InTime, "held_ms", t.Held.Milliseconds(), "first_ms", t.First.Milliseconds(),
 			"believes", fmt.Sprintf("%+v", n.loop.Believes()), "open", f.asked.Load(), "bodies", f.held.Load(), "clients", g.count(), "pushed", g.Pushed.Load(), "waited", g.Waited.Load(), "refused", f.state(),
 			"released", c.Calls.Load(), "unheard", c.Unheard.Load(), "stale", c.Stale.Load(), "spoilt", c.Spoilt.Load(), "strange", c.Strange.Load(),
 			"watch_lost", n.follower.Lost(), "strangers", n.peers.Dropped.Load(), "heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine())
