--- a/brain/brain.go
+++ b/brain/brain.go
@@ -342,6 +342,8 @@
 	t.Kept = kept / max(h.Hits.Or(1), 0.01)
 	if stage != ToWrite {
 		t.Left = q.Prompt - kept
+	} else {
+		t.Connect = d.facts.Span("familyInfo.pinLimitUs") / 3 // so that another writer, or a release, is in time (rule 5)
 	}
 	streams := t.Weigh(1)
 	d.streams += streams
@@ -585,8 +587,12 @@
 	})
 }
 
-// write picks the writer once the read has ended: fewest own streams, least reported load, near the state.
+// write picks the writer once the read has ended: fewest own streams, least reported load, near the state. While no
+// connection comes up the state waits on; after two thirds of the time that it may, the rest is for its release (rule 5).
 func (d *Dispatcher) write(q *Question) bool {
+	if limit := d.facts.Span("familyInfo.pinLimitUs"); limit > 0 && d.door.Now()-q.Waits > limit*2/3 {
+		return false
+	}
 	h := Least(d.able(q, (*Host).Answers), func(h *Host) float64 {
 		if q.State != nil && h.Rack != q.State.Rack {
 			return d.next(h) * crossing
@@ -704,6 +710,9 @@
 	d.streams += t.Weigh(-1)
 	d.facts.Report(h, r.Load)
 	q.Over = q.Over || r.Over
+	if r.Outcome != Unreached { // only a trip that came to its host takes the state, if for a while
+		q.Waits = now
+	}
 	switch r.Outcome {
 	case Read:
 		q.State = h
--- a/brain/types.go
+++ b/brain/types.go
@@ -246,7 +246,8 @@
 	Surplus  bool    // beyond its channel's share
 	Density  float64 // benefit for its work
 	Trips    []*Trip
-	State    *Host // where its read state waits
+	State    *Host         // where its read state waits
+	Waits    time.Duration // since when it does, with no trip that came to its host
 	Promised time.Duration
 	Expiry   time.Duration
 }
@@ -286,6 +287,7 @@
 	Left     float64 // tokens expected to be read
 	Kept     float64 // tokens expected to be kept
 	Stage    Stage
+	Connect  time.Duration // for its connection, if less than what any has; 0: no less
 	Ended    bool
 	Outcome  Outcome
 	Next     func(Result)
--- a/internal/platform/carrier.go
+++ b/internal/platform/carrier.go
@@ -28,6 +28,7 @@
 	shortMost = 64 << 10                // bytes of an answer that is no stream
 	waitedFor = time.Millisecond        // for a connection, after which the loop is asked whether the trip is still wanted
 	letGoTry  = 150 * time.Millisecond  // for one call that releases
+	letGoNext = 30 * time.Millisecond   // without an answer, after which another box is called too; doubled from call to call
 	letGoFor  = 3 * time.Second         // for all of them
 	letGoMost = 64                      // calls that wait for an answer at a time
 )
@@ -118,13 +119,18 @@
 
 // connect gets a connection for a trip, over which all of the request has gone out; until then it can't have run.
 func (c *carrier) connect(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *matter) (*reach.Conn, func() bool) {
-	began, tries := time.Now(), 0
+	began, tries, limit := time.Now(), 0, c.boxes.Limit
+	if t := f.Trip.Connect; t > 0 && t < limit {
+		limit = t
+	}
+	within, done := context.WithTimeout(ctx, limit)
+	defer done()
 	for host != nil {
-		conn, err := host.Get(ctx)
+		conn, err := host.Get(within)
 		if err != nil {
 			// One that is refused or reset while it is made says little: a box that is really away refuses the next too. Told at
 			// once, a rash of resets had the module take a whole fleet for restarting.
-			if tries++; tries < dialTries && ctx.Err() == nil && time.Since(began) < c.boxes.Limit/2 {
+			if tries++; tries < dialTries && ctx.Err() == nil && time.Since(began) < limit/2 {
 				time.Sleep(dialWait)
 				continue
 			}
@@ -146,7 +152,7 @@
 		}
 		stop()
 		conn.Drop()
-		if ctx.Err() != nil || time.Since(began) > c.boxes.Limit {
+		if ctx.Err() != nil || time.Since(began) > limit {
 			return nil, nil
 		}
 	}
@@ -162,11 +168,10 @@
 		}
 		return brain.Result{Outcome: brain.Unreached}
 	}
-	load, began := "", time.Now()
+	load := ""
 	c.pass(f, 1, "")
 	defer func() {
 		c.pass(f, -1, load)
-		c.log.Debug("trip over", "box", f.Box.Name, "stage", f.Stage(), "number", f.Trip.Number, "outcome", r.Outcome, "took", time.Since(began), "wait", f.Wait)
 		stop()
 		conn.Drop()
 	}()
@@ -243,8 +248,8 @@
 	}
 }
 
-// Release has what is held for a question let go. Any box takes that call: the one that may hold it is asked first, then
-// the others, until one answers.
+// Release has what is held for a question let go. Any box takes that call: the one that may hold it is asked first, then another
+// beside it each time that none has answered for a while, as a box that is cut off keeps its caller waiting.
 func (c *carrier) Release(b *dispatch.Box, a *dispatch.Asked) {
 	m, _ := a.Matter.(*matter)
 	if m == nil {
@@ -261,22 +266,51 @@
 			return nil
 		}
 		defer func() { <-c.calls }()
-		for began, i := time.Now(), 0; time.Since(began) < letGoFor && c.life.Err() == nil && len(at) > 0; i++ {
-			if c.letGo(at[i%len(at)], call) {
-				c.Calls.Add(1)
-				return nil
-			}
-			if i >= len(at) {
-				time.Sleep(10 * time.Millisecond)
-			}
+		began := time.Now()
+		if c.letGoAny(at, call) {
+			c.Calls.Add(1)
+		} else {
+			c.Unheard.Add(1)
 		}
-		c.Unheard.Add(1)
+		c.log.Debug("release over", "id", m.id, "box", b.Name, "took", time.Since(began))
 		return nil
 	})
 }
 
-func (c *carrier) letGo(h *reach.Host, call []byte) bool {
-	ctx, cancel := context.WithTimeout(c.life, letGoTry)
+// letGoAny calls boxes until one answers.
+func (c *carrier) letGoAny(at []*reach.Host, call []byte) bool {
+	ctx, end := context.WithTimeout(c.life, letGoFor)
+	defer end()
+	heard := make(chan bool)
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for i, wait := 0, letGoNext; len(at) > 0; {
+		select {
+		case <-ctx.Done():
+			return false
+		case ok := <-heard:
+			if ok {
+				return true
+			}
+			next.Reset(dialWait)
+		case <-next.C:
+			h := at[i%len(at)]
+			c.group.Go(func() error {
+				select {
+				case heard <- c.letGo(ctx, h, call):
+				case <-ctx.Done():
+				}
+				return nil
+			})
+			next.Reset(wait)
+			i, wait = i+1, min(2*wait, letGoTry)
+		}
+	}
+	return false
+}
+
+func (c *carrier) letGo(ctx context.Context, h *reach.Host, call []byte) bool {
+	ctx, cancel := context.WithTimeout(ctx, letGoTry)
 	defer cancel()
 	conn, err := h.Get(ctx)
 	if err != nil {
