--- a/internal/platform/carrier.go
+++ b/internal/platform/carrier.go
@@ -28,7 +28,7 @@
 	shortMost = 64 << 10                // bytes of an answer that is no stream
 	waitedFor = time.Millisecond        // for a connection, after which the loop is asked whether the trip is still wanted
 	letGoTry  = 150 * time.Millisecond  // for one call that releases
-	letGoNext = 30 * time.Millisecond   // without an answer, after which another box is called too; doubled from call to call
+	letGoNext = 30 * time.Millisecond   // without an answer, after which another box is called too; doubled from the fifth on
 	letGoFor  = 3 * time.Second         // for all of them
 	letGoMost = 64                      // calls that wait for an answer at a time
 )
@@ -303,7 +303,9 @@
 				return nil
 			})
 			next.Reset(wait)
-			i, wait = i+1, min(2*wait, letGoTry)
+			if i++; i > 3 {
+				wait = min(2*wait, letGoTry)
+			}
 		}
 	}
 	return false
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -275,7 +275,7 @@
 func TestAStateIsLetGoWhereNoConnectionComesUp(t *testing.T) {
 	h := enter(t, func(h *house, p *Place) {
 		p.Settings["familyInfo"].(map[string]any)["pinLimitUs"] = 300_000.0
-		h.site.Pin = 650 * time.Millisecond
+		h.site.Pin = 500 * time.Millisecond
 		h.site.Box("r2", hosts.Writer).State = "terminating" // it takes no questions, but that call
 	})
 	h.reader.Do = func(e *hosts.Exchange) bool {
