--- a/brain/brain.go
+++ b/brain/brain.go
@@ -48,6 +48,7 @@
 	average            float64       // of tokens left to read, as last refreshed; 0 in a fresh router
 	ahead              Mean          // seconds from going out to a first token, lately
 	typical            [3]Mean       // seconds for a token left to read, at hosts of each role
+	carried            [3]float64    // what warm hosts of each role did in a window of rule 4, as last seen
 	streams, answering float64       // own streams, and how many hosts may have them
 	window             float64       // how many own questions may be out without a first token
 	unbegun            int           // how many are
@@ -91,6 +92,9 @@
 		d.average = d.unread.Sum(now) / n
 	}
 	d.begins.Forget(now)
+	for role := range d.carried {
+		d.carries(Role(role), false)
+	}
 	for _, h := range d.hosts {
 		h.Forget(now - keptFor)
 	}
@@ -285,18 +289,35 @@
 	if !d.cold(h) {
 		return false
 	}
-	// With many dispatchers a part is less than one question: then it is a chance of one, drawn anew for
-	// each window, else each one's first question together would push the host over.
-	window := d.facts.Span("rules.tipAfterUs")
-	turn := uint64((now + time.Duration(d.own%uint64(window))) / window)
-	chance := float64(Mix(d.own^turn, uint64(h.ID))>>11) / (1 << 53)
+	// With many dispatchers a part is less than one question: then it is a chance of one, drawn for each
+	// window. All draw alike and shift by their number: so the parts add up, and not only on average.
+	window, turn := d.facts.Span("rules.tipAfterUs"), max(h.Unmet, 0)
+	if h.Restart && h.Booted > turn {
+		turn = h.Booted
+	}
+	draw := float64(Mix(uint64((now-turn)/window), uint64(h.ID))>>11) / (1 << 53)
+	_, chance := math.Modf(draw + d.facts.Num("slotNo", 0)/d.facts.Num("siblings", 1))
 	one := d.weight(q, h, Whole)
 	return h.Sent.Sum(now)+one > d.coldBudget(h)+chance*one
 }
 
 func (d *Dispatcher) cold(h *Host) bool {
-	now, ramp := d.door.Now(), d.facts.Span("rules.rampTimeUs")
-	return h.Restart && now < h.Booted+ramp || h.Unmet > 0 && now < h.Unmet+ramp
+	return d.started(h) || h.Unmet > 0 && d.door.Now() < h.Unmet+d.facts.Span("rules.rampTimeUs")
+}
+
+// started tells whether the list told of a start within the ramp.
+func (d *Dispatcher) started(h *Host) bool {
+	return h.Restart && d.door.Now() < h.Booted+d.facts.Span("rules.rampTimeUs")
+}
+
+// warmth is the part of its capacity that a host has for sure: it warms from the stated share within the
+// stated time. One that could only not be reached most likely has all of it.
+func (d *Dispatcher) warmth(h *Host) float64 {
+	if !d.started(h) {
+		return 1
+	}
+	from, ramp := max(d.facts.Num("rules.coldFrom", 0), 0.1), d.facts.Span("rules.rampTimeUs")
+	return from + (1-from)*float64(max(d.door.Now()-h.Booted, 0))/float64(ramp)
 }
 
 // weight is the mean work of the question's grade, the measure of the rule on cold hosts. At a mixed host an
@@ -309,13 +330,14 @@
 	return q.Grade.Reading.Or(1000) + write
 }
 
-// coldBudget is this dispatcher's part of what a cold host may be sent in a window. What warm hosts of its
-// role ended well over five windows is their capacity at most, however hard they are pushed just now. With
-// the stated multiple and cold share of that, and no more, a saturated role pushes no cold host over.
-func (d *Dispatcher) coldBudget(h *Host) float64 {
-	var sum, n [2]float64 // of warm hosts, and of cold ones, which serve where none is warm
+// carries is what hosts of a role ended well in a window for this dispatcher, on the mean and for a unit: the
+// warm ones, or where none is the cold ones. With most of them cold, what the warm ones did is not forgotten
+// for those that the list tells of: cold ones do what they are let, and less each time. One that can't be
+// reached is worth no such trust.
+func (d *Dispatcher) carries(role Role, fresh bool) float64 {
+	var sum, n [2]float64
 	for _, o := range d.hosts {
-		if o.Role == h.Role && o.Standing == Ready {
+		if o.Role == role && o.Standing == Ready {
 			i := 0
 			if d.cold(o) {
 				i = 1
@@ -325,10 +347,22 @@
 		}
 	}
 	if n[0] == 0 {
-		sum[0], n[0] = sum[1], n[1]
+		sum[0], n[0] = sum[1], max(n[1], 1)
+	} else if n[0] >= n[1] {
+		d.carried[role] = sum[0] / n[0]
+	}
+	if fresh && n[0] <= n[1] && d.carried[role] > 0 {
+		return d.carried[role]
 	}
+	return sum[0] / n[0]
+}
+
+// coldBudget is this dispatcher's part of what a cold host may be sent in a window. What warm hosts of its
+// role ended well over five windows is their capacity at most, however hard they are pushed just now. With
+// the stated multiple and cold share of that, and no more, a saturated role pushes no cold host over.
+func (d *Dispatcher) coldBudget(h *Host) float64 {
 	part := d.facts.Num("rules.tipMultiple", 1) * d.facts.Num("rules.coldFrom", 0)
-	return part * sum[0] / max(n[0], 1) * h.Units
+	return part * d.carries(h.Role, d.started(h)) * h.Units
 }
 
 // send makes a trip unless the gate bars it.
@@ -343,7 +377,7 @@
 	if stage != ToWrite {
 		t.Left = q.Prompt - kept
 	} else {
-		t.Connect = d.facts.Span("familyInfo.pinLimitUs") / 3 // so that another writer, or a release, is in time (rule 5)
+		t.Connect = d.facts.Span("familyInfo.pinLimitUs") / 5 // other writers, and a release, are in time (rule 5)
 	}
 	streams := t.Weigh(1)
 	d.streams += streams
@@ -485,7 +519,7 @@
 func (d *Dispatcher) press(h *Host, left float64) float64 {
 	n := float64(h.Streams) + 1 + h.Lean + (h.Unread+left)/2/max(d.average, 300) +
 		lasting*h.Given.Sum(d.door.Now())/(1+d.streams/max(d.answering, 1))
-	return n / h.Size * (1 + h.Util + h.Queue/5) * h.Far
+	return n / (h.Size * d.warmth(h)) * (1 + h.Util + h.Queue/5) * h.Far
 }
 
 // next is the press of one more stream.
@@ -559,7 +593,8 @@
 // homes are the two of the hosts to which the question's beginning is hashed, in every dispatcher alike:
 // they keep it, though no dispatcher sends it often enough to know. A beginning so common that two would
 // read more than their part, and one rack's link carry it, has as many as its share of questions asks for.
-// Where one of them is doubted the other serves; only if both are, others read the text anew.
+// Where one of them is doubted the other serves; only if both are, others read the text anew. Cold hosts that
+// may be sent something stand beside them: for the few whose turn it is, few beginnings are at home there.
 func (d *Dispatcher) homes(q *Question, role Role, able []*Host) []*Host {
 	key := cmp.Or(q.Shared, q.Session)
 	all := Only(d.hosts, func(h *Host) bool { return h.Role == role && h.Standing == Ready })
@@ -567,11 +602,11 @@
 	n := max(2, int(2*share*float64(len(all))))
 	Order(all, key)
 	homes := Only(all[:min(n, len(all))], func(h *Host) bool { return slices.Contains(able, h) })
-	if len(homes) > 0 {
-		return homes
+	if len(homes) == 0 {
+		Order(able, key)
+		homes = slices.Clone(able[:min(n, len(able))])
 	}
-	Order(able, key)
-	return able[:min(n, len(able))]
+	return append(homes, Only(able, func(h *Host) bool { return d.started(h) && !slices.Contains(homes, h) })...)
 }
 
 // reader hashes the question's beginning to two readers and takes the one with fewer own reads, by their
@@ -587,8 +622,9 @@
 	})
 }
 
-// write picks the writer once the read has ended: fewest own streams, least reported load, near the state. While no
-// connection comes up the state waits on; after two thirds of the time that it may, the rest is for its release (rule 5).
+// write picks the writer once the read has ended: fewest own streams, least reported load, near the state.
+// While no connection comes up the state waits on; after two thirds of the time that it may, the rest is for
+// its release (rule 5).
 func (d *Dispatcher) write(q *Question) bool {
 	if limit := d.facts.Span("familyInfo.pinLimitUs"); limit > 0 && d.door.Now()-q.Waits > limit*2/3 {
 		return false
@@ -620,7 +656,6 @@
 		return
 	}
 	q.Unbegun = false
-	d.unbegun--
 	now := d.door.Now()
 	out := now - q.LetOut
 	x := min(float64(out)/float64(q.Promised-q.Taken), 1)
@@ -640,6 +675,15 @@
 	}
 	// While the gate bars every host, what is held widens it; it must not be a flood when the gate opens again.
 	d.window = max(min(d.window, floods*perHost*float64(len(d.hosts))), 1)
+	// What was given up on still runs at its host, where first tokens come late for all: what is let out in its
+	// place at once would only wait behind it and be given up on too. So it keeps its place for as long again.
+	jammed := d.ahead.Or(0) > impatient*(q.Promised-q.Taken).Seconds()
+	t := q.Trips[len(q.Trips)-1]
+	if jammed && t.Began == 0 && (t.Outcome == TimedOut || t.Outcome == Cancelled) {
+		d.door.Wake(min(now-t.Sent, q.Promised-q.Taken), func() { d.unbegun--; d.serve() })
+	} else {
+		d.unbegun--
+	}
 }
 
 // takable tells whether a host that answers may take the question now.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -287,7 +287,8 @@
 	}
 }
 
-func TestBarredSpendsAPartBelowOneQuestionAsAChance(t *testing.T) {
+// What a whole fleet lets through in a window is what all parts come to, not only on average; and each dispatcher has its turns.
+func TestBarredSpendsPartsBelowOneQuestionUpToTheirSum(t *testing.T) {
 	d, out := begin(t)
 	h := d.hosts[2]
 	for _, o := range d.hosts {
@@ -295,18 +296,27 @@
 			o.Carried.Add(out.now, 1000) // a part of about a tenth of the question's weight
 		}
 	}
-	let := 0
-	for range 1000 {
-		q := ask(d)
-		h.Restart, h.Booted = true, out.now
-		if !d.barred(q, h) {
-			let++
+	const fleet = 300
+	d.facts["siblings"] = float64(fleet)
+	h.Restart, h.Booted = true, out.now
+	want := fleet * d.coldBudget(h) / d.weight(ask(d), h, Whole)
+	turns := map[int]int{}
+	for window := range 4 {
+		let := 0
+		for slot := range fleet {
+			d.facts["slotNo"] = float64(slot)
+			if !d.barred(ask(d), h) {
+				let++
+				turns[slot]++
+			}
+		}
+		if math.Abs(float64(let)-want) > 1 || want < 10 || want > 60 {
+			t.Errorf("window %d: %d of %d let one through, they come to %.1f", window, let, fleet, want)
 		}
-		out.now += 2 * time.Millisecond
-		d.own++
+		out.now += 2 * time.Second
 	}
-	if let < 40 || let > 250 {
-		t.Errorf("let through %d of 1000", let)
+	if len(turns) < int(2*want) {
+		t.Errorf("only %d ever have a turn", len(turns))
 	}
 }
 
@@ -452,12 +462,91 @@
 		out.now += c.out
 		before := d.window
 		d.tell(q)
-		if (d.window > before) != c.grows || d.unbegun != 0 {
-			t.Errorf("%s: window %g -> %g, unbegun %d", c.name, before, d.window, d.unbegun)
+		if (d.window > before) != c.grows {
+			t.Errorf("%s: window %g -> %g", c.name, before, d.window)
+		}
+		if d.held = nil; d.unbegun != 0 {
+			out.wakes[len(out.wakes)-1]()
+		}
+		if d.unbegun != 0 {
+			t.Errorf("%s: %d without a first token", c.name, d.unbegun)
+		}
+	}
+}
+
+// Timed-out reads still ran at their hosts while the next stood behind them and timed out too: readers did nothing else for 15 s.
+func TestWhatWasGivenUpOnKeepsItsPlaceForAsLongAgain(t *testing.T) {
+	for _, c := range []struct {
+		ended Outcome
+		took  time.Duration
+		ahead float64 // seconds in which first tokens come lately
+		keeps time.Duration
+	}{
+		{TimedOut, 600 * time.Millisecond, 0.5, 600 * time.Millisecond}, {Cancelled, 200 * time.Millisecond, 0.5, 200 * time.Millisecond},
+		{TimedOut, 3 * time.Second, 0.5, time.Second}, {Read, 600 * time.Millisecond, 0.5, 0}, {Unreached, 200 * time.Millisecond, 0.5, 0},
+		{Full, 0, 0.5, 0}, {TimedOut, 3 * time.Second, 0.1, 0}, // a host that hangs holds up no others
+	} {
+		d, out := begin(t)
+		d.window = 1
+		d.ahead.Add(c.ahead, 1)
+		q := ask(d)
+		went(q, d.hosts[0], c.ended, out.now)
+		q.Unbegun, q.LetOut, d.unbegun = true, out.now, 1
+		out.now += c.took
+		out.wakes, out.delays = nil, nil
+		d.tell(q)
+		switch {
+		case c.keeps == 0 && d.unbegun == 0 && len(out.wakes) == 0:
+		case c.keeps == 0 || d.unbegun != 1 || len(out.wakes) != 1 || out.delays[0] != c.keeps:
+			t.Errorf("%+v: %d without a first token, wakes in %v", c, d.unbegun, out.delays)
+		default:
+			next := ask(d)
+			d.hold(next)
+			out.wakes[0]()
+			if len(out.sent) != 1 || out.sent[0].Question != next {
+				t.Errorf("%+v: the place that comes free is not used", c)
+			}
 		}
 	}
 }
 
+// Boxes that had just started got one read a second while the others were jammed: each dispatcher waited for a question of theirs.
+func TestHomesTakeInAColdHostWithAPartLeft(t *testing.T) {
+	d, out := begin(t)
+	for i := range 20 {
+		d.Listed([]Listing{{Host: &Host{ID: uint32(100 + i)}, Standing: Ready, Units: 1}}, false)
+	}
+	q, readers := ask(d), Only(d.hosts, (*Host).ReadsOnly)
+	homes := d.homes(q, Reads, slices.Clone(readers))
+	cold := readers[slices.IndexFunc(readers, func(h *Host) bool { return !slices.Contains(homes, h) })]
+	cold.Restart, cold.Booted = true, out.now-time.Second
+	if got := d.homes(q, Reads, slices.Clone(readers)); !slices.Equal(got, append(homes, cold)) {
+		t.Errorf("%d homes", len(got))
+	}
+	if w := d.warmth(cold); w < 0.3 || w > 0.4 || d.warmth(homes[0]) != 1 || d.press(cold, 0) < 2*d.press(homes[0], 0) {
+		t.Errorf("warmth %g, a press of %g against %g", w, d.press(cold, 0), d.press(homes[0], 0))
+	}
+}
+
+// Cold hosts that speak for each other were let have less from window to window, until nothing went anywhere.
+func TestWhatWarmHostsDidIsRememberedWhileMostAreCold(t *testing.T) {
+	d, out := begin(t)
+	for _, h := range d.hosts[:2] {
+		h.Carried.Add(out.now, 20000)
+	}
+	warm := d.coldBudget(d.hosts[0])
+	for _, h := range d.hosts[:2] {
+		h.Restart, h.Booted = true, out.now
+	}
+	out.now += 30 * time.Second // nothing that was carried counts any more
+	for _, h := range d.hosts[:2] {
+		h.Booted = out.now
+	}
+	if cold := d.coldBudget(d.hosts[0]); warm == 0 || cold != warm {
+		t.Errorf("a part of %g is %g when all are cold", warm, cold)
+	}
+}
+
 func TestHomesStayWhenOneIsDoubtedAndGrowWithShare(t *testing.T) {
 	d, out := begin(t)
 	for i := range 20 {
--- a/brain/ends_test.go
+++ b/brain/ends_test.go
@@ -49,18 +49,30 @@
 		p.t.Errorf("a write without a state")
 	}
 	p.out[q] = t
+	p.Wake(wait, func() {
+		if p.out[q] == t && t.Began == 0 {
+			p.finish(t, TimedOut)
+		}
+	})
 }
 
-// wakeUp runs the timers that are due.
-func (p *played) wakeUp() {
-	for i := 0; i < len(p.due); {
-		if w := p.due[i]; w.at <= p.now {
-			p.due = slices.Delete(p.due, i, i+1)
-			w.do()
-			i = 0
-		} else {
-			i++
+// pass lets time pass, and runs the timers that come due, each at its time.
+func (p *played) pass(by time.Duration) {
+	for to := p.now + by; ; {
+		next := -1
+		for i, w := range p.due {
+			if w.at <= to && (next < 0 || w.at < p.due[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			p.now = to
+			return
 		}
+		w := p.due[next]
+		p.due = slices.Delete(p.due, next, next+1)
+		p.now = w.at
+		w.do()
 	}
 }
 
@@ -143,8 +155,7 @@
 		}
 		var asked []*Question
 		for step := range 1500 {
-			p.now += time.Duration(p.rng.IntN(4)) * time.Millisecond
-			p.wakeUp()
+			p.pass(time.Duration(p.rng.IntN(4)) * time.Millisecond)
 			if step < 1000 && p.rng.IntN(3) == 0 {
 				q := &Question{ID: uint64(len(asked) + 1), Session: uint64(p.rng.IntN(30)), Shared: uint64(p.rng.IntN(5)), Prompt: float64(p.rng.IntN(4000)),
 					Most: float64(p.rng.IntN(200)), Again: p.rng.IntN(5) == 0, Left: time.Duration(100+p.rng.IntN(1500)) * time.Millisecond}
@@ -164,8 +175,6 @@
 				case trip.Began > 0 && p.rng.IntN(30) == 0:
 					p.finish(trip, []Outcome{Answered, Answered, Answered, Broken}[p.rng.IntN(4)])
 				case trip.Began > 0:
-				case p.now >= q.Expiry-time.Millisecond*5 && q.Expiry > p.now:
-					p.finish(trip, TimedOut)
 				case p.rng.IntN(25) > 0:
 				case trip.Stage == ToRead:
 					p.finish(trip, []Outcome{Read, Read, Read, Read, Failed, Full, TimedOut, Unreached, Broken}[p.rng.IntN(9)])
@@ -184,8 +193,7 @@
 			}
 		}
 		for range 3000 {
-			p.now += 2 * time.Millisecond
-			p.wakeUp()
+			p.pass(2 * time.Millisecond)
 			for _, q := range asked {
 				if trip := p.out[q]; trip != nil && p.now < q.Expiry {
 					p.finish(trip, Broken)
--- a/brain/help_test.go
+++ b/brain/help_test.go
@@ -14,6 +14,7 @@
 	cancelled                []*Trip
 	released, declined, lost []*Question
 	wakes                    []func()
+	delays                   []time.Duration // of the wakes
 	waits                    []time.Duration
 	told                     []int
 }
@@ -26,10 +27,12 @@
 func (d *door) Release(q *Question)                  { d.released = append(d.released, q) }
 func (d *door) Decline(q *Question, _ time.Duration) { d.declined = append(d.declined, q) }
 func (d *door) Forfeit(q *Question)                  { d.lost = append(d.lost, q) }
-func (d *door) Wake(_ time.Duration, do func())      { d.wakes = append(d.wakes, do) }
-func (d *door) Watch(bool)                           {}
-func (d *door) Tell(peer int, _ News)                { d.told = append(d.told, peer) }
-func (d *door) Note(string)                          {}
+func (d *door) Wake(after time.Duration, do func()) {
+	d.wakes, d.delays = append(d.wakes, do), append(d.delays, after)
+}
+func (d *door) Watch(bool)            {}
+func (d *door) Tell(peer int, _ News) { d.told = append(d.told, peer) }
+func (d *door) Note(string)           {}
 
 func facts() Facts {
 	return Facts{
