--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -99,6 +99,17 @@
 	return f
 }
 
+// watching is a follower that knows a site's one box.
+func watching(t *testing.T) (*hosts.Site, *hosts.Box, *hosts.Agent, *following) {
+	site := hosts.New()
+	t.Cleanup(site.Close)
+	box := site.Box("a", hosts.Reader)
+	agent := site.Agent()
+	f := follow(t, agent.At)
+	f.until(t, "a", boxlist.Ready)
+	return site, box, agent, f
+}
+
 // until waits until the last line that was told of a box says so.
 func (f *following) until(t *testing.T, name, standing string) {
 	t.Helper()
@@ -119,12 +130,7 @@
 }
 
 func TestAWatchGoesOnAfterWhateverCutsIt(t *testing.T) {
-	site := hosts.New()
-	t.Cleanup(site.Close)
-	box := site.Box("a", hosts.Reader)
-	agent := site.Agent()
-	f := follow(t, agent.At)
-	f.until(t, "a", boxlist.Ready)
+	site, box, agent, f := watching(t)
 	for i, cut := range []func(){
 		agent.Cut,
 		func() { agent.Say("20\r\n{\"rev\":9"); agent.Cut() },
@@ -138,12 +144,7 @@
 
 // A watch that has gone silent is taken up anew, and silence takes nothing off the list.
 func TestASilentWatchIsTakenUpAnew(t *testing.T) {
-	site := hosts.New()
-	t.Cleanup(site.Close)
-	box := site.Box("a", hosts.Reader)
-	agent := site.Agent()
-	f := follow(t, agent.At)
-	f.until(t, "a", boxlist.Ready)
+	site, box, agent, f := watching(t)
 	agent.SetMute(true)
 	site.Change(func() { box.State = "terminating" })
 	agent.SetMute(false)
@@ -180,12 +181,7 @@
 
 // A change counts as told 6 s after the watch fell silent, also where the watch that is opened in its place stops half-way.
 func TestASilentWatchIsMadeGoodInTime(t *testing.T) {
-	site := hosts.New()
-	t.Cleanup(site.Close)
-	box := site.Box("a", hosts.Reader)
-	agent := site.Agent()
-	f := follow(t, agent.At)
-	f.until(t, "a", boxlist.Ready)
+	site, box, agent, f := watching(t)
 	agent.SetMute(true)
 	began := time.Now()
 	site.Change(func() { box.State = "terminating" })
@@ -200,12 +196,7 @@
 
 // A push that never ends is no sign of life.
 func TestAPushThatDripsIsGivenUp(t *testing.T) {
-	site := hosts.New()
-	t.Cleanup(site.Close)
-	site.Box("a", hosts.Reader)
-	agent := site.Agent()
-	f := follow(t, agent.At)
-	f.until(t, "a", boxlist.Ready)
+	_, _, agent, f := watching(t)
 	for end := time.Now().Add(2 * silence); f.Lost() == 0; time.Sleep(silence / 10) {
 		if time.Now().After(end) {
 			t.Fatal("the watch is kept")
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -14,8 +14,9 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
+
+	"sloetrestle/internal/standin"
 )
 
 // Kinds of boxes, and what they are called in the settings.
@@ -227,9 +228,9 @@
 
 // end takes note that the request is not out any more.
 func (e *Exchange) end() {
-	e.Box.site.mu.Lock()
-	defer e.Box.site.mu.Unlock()
 	s := e.Box.site
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !e.over && e.ID != "" {
 		s.out[e.ID]--
 		if s.held[e.ID] != "" && s.out[e.ID] == 0 {
@@ -259,22 +260,16 @@
 	if err != nil {
 		panic(err)
 	}
-	raw, err := l.(*net.TCPListener).SyscallConn()
+	stuck, err := standin.Fill(l)
 	if err != nil {
 		panic(err)
 	}
-	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) })
 	b.site.mu.Lock()
 	defer b.site.mu.Unlock()
 	b.l = l
-	for range 4 {
-		c, err := net.DialTimeout("tcp", b.At, 30*time.Millisecond)
-		if err != nil {
-			return
-		}
+	for _, c := range stuck {
 		b.conns[c] = false // closed with the box
 	}
-	panic("a box that has vanished takes connections")
 }
 
 // alone takes note of a fault if another copy of a request is out. A box may see a moment late that its connection was closed.
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -183,28 +183,35 @@
 	return nil
 }
 
-// blackhole listens with room for one waiting connection and fills it: what comes after is neither made nor refused.
+// blackhole listens so that connections are neither made nor refused.
 func (g *Gate) blackhole() error {
 	l, err := listen(g.Spec.Network, g.Spec.At)
 	if err != nil {
 		return err
 	}
 	g.listener = l
+	g.stuck, err = Fill(l)
+	return err
+}
+
+// Fill leaves a listener room for one waiting connection and takes it: what comes after is neither made nor refused while those
+// connections stand.
+func Fill(l net.Listener) (stuck []net.Conn, err error) {
 	raw, err := l.(*net.TCPListener).SyscallConn()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if cerr := raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }); cerr != nil || err != nil {
-		return errors.Join(cerr, err)
+		return nil, errors.Join(cerr, err)
 	}
 	for range 4 {
-		c, err := net.DialTimeout(g.Spec.Network, g.Spec.At, 30*time.Millisecond)
+		c, err := net.DialTimeout(l.Addr().Network(), l.Addr().String(), 30*time.Millisecond)
 		if err != nil {
-			return nil
+			return stuck, nil
 		}
-		g.stuck = append(g.stuck, c)
+		stuck = append(stuck, c)
 	}
-	return fmt.Errorf("%s takes connections though its room is full", g.Spec)
+	return stuck, fmt.Errorf("%s takes connections though its room is full", l.Addr())
 }
 
 // flap alternates while the mode lasts; the gate is locked.
