--- a/internal/chat/ask.go
+++ b/internal/chat/ask.go
@@ -5,8 +5,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -127,20 +129,44 @@
 	return nil
 }
 
-// Errand is the head of a request to a box: a question goes on with its method, target, id and body unchanged. wait is how long
-// the trip is waited for.
+// ownHeaders are those of a request to a backend that are not the client's: what belongs to one connection only, and what is stated
+// anew for each attempt.
+var ownHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Host": true,
+	"Content-Length": true, "X-Request-Id": true, "X-Timeout-Ms": true,
+}
+
+// Errand is the head of a request to a box: a question goes on with its method, target, id, body and all other headers unchanged, as
+// a client may state more than this program knows of, such as the key by which a box knows a repeat. wait is how long the trip is
+// waited for.
 func Errand(r *http.Request, service string, a Ask, wait time.Duration) []byte {
 	head := make([]byte, 0, 512)
 	head = fmt.Appendf(head, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-ID: %s\r\nX-Timeout-Ms: %d\r\nContent-Length: %d\r\n", r.RequestURI, service, a.ID,
 		max(wait.Milliseconds(), 1), r.ContentLength)
-	for _, name := range []string{"Content-Type", "X-Priority-Class", "X-Tenant-Id", "X-Route-Key", "X-Attrs", "X-Retried"} {
-		if v := r.Header.Get(name); v != "" {
-			head = fmt.Appendf(head, "%s: %s\r\n", name, v)
+	named := connectionHeaders(r.Header)
+	for _, name := range slices.Sorted(maps.Keys(r.Header)) {
+		if ownHeaders[name] || named[name] {
+			continue
+		}
+		for _, value := range r.Header[name] {
+			head = fmt.Appendf(head, "%s: %s\r\n", name, value)
 		}
 	}
 	return append(head, "\r\n"...)
 }
 
+// connectionHeaders are the headers that a client names as belonging to its connection.
+func connectionHeaders(header http.Header) map[string]bool {
+	named := map[string]bool{}
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
+
 // LetGo is the call that has any box release all that is held for a question.
 func LetGo(service, id string) []byte {
 	return fmt.Appendf(nil, "DELETE /v1/holds/%s HTTP/1.1\r\nHost: %s\r\n\r\n", id, service)
--- a/internal/chat/ask_test.go
+++ b/internal/chat/ask_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -45,6 +46,31 @@
 	}
 }
 
+// A backend knows a repeat by a header of the client's that this program need not know: all that is not of one connection goes on.
+func TestAHeadPassesOnWhatTheClientStated(t *testing.T) {
+	raw := strings.Replace(asked, "X-Route-Key:", "Idempotency-Key: k1\r\nTraceparent: 00-ab\r\nTraceparent: 00-cd\r\n"+
+		"Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTe: trailers\r\nKeep-Alive: 5\r\nX-Route-Key:", 1)
+	r := request(t, raw)
+	a, no := Read(r)
+	if no != nil {
+		t.Fatal(no)
+	}
+	on := request(t, string(Errand(r, "backend.local", a, time.Second))+"{}")
+	if on.Header.Get("Idempotency-Key") != "k1" || !slices.Equal(on.Header["Traceparent"], []string{"00-ab", "00-cd"}) {
+		t.Errorf("what the client stated is lost: %v", on.Header)
+	}
+	for _, hop := range []string{"Connection", "X-Hop", "Te", "Keep-Alive"} {
+		if on.Header.Get(hop) != "" {
+			t.Errorf("%s belongs to the client's connection and goes on", hop)
+		}
+	}
+	for _, name := range []string{"X-Request-Id", "X-Timeout-Ms", "Content-Length"} {
+		if n := len(on.Header[name]); n > 1 {
+			t.Errorf("%s goes on %d times", name, n)
+		}
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add(asked)
 	f.Add(strings.Replace(asked, "prompt_len=5120", "prompt_len=NaN", 1))
