An older list after a move of discovery is taken within 4 s; crossings of watches are tested

Found by reading (crossing: SIGHUP moves discovery, and the new address has a lower revision than the list that is known). Table.Take held an older list back for 5 s from when it was first seen, while all that the new address has counts as known 4 s after SIGHUP: what it no longer lists was still used. Now the time runs from the move and is 3 s, which leaves one second to reach the address. TestAnOlderListAfterAMoveIsTakenInTime fails without it.

TestAChangeIsKnownInTimeWhateverCrossesIt forces seven crossings on real sockets (silent, silent again, half a list, reset before and within a change, moved during a call, an outage) against 6 s, 4 s and less; all held before this change too.

--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -58,6 +58,28 @@
 	}
 }
 
+// After a move, an older list has been what discovery says since the move, however late it is read: what it has counts 4 s after that.
+func TestAnOlderListAfterAMoveIsTakenInTime(t *testing.T) {
+	var tab Table
+	list := func(rev int) []byte {
+		return fmt.Appendf(nil, `{"rev":%d,"all":true,"targets":[{"uid":"a","endpoint":"10.0.0.1:1","state":"in_service","capacity_hint":1}]}`, rev)
+	}
+	tab.Take(time.Second, 0, list(43))
+	moved := 10 * time.Second
+	tab.Moved(moved)
+	if _, whole, _, _ := tab.Take(moved+time.Second, 0, list(5)); whole {
+		t.Error("an older list is taken at once")
+	}
+	if _, whole, _, _ := tab.Take(moved+3500*time.Millisecond, 0, list(5)); !whole || tab.Rev != 5 {
+		t.Error("3.5 s after the move what discovery no longer has is still used")
+	}
+	tab.Moved(20 * time.Second)
+	tab.Take(21*time.Second, 0, list(6))
+	if _, whole, _, _ := tab.Take(40*time.Second, 0, list(5)); whole {
+		t.Error("an older list is taken at once long after a move")
+	}
+}
+
 func FuzzTake(f *testing.F) {
 	f.Add([]byte(`{"rev":1,"all":true,"targets":[{"uid":"a","endpoint":"10.0.0.1:1","state":"in_service","capacity_hint":1,"boot_ms":5}]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
@@ -194,6 +216,99 @@
 	}
 }
 
+// What crosses a watch, and within which time a change has to be known all the same.
+func TestAChangeIsKnownInTimeWhateverCrossesIt(t *testing.T) {
+	const silent, moved = 6 * time.Second, 4 * time.Second // by the platform's terms
+	for name, c := range map[string]struct {
+		within time.Duration
+		cross  func(agents []*hosts.Agent, f *following, drain func())
+	}{
+		"silent in the first seconds, and again when opened anew": {silent, func(agents []*hosts.Agent, f *following, drain func()) {
+			agent := agents[0]
+			agent.SetMute(true)
+			drain()
+			await(t, func() bool { return f.Lost() == 1 })
+			await(t, func() bool { return len(agent.Targets()) > 2 }) // asked anew, with no answer
+			agent.SetMute(false)
+		}},
+		"silent in the middle of the list": {silent, func(agents []*hosts.Agent, f *following, drain func()) {
+			agent := agents[0]
+			agent.SetMute(true)
+			drain()
+			agent.SetStop(60)
+			agent.SetMute(false)
+			await(t, func() bool { return len(agent.Targets()) > 2 })
+			agent.SetStop(0)
+		}},
+		"reset right before the change": {time.Second, func(agents []*hosts.Agent, _ *following, drain func()) {
+			agent := agents[0]
+			agent.Cut()
+			drain()
+		}},
+		"reset right behind the change's first bytes": {time.Second, func(agents []*hosts.Agent, _ *following, drain func()) {
+			agent := agents[0]
+			agent.Say("80\r\n{\"rev\":")
+			agent.Cut()
+			drain()
+		}},
+		"moved while a call is out": {moved, func(agents []*hosts.Agent, f *following, drain func()) {
+			agent := agents[0]
+			agent.SetMute(true)
+			agent.Cut()
+			await(t, func() bool { return len(agent.Targets()) > 2 }) // the call
+			drain()
+			f.Move(agents[1].At)
+		}},
+		"moved twice, to an address that says nothing": {moved, func(agents []*hosts.Agent, f *following, drain func()) {
+			agent := agents[0]
+			mute, there := agents[1], agents[2]
+			mute.SetMute(true)
+			drain()
+			agent.SetMute(true)
+			f.Move(mute.At)
+			await(t, func() bool { return len(mute.Targets()) > 0 })
+			f.Move(there.At)
+		}},
+		"back after an outage with the change": {2500 * time.Millisecond, func(agents []*hosts.Agent, f *following, drain func()) {
+			agent := agents[0]
+			agent.SetMute(true)
+			agent.Cut()
+			await(t, func() bool { return f.Lost() > 1 })
+			drain()
+			agent.SetMute(false)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			site := hosts.New()
+			t.Cleanup(site.Close)
+			box := site.Box("a", hosts.Reader)
+			agents := []*hosts.Agent{site.Agent(), site.Agent(), site.Agent()}
+			f := follow(t, agents[0].At)
+			f.until(t, "a", boxlist.Ready)
+			await(t, func() bool { return agents[0].Watched() == 1 })
+			began := time.Now()
+			c.cross(agents, f, func() {
+				began = time.Now()
+				site.Change(func() { box.State = "terminating" })
+			})
+			f.until(t, "a", boxlist.Draining)
+			if took := time.Since(began); took > c.within {
+				t.Errorf("it is known after %v", took)
+			}
+		})
+	}
+}
+
+// await waits for something that is bound to happen.
+func await(t *testing.T, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it does not happen")
+		}
+	}
+}
+
 // A push that never ends is no sign of life.
 func TestAPushThatDripsIsGivenUp(t *testing.T) {
 	_, _, agent, f := watching(t)
--- a/internal/endpoints/follow.go
+++ b/internal/endpoints/follow.go
@@ -39,10 +39,15 @@
 	whole bool // what came last could not be used: the whole list is asked for next
 	mu    sync.Mutex
 	at    string
+	moved time.Duration // when at last changed
 	cut   context.CancelCauseFunc
 	lost  atomic.Int64
+	heard atomic.Bool
 }
 
+// Heard tells whether discovery has sent a list that was read.
+func (f *Follower) Heard() bool { return f.heard.Load() }
+
 var (
 	errMoved = errors.New("discovery has another address")
 	errOlder = errors.New("discovery has an older list than the own")
@@ -71,7 +76,7 @@
 	if at == f.at {
 		return
 	}
-	f.at = at
+	f.at, f.moved = at, f.Since()
 	if f.cut != nil {
 		f.cut(errMoved)
 	}
@@ -86,9 +91,12 @@
 	for ctx.Err() == nil {
 		one, cut := context.WithCancelCause(ctx)
 		f.mu.Lock()
-		at := f.at
+		at, moved := f.at, f.moved
 		f.cut = cut
 		f.mu.Unlock()
+		if at != known && known != "" {
+			f.table.Moved(moved)
+		}
 		got, err := f.watch(one, at, at == known)
 		cut(nil)
 		if ctx.Err() != nil {
@@ -151,6 +159,7 @@
 			return false, errOlder
 		}
 		f.whole, got = false, true
+		f.heard.Store(true)
 		if resp.Close {
 			return got, errors.New("discovery closes after the list")
 		}
--- a/internal/endpoints/table.go
+++ b/internal/endpoints/table.go
@@ -3,6 +3,7 @@
 package endpoints
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -16,7 +17,9 @@
 
 const (
 	mostTargets = 10_000
-	olderFor    = 5 * time.Second // an older list than the own is taken if discovery still has it then
+	// olderFor is how long discovery has to have nothing newer before an older list than the own is taken. After a move all that the
+	// new address has counts as known 4 s later, which leaves a second to reach it.
+	olderFor = 3 * time.Second
 )
 
 // push is what discovery sends.
@@ -44,8 +47,12 @@
 	Rev   int64
 	heard bool
 	older time.Duration // since when discovery only has older lists; 0: it has not
+	moved time.Duration // when it got another address, and has said nothing newer since; 0: it did not
 }
 
+// Moved takes note that discovery has another address: an older list from there has been what discovery says from now on.
+func (t *Table) Moved(now time.Duration) { t.moved = max(now, 1) }
+
 // Take reads a push and returns the lines that it changes. unix is the wall time in milliseconds, by which boxes tell their
 // start. Lines without sense are left out and named.
 func (t *Table) Take(now time.Duration, unix int64, raw []byte) (lines []boxlist.Box, whole bool, refused []string, err error) {
@@ -65,12 +72,12 @@
 			return nil, false, refused, nil
 		}
 		if t.older == 0 {
-			t.older = now
+			t.older = max(cmp.Or(t.moved, now), 1)
 		}
 		older = now-t.older < olderFor
 	}
 	if !older {
-		t.older = 0
+		t.older, t.moved = 0, 0
 		t.Rev, t.heard = p.Rev, true
 	}
 	for _, g := range p.Targets {
