The module is asked right before a trip's first byte whether it still stands

Found by reading: barred is asked when a host is chosen; a connection may take up to dialTimeoutUs after that. In that time the host may be told to drain, the client may go and the window in which repeats are dropped may close (rules 1 to 3).

Dispatcher.Stands has what may change between the two, harmful is the part of rule 2 that both share. A trip that was not sent ends as Moot: it neither speaks against its host nor starts anew the time in which its state has to be used. CallOff ends what is out at a stop.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -276,15 +276,8 @@
 		len(q.Trips) >= int(d.facts.Num("policyLimits.maxAttempts", 1)) {
 		return true
 	}
-	if t := q.MayHaveRun(); t != nil && h.Role != Reads {
-		g := q.Grade
-		if g.Effect == Unrepeatable {
-			return true
-		}
-		if g.Effect == Deduplicated && (now >= t.Sent+g.Window-10*time.Millisecond ||
-			!g.Reach.Joins(h, t.Host)) {
-			return true
-		}
+	if d.harmful(q, h, len(q.Trips)) {
+		return true
 	}
 	if !d.cold(h) {
 		return false
@@ -301,6 +294,23 @@
 	return h.Sent.Sum(now)+one > d.coldBudget(h)+chance*one
 }
 
+// harmful tells whether a trip of that number to the host might have an effect a second time (rule 2).
+func (d *Dispatcher) harmful(q *Question, h *Host, number int) bool {
+	t, g := q.MayHaveRunBefore(number), q.Grade
+	if t == nil || h.Role == Reads || g.Effect == Idempotent {
+		return false
+	}
+	return g.Effect == Unrepeatable || d.door.Now() >= t.Sent+g.Window-10*time.Millisecond || !g.Reach.Joins(h, t.Host)
+}
+
+// Stands tells, right before a trip's first byte, whether it may still go out. While its connection was made its
+// client may have gone, its host may drain and the window for repeats may have closed: what the gate then let
+// through was right when it was chosen, and is no more (rules 1 to 3).
+func (d *Dispatcher) Stands(t *Trip) bool {
+	q := t.Question
+	return !t.Ended && !q.Over && d.door.Now() < q.Expiry && t.Host.Standing == Ready && !d.harmful(q, t.Host, t.Number)
+}
+
 func (d *Dispatcher) cold(h *Host) bool {
 	return d.started(h) || h.Unmet > 0 && d.door.Now() < h.Unmet+d.facts.Span("rules.rampTimeUs")
 }
@@ -754,7 +764,7 @@
 	d.streams += t.Weigh(-1)
 	d.facts.Report(h, r.Load)
 	q.Over = q.Over || r.Over
-	if r.Outcome != Unreached { // only a trip that came to its host takes the state, if for a while
+	if r.Outcome != Unreached && r.Outcome != Moot { // only a trip that came to its host takes the state, if for a while
 		q.Waits = now
 	}
 	switch r.Outcome {
--- a/brain/types.go
+++ b/brain/types.go
@@ -261,8 +261,11 @@
 }
 
 // MayHaveRun returns the first trip that is not proven to have had no effect.
-func (q *Question) MayHaveRun() *Trip {
-	for _, t := range q.Trips {
+func (q *Question) MayHaveRun() *Trip { return q.MayHaveRunBefore(len(q.Trips)) }
+
+// MayHaveRunBefore returns the first such trip of those before the one with that number.
+func (q *Question) MayHaveRunBefore(number int) *Trip {
+	for _, t := range q.Trips[:number] {
 		if t.Host.Role != Reads && !(t.Ended && t.Outcome.NeverRan()) {
 			return t
 		}
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -63,6 +63,11 @@
 	p.begin(q)
 }
 
+// Stands tells whether a trip that was chosen may still go out.
+func (p *Policy) Stands(t *brain.Trip) bool {
+	return !t.Ended && !t.Question.Over && p.door.Now() < t.Question.Expiry && t.Host.Standing == brain.Ready
+}
+
 // begin takes the first step: apart, in place, or at a mixed host, as the policy has it.
 func (p *Policy) begin(q *brain.Question) {
 	mixed, writers, readers := p.able(q, brain.Both), p.able(q, brain.Writes), p.able(q, brain.Reads)
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -90,6 +90,7 @@
 	Box    *Box
 	State  *Box // where the read state waits, for a write
 	Wait   time.Duration
+	Until  time.Duration   // when the wait is over, on the loop's clock
 	Off    func(why error) // calls it off: ErrLate or ErrLeft; set by the carrier
 	Tokens chan []byte     // the stream, piece by piece; the carrier closes it at its end
 	ctx    context.Context
@@ -162,6 +163,7 @@
 	Ended(t *brain.Trip, r brain.Result)
 	Left(q *brain.Question)
 	Heard(n brain.News)
+	Stands(t *brain.Trip) bool
 }
 
 // Host puts another module in the place of the loop's, before anything has happened.
@@ -495,10 +497,20 @@
 func (a *Asked) Final() <-chan kserve.Final { return a.final }
 
 // Wanted tells, when a connection for a trip is there, whether the trip may still go out: while it was waited for, the box may
-// have been told to drain, and the question may have ended.
+// have been told to drain, the question may have ended, and a repeat may have come too late.
 func (l *Loop) Wanted(f *Flight) bool {
-	q := f.Trip.Question
-	return !f.late && !f.Trip.Ended && !f.Asked.left && !f.Asked.answered && l.now < q.Expiry && f.Box.Host.Standing == brain.Ready
+	return !f.late && !f.Asked.left && !f.Asked.answered && l.module.Stands(f.Trip)
+}
+
+// CallOff ends all trips that are out, and tells how many are: their clients have gone or have their answers.
+func (l *Loop) CallOff() (out int) {
+	for _, a := range l.asked {
+		if a.flight != nil {
+			a.flight.Off(ErrLeft)
+			out++
+		}
+	}
+	return out
 }
 
 // News takes a sibling's message.
@@ -549,7 +561,7 @@
 	switch {
 	case r.Outcome == brain.Read:
 		a.waiting[f.Box] = true
-	case t.Stage == brain.ToRead && r.Outcome != brain.Unreached && r.Outcome != brain.Full:
+	case t.Stage == brain.ToRead && r.Outcome != brain.Unreached && r.Outcome != brain.Moot && r.Outcome != brain.Full:
 		// The read may have ended at the box just as it was given up on here: its state must not stay there.
 		l.release(f.Box, a)
 	case r.Outcome == brain.Full && r.Note == 1 && f.State != nil:
@@ -615,7 +627,7 @@
 
 func (l *Loop) Send(t *brain.Trip, wait time.Duration) {
 	a := l.asked[t.Question]
-	f := &Flight{Trip: t, Asked: a, Box: l.byHost[t.Host], Wait: wait, Tokens: make(chan []byte, tokenRoom), Key: l.Key(a)}
+	f := &Flight{Trip: t, Asked: a, Box: l.byHost[t.Host], Wait: wait, Until: l.now + wait, Tokens: make(chan []byte, tokenRoom), Key: l.Key(a)}
 	if t.Stage == brain.ToWrite {
 		f.State = l.byHost[t.Question.State]
 	}
