--- a/internal/chat/answer.go
+++ b/internal/chat/answer.go
@@ -209,3 +209,19 @@
 	}
 	return true
 }
+
+// Midway tells whether events end with a token that is not the answer's last one.
+func Midway(events []byte) bool {
+	var last []byte
+	for line := range bytes.Lines(events) {
+		if value, data := bytes.CutPrefix(line, []byte("data:")); data {
+			last = value
+		}
+	}
+	var said struct {
+		Choices []struct {
+			Finish *string `json:"finish_reason"`
+		} `json:"choices"`
+	}
+	return json.Unmarshal(last, &said) == nil && len(said.Choices) > 0 && said.Choices[0].Finish == nil
+}
--- a/internal/chat/ask.go
+++ b/internal/chat/ask.go
@@ -59,8 +59,8 @@
 func Read(r *http.Request) (Ask, *Refusal) {
 	var a Ask
 	switch {
-	case len(r.TransferEncoding) > 0 || r.ContentLength < 0:
-		return a, &Refusal{http.StatusLengthRequired, "length"} // nothing hidden behind a body is read as a request
+	case r.ContentLength < 0 && !slices.Equal(r.TransferEncoding, []string{"chunked"}):
+		return a, &Refusal{http.StatusLengthRequired, "length"}
 	case r.URL.Path != Path:
 		return a, &Refusal{http.StatusNotFound, "path"}
 	case r.Method != http.MethodPost:
@@ -91,10 +91,20 @@
 	}
 	a.Left = time.Duration(ms) * time.Millisecond
 	a.Again, a.Rest = r.Header.Get("X-Retried") == "1", r.Header.Get("X-Retried") == "again"
-	a.Tokens = int(r.ContentLength+toEach-1) / toEach
+	a.Tokens = tokensOf(max(r.ContentLength, 0))
 	return a, a.lengths(r.Header.Get("X-Attrs"))
 }
 
+// tokensOf is how many tokens so many bytes of text are about.
+func tokensOf(bytes int64) int { return int(bytes+toEach-1) / toEach }
+
+// Sized takes the length of a body that came in chunks, where the head did not say how many tokens it has.
+func (a *Ask) Sized(bytes int) {
+	if a.Tokens == 0 {
+		a.Tokens = tokensOf(int64(bytes))
+	}
+}
+
 // plain tells whether an id can stand in a path.
 func plain(id string) bool {
 	for _, c := range []byte(id) {
@@ -138,12 +148,12 @@
 }
 
 // Errand is the head of a request to a box: a question goes on with its method, target, id, body and all other headers unchanged, as
-// a client may state more than this program knows of, such as the key by which a box knows a repeat. wait is how long the trip is
-// waited for.
-func Errand(r *http.Request, service string, a Ask, wait time.Duration) []byte {
+// a client may state more than this program knows of, such as the key by which a box knows a repeat. length is that of
+// the body, which may have come in chunks; wait is how long the trip is waited for.
+func Errand(r *http.Request, service string, a Ask, length int, wait time.Duration) []byte {
 	head := make([]byte, 0, 512)
 	head = fmt.Appendf(head, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-ID: %s\r\nX-Timeout-Ms: %d\r\nContent-Length: %d\r\n", r.RequestURI, service, a.ID,
-		max(wait.Milliseconds(), 1), r.ContentLength)
+		max(wait.Milliseconds(), 1), length)
 	named := connectionHeaders(r.Header)
 	for _, name := range slices.Sorted(maps.Keys(r.Header)) {
 		if ownHeaders[name] || named[name] {
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -73,7 +73,9 @@
 	At    string
 	State string
 	// Do answers in place of the box's own way; it tells whether the connection may be used again.
-	Do    func(e *Exchange) bool
+	Do func(e *Exchange) bool
+	// Greet is given each connection before a request is read of it, and tells whether requests are to be read.
+	Greet func(c net.Conn) bool
 	site  *Site
 	l     net.Listener
 	conns map[net.Conn]bool
@@ -162,6 +164,12 @@
 		delete(b.conns, c)
 		s.mu.Unlock()
 	}()
+	s.mu.Lock()
+	greet := b.Greet
+	s.mu.Unlock()
+	if greet != nil && !greet(c) {
+		return
+	}
 	from := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(from)
--- /dev/null
+++ b/internal/platform/attempt_test.go
@@ -0,0 +1,219 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/dispatch"
+	"sloetrestle/internal/hosts"
+	"sloetrestle/internal/kserve"
+)
+
+// hostsDial opens a connection and closes it again.
+func hostsDial(at string) (net.Conn, error) {
+	c, err := net.Dial("tcp", at)
+	if err == nil {
+		c.Close()
+	}
+	return c, err
+}
+
+// standing is what the dispatcher takes a backend to be.
+func (h *house) standing(name string) (s brain.Standing) {
+	h.node.loop.Call(context.Background(), func() {
+		if known := h.node.loop.HostOf(name); known != nil {
+			s = known.Standing
+		}
+	})
+	return s
+}
+
+// submit hands the loop a request, and in the same turn of the loop what crosses its first attempt: the attempt has been decided on by
+// then, and its first byte has not been written.
+func (h *house) submit(id string, class int, crossing func(a *dispatch.Asked)) *dispatch.Asked {
+	h.t.Helper()
+	a := &dispatch.Asked{Ask: kserve.Ask{ID: id, Tokens: 400, Most: 50}, Matter: &matter{id: id, body: []byte("{}"), head: func(wait time.Duration) []byte {
+		return fmt.Appendf(nil, "POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: %s\r\nX-Timeout-Ms: %d\r\nContent-Length: 2\r\n\r\n", id, wait.Milliseconds())
+	}}}
+	h.node.loop.Call(context.Background(), func() {
+		h.node.loop.Arrive(a, class, 0, 3*time.Second)
+		crossing(a)
+	})
+	return a
+}
+
+// A drain that is learned between the choice of a backend and the first byte keeps the attempt back; the request goes elsewhere.
+func TestADrainBetweenChoiceAndSendIsKept(t *testing.T) {
+	h := enter(t, nil)
+	a := h.submit("q1", 0, func(*dispatch.Asked) {
+		h.node.loop.HostOf("r1").Standing = brain.Draining
+	})
+	h.until("it is over", func() bool { return len(a.Final()) == 1 })
+	if n := len(h.site.Seen("r1", "POST")); n != 0 {
+		t.Errorf("%d attempts to a backend that drains", n)
+	}
+	h.node.loop.Call(context.Background(), func() {
+		if b := h.node.loop.Believes(); b.Cold != 0 || h.node.loop.Tally.Outcomes[brain.Moot] != 1 {
+			t.Errorf("an attempt that was not sent speaks against its backend: %+v, outcomes %v", b, h.node.loop.Tally.Outcomes)
+		}
+		h.node.loop.HostOf("r1").Standing = brain.Ready
+	})
+	h.settled()
+}
+
+// A client that goes between the choice and the first byte has nothing sent for it, also where attempts are not cancelled.
+func TestAClientThatGoesBetweenChoiceAndSendHasNothingSent(t *testing.T) {
+	for _, cancelling := range []bool{true, false} {
+		t.Run(fmt.Sprintf("cancelling %t", cancelling), func(t *testing.T) {
+			h := enter(t, func(h *house, p *Place) { p.Settings["policyLimits"].(map[string]any)["cancelling"] = cancelling })
+			h.submit("q1", 0, func(a *dispatch.Asked) { h.node.loop.Left(a) })
+			h.settled()
+			if n := len(h.site.Seen("", "POST")); n != 0 {
+				t.Errorf("%d attempts for a client that has gone", n)
+			}
+		})
+	}
+}
+
+// The time that an attempt tells its backend is what is left when it is sent, not when it was decided on.
+func TestAnAttemptTellsWhatIsLeftWhenItIsSent(t *testing.T) {
+	h := enter(t, nil)
+	const stuck = 300 * time.Millisecond
+	h.submit("q1", 1, func(*dispatch.Asked) { time.Sleep(stuck) }) // the loop is busy
+	h.until("it is out", func() bool { return len(h.site.Seen("r1", "POST")) == 1 })
+	told, err := time.ParseDuration(h.site.Seen("r1", "POST")[0].Head.Get("X-Timeout-Ms") + "ms")
+	if err != nil || told > 3*time.Second-stuck {
+		t.Errorf("told %v, %v", told, err)
+	}
+	h.until("all is over", func() bool { return h.site.Out() == 0 })
+}
+
+// A connection that breaks within the request proves that it never ran: also what must not be repeated is sent again.
+func TestARequestThatIsCutOffInTheMiddleIsSentAgain(t *testing.T) {
+	h := enter(t, nil)
+	tries := 0
+	h.reader.Greet = func(c net.Conn) bool {
+		if tries++; tries > 1 {
+			return true
+		}
+		c.(*net.TCPConn).SetReadBuffer(1 << 10)
+		io.ReadFull(c, make([]byte, 100))
+		c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	big := make([]byte, 250_000)
+	for i := range big {
+		big[i] = 'x'
+	}
+	got := h.says(h.ask("hut-booking", "Content-Length: 12", "Content-Length: 250000", `{"model":""}`, string(big)))
+	if got.status != 200 || !got.whole {
+		t.Errorf("%+v", got)
+	}
+	h.settled()
+}
+
+// Answers in front of the answer are read up to a bound, and an answer that comes before the request's last byte counts.
+func TestAnswersThatComeTooEarlyOrWithoutEnd(t *testing.T) {
+	t.Run("1xx without end", func(t *testing.T) {
+		h := enter(t, nil)
+		h.first(func(e *hosts.Exchange) bool {
+			for e.Write("HTTP/1.1 103 Early Hints\r\n\r\n") {
+				select {
+				case <-e.Left:
+					return false
+				case <-time.After(time.Millisecond):
+				}
+			}
+			return false
+		})
+		if got := h.says(h.ask("hut-booking")); got.status != 502 {
+			t.Errorf("%+v", got)
+		}
+		h.settled()
+	})
+	t.Run("a refusal before the last byte", func(t *testing.T) {
+		h := enter(t, nil)
+		tries := 0
+		h.reader.Greet = func(c net.Conn) bool {
+			if tries++; tries > 1 {
+				return true
+			}
+			io.ReadFull(c, make([]byte, 50))
+			io.WriteString(c, hosts.Refuse(503, true))
+			return false
+		}
+		if got := h.says(h.ask("hut-booking")); got.status != 200 {
+			t.Errorf("%+v", got)
+		}
+		h.settled()
+	})
+}
+
+// A read that ends just as its client leaves has its state released, whether attempts are cancelled or not.
+func TestAReadThatEndsAsItsClientLeavesIsReleased(t *testing.T) {
+	for _, cancelling := range []bool{true, false} {
+		t.Run(fmt.Sprintf("cancelling %t", cancelling), func(t *testing.T) {
+			h := enter(t, func(h *house, p *Place) { p.Settings["policyLimits"].(map[string]any)["cancelling"] = cancelling })
+			c := h.client()
+			h.reader.Do = func(e *hosts.Exchange) bool {
+				if e.Method != "POST" {
+					return e.Serve()
+				}
+				e.Hold()
+				c.Close()
+				h.until("the client is seen to go", func() bool { return h.node.front.asked.Load() == 0 })
+				e.Write("HTTP/1.1 202 Accepted\r\nContent-Length: 21\r\n\r\n{\"cached_tokens\":100}")
+				return true
+			}
+			io.WriteString(c, h.ask("trail-info"))
+			h.until("it was read", func() bool { return len(h.site.Seen("r1", "POST")) == 1 })
+			h.settled()
+			if n := len(h.site.Seen("w1", "POST")) + len(h.site.Seen("w2", "POST")); n != 0 {
+				t.Errorf("%d attempts after the client has gone", n)
+			}
+		})
+	}
+}
+
+// Releases do not queue behind calls to backends that are cut off, however few descriptors there are.
+func TestReleasesDoNotWaitForBackendsThatAreCutOff(t *testing.T) {
+	h := enter(t, func(h *house, p *Place) { p.Limits.Sockets = 64 })
+	const requests = 8 // more than there are descriptors for calls at a time
+	there := make(chan bool, requests)
+	h.reader.Do = func(e *hosts.Exchange) bool {
+		e.Hold()
+		there <- true
+		<-e.Left
+		return false
+	}
+	var clients []*client
+	for range requests {
+		c := h.client()
+		io.WriteString(c, h.ask("trail-info"))
+		clients = append(clients, c)
+	}
+	for range requests {
+		select {
+		case <-there:
+		case <-time.After(5 * time.Second):
+			t.Fatal("not all are read")
+		}
+	}
+	h.reader.Vanish()
+	h.writers[0].Vanish()
+	for _, c := range clients {
+		c.Close()
+	}
+	h.until("all attempts are over", func() bool { return h.site.Out() == 0 })
+	began := time.Now()
+	h.until("all states are released", func() bool { return h.site.Held() == 0 })
+	if took := time.Since(began); took > h.site.Pin {
+		t.Errorf("the last state is released after %v", took)
+	}
+	h.settled()
+}
--- a/internal/platform/carrier.go
+++ b/internal/platform/carrier.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -26,11 +27,6 @@
 	dialWait  = 10 * time.Millisecond   // between them
 	stallTime = 4200 * time.Millisecond // without an event, after which a stream is taken for dead
 	shortMost = 64 << 10                // bytes of an answer that is no stream
-	waitedFor = time.Millisecond        // for a connection, after which the loop is asked whether the trip is still wanted
-	letGoTry  = 150 * time.Millisecond  // for one call that releases
-	letGoNext = 30 * time.Millisecond   // without an answer, after which another box is called too; doubled from the fifth on
-	letGoFor  = 3 * time.Second         // for all of them
-	letGoMost = 64                      // calls that wait for an answer at a time
 )
 
 // matter is what is sent of a question.
@@ -54,12 +50,12 @@
 	mu     sync.Mutex
 	passed map[string]*passed // by box: what went over its connections
 
-	calls   chan struct{} // one for each call that waits
-	Calls   atomic.Int64  // that released
-	Unheard atomic.Int64  // that no box answered
-	Stale   atomic.Int64  // trips that were not wanted any more when their connection was there
-	Spoilt  atomic.Int64  // answers that could not be read
-	Strange atomic.Int64  // answers that tell of a fault of this program: 400 and 404
+	slots chan struct{}        // one for each attempt that has or makes a connection
+	since func() time.Duration // the loop's clock
+	releaser
+	Stale   atomic.Int64 // trips that were not wanted any more when their connection was there
+	Spoilt  atomic.Int64 // answers that could not be read
+	Strange atomic.Int64 // answers that tell of a fault of this program: 400 and 404
 }
 
 func (c *carrier) Reach(b *dispatch.Box, at []addresses.Spec) {
@@ -117,56 +113,89 @@
 	})
 }
 
+// errStale ends an attempt that was not sent, as it might not go out any more or had no descriptor.
+var errStale = errors.New("not sent")
+
 // connect gets a connection for a trip, over which all of the request has gone out; until then it can't have run.
-func (c *carrier) connect(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *matter) (*reach.Conn, func() bool) {
-	began, tries, limit := time.Now(), 0, c.boxes.Limit
+func (c *carrier) connect(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *matter) (*reach.Conn, func() bool, error) {
+	limit := c.boxes.Limit
 	if t := f.Trip.Connect; t > 0 && t < limit {
 		limit = t
 	}
 	within, done := context.WithTimeout(ctx, limit)
 	defer done()
-	for host != nil {
+	for began, refused := time.Now(), 0; ; {
 		conn, err := host.Get(within)
 		if err != nil {
 			// One that is refused or reset while it is made says little: a box that is really away refuses the next too. Told at
 			// once, a rash of resets had the module take a whole fleet for restarting.
-			if tries++; tries < dialTries && ctx.Err() == nil && time.Since(began) < limit/2 {
-				time.Sleep(dialWait)
-				continue
-			}
-			return nil, nil
-		}
-		if time.Since(began) > waitedFor {
-			wanted := false
-			c.loop.Call(ctx, func() { wanted = c.loop.Wanted(f) })
-			if !wanted {
-				c.Stale.Add(1)
-				conn.Drop()
-				return nil, nil
+			refused++
+			if refused == dialTries || ctx.Err() != nil || time.Since(began) >= limit/2 {
+				return nil, nil, err
 			}
+			time.Sleep(dialWait)
+			continue
 		}
-		stop := context.AfterFunc(ctx, func() { conn.Conn.Close() })
-		whole, _ := conn.Put(m.head(f.Wait-time.Since(began)), m.body)
-		if whole {
-			return conn, stop
+		stop, err := c.put(ctx, f, conn, m)
+		if err == nil {
+			return conn, stop, nil
 		}
-		stop()
 		conn.Drop()
-		if ctx.Err() != nil || time.Since(began) > limit {
-			return nil, nil
+		if errors.Is(err, errStale) || within.Err() != nil {
+			return nil, nil, err
 		}
 	}
-	return nil, nil
+}
+
+// put sends a request over a new connection, if it may still go out. Nothing but the loop can tell: a drain, the client's going or
+// the end of the window for repeats may have come while the connection was made.
+func (c *carrier) put(ctx context.Context, f *dispatch.Flight, conn *reach.Conn, m *matter) (stop func() bool, err error) {
+	wanted := false
+	if !c.loop.Call(ctx, func() { wanted = c.loop.Wanted(f) }) || !wanted {
+		c.Stale.Add(1)
+		return nil, errStale
+	}
+	stop = context.AfterFunc(ctx, func() { conn.Conn.Close() })
+	whole, err := conn.Put(m.head(f.Until-c.since()), m.body)
+	if whole {
+		return stop, nil
+	}
+	stop()
+	return nil, cmp.Or(err, io.ErrShortWrite)
+}
+
+// open gets a connection for a trip within the descriptors that attempts may have.
+func (c *carrier) open(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *matter) (conn *reach.Conn, stop func() bool, err error) {
+	if host == nil {
+		return nil, nil, errStale // its backend is gone
+	}
+	select {
+	case c.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, nil, errStale
+	}
+	if conn, stop, err = c.connect(ctx, f, host, m); err != nil {
+		<-c.slots
+	}
+	return conn, stop, err
+}
+
+// notSent is the result of an attempt of which no backend got the last byte.
+func notSent(ctx context.Context, err error) brain.Result {
+	switch {
+	case errors.Is(context.Cause(ctx), dispatch.ErrLeft):
+		return brain.Result{Outcome: brain.Cancelled}
+	case errors.Is(err, errStale):
+		return brain.Result{Outcome: brain.Moot}
+	}
+	return brain.Result{Outcome: brain.Unreached}
 }
 
 // fly is one trip. Its connection is closed before its end is told.
 func (c *carrier) fly(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *matter) (r brain.Result) {
-	conn, stop := c.connect(ctx, f, host, m)
-	if conn == nil {
-		if errors.Is(context.Cause(ctx), dispatch.ErrLeft) {
-			return brain.Result{Outcome: brain.Cancelled}
-		}
-		return brain.Result{Outcome: brain.Unreached}
+	conn, stop, err := c.open(ctx, f, host, m)
+	if err != nil {
+		return notSent(ctx, err)
 	}
 	load := ""
 	c.pass(f, 1, "")
@@ -174,6 +203,7 @@
 		c.pass(f, -1, load)
 		stop()
 		conn.Drop()
+		<-c.slots
 	}()
 	broken := func() brain.Result {
 		switch cause := context.Cause(ctx); {
@@ -247,86 +277,3 @@
 		}
 	}
 }
-
-// Release has what is held for a question let go. Any box takes that call: the one that may hold it is asked first, then another
-// beside it each time that none has answered for a while, as a box that is cut off keeps its caller waiting.
-func (c *carrier) Release(b *dispatch.Box, a *dispatch.Asked) {
-	m, _ := a.Matter.(*matter)
-	if m == nil {
-		return
-	}
-	call := chat.LetGo(service, m.id)
-	// From there on around, so that not all calls go to one box.
-	first := max(slices.Index(c.order, c.hosts[b]), 0)
-	at := slices.Concat(c.order[first:], c.order[:first])
-	c.group.Go(func() error {
-		select {
-		case c.calls <- struct{}{}:
-		case <-c.life.Done():
-			return nil
-		}
-		defer func() { <-c.calls }()
-		began := time.Now()
-		if c.letGoAny(at, call) {
-			c.Calls.Add(1)
-		} else {
-			c.Unheard.Add(1)
-		}
-		c.log.Debug("release over", "id", m.id, "box", b.Name, "took", time.Since(began))
-		return nil
-	})
-}
-
-// letGoAny calls boxes until one answers.
-func (c *carrier) letGoAny(at []*reach.Host, call []byte) bool {
-	ctx, end := context.WithTimeout(c.life, letGoFor)
-	defer end()
-	heard := make(chan bool)
-	next := time.NewTimer(0)
-	defer next.Stop()
-	for i, wait := 0, letGoNext; len(at) > 0; {
-		select {
-		case <-ctx.Done():
-			return false
-		case ok := <-heard:
-			if ok {
-				return true
-			}
-			next.Reset(dialWait)
-		case <-next.C:
-			h := at[i%len(at)]
-			c.group.Go(func() error {
-				select {
-				case heard <- c.letGo(ctx, h, call):
-				case <-ctx.Done():
-				}
-				return nil
-			})
-			next.Reset(wait)
-			if i++; i > 3 {
-				wait = min(2*wait, letGoTry)
-			}
-		}
-	}
-	return false
-}
-
-func (c *carrier) letGo(ctx context.Context, h *reach.Host, call []byte) bool {
-	ctx, cancel := context.WithTimeout(ctx, letGoTry)
-	defer cancel()
-	conn, err := h.Get(ctx)
-	if err != nil {
-		return false
-	}
-	defer conn.Drop()
-	conn.SetDeadline(time.Now().Add(letGoTry))
-	if whole, _ := conn.Put(call); !whole {
-		return false
-	}
-	resp, err := conn.Head(nil)
-	if err != nil {
-		return false
-	}
-	io.Copy(io.Discard, io.LimitReader(resp.Body, shortMost))
-	return resp.StatusCode/100 == 2
-}
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -2,131 +2,309 @@
 
 import (
 	"context"
-	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// aheadMost is how much of what a client sends behind its open request is read to see whether it has gone.
-const aheadMost = 64 << 10
+const (
+	readChunk  = 16 << 10               // bytes read from a socket at a time
+	aheadMost  = 64 << 10               // bytes kept of what a client sends behind its open request
+	lingerTime = 500 * time.Millisecond // from the end of sending to the close, if the client does not close before
+	lingerIdle = 100 * time.Millisecond // the same for a connection between two requests, which is not read meanwhile
+	lingerMost = 1 << 20                // bytes read and dropped in that time
+)
+
+// chunks are buffers for one read.
+var chunks = sync.Pool{New: func() any { return new([readChunk]byte) }}
+
+// connState is what a client's connection is doing.
+type connState int
 
-// clientConn is a client's connection. net/http looks for the close of a connection by reading one byte of it, and stops looking once
-// it got one: a client that sends a further request at once and then goes would be waited on for as long as its question takes. So what
-// comes behind that byte is read ahead, within a bound, and handed over later.
+const (
+	connNew       connState = iota // accepted, nothing has come
+	connIdle                       // between two requests, no byte of the next one was read
+	connReading                    // part of a request was read
+	connAnswering                  // a request was read whole, its answer is not finished
+	connClosing                    // no further request is read
+)
+
+// clientConn is a client's connection. It hands net/http one request at a time and keeps what comes behind it, which gives two
+// properties that net/http alone does not have. First, a connection is closed between two requests without a race: closing and
+// reading exclude each other, so a request is either left unread or answered. Second, a client that has sent further requests
+// behind its open one is still seen to go, as its connection is read to its end.
+//
+// Every close ends sending first, and closes the socket when the client has closed too or a bounded time is over: closing a socket
+// with unread bytes resets the connection, and the end of the last answer may be lost with it.
 type clientConn struct {
 	net.Conn
+	raw      syscall.RawConn
+	released func(*clientConn) // called once the socket is closed
 
-	mu    sync.Mutex
-	ahead []byte
-	err   error         // that ended the reading ahead
-	ended chan struct{} // closed when it has; nil: nobody reads ahead
-	until time.Time     // the deadline for reads
-	gone  context.CancelFunc
+	mu        sync.Mutex
+	state     connState
+	since     time.Time // when the state began
+	pending   []byte    // read from the socket, not handed on yet
+	frame     requestFrame
+	overrun   bool  // more came behind the open request than is kept
+	readErr   error // that ended reading for good
+	lingering bool
+	wasIdle   bool // it was closed between two requests: what comes now is left unread
+	closed    bool
 }
 
+// newClientConn wraps an accepted connection.
+func newClientConn(conn *net.TCPConn, released func(*clientConn)) (*clientConn, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: conn, raw: raw, released: released, since: time.Now()}, nil
+}
+
+// Read hands on bytes of the present request. Once that is whole, it returns only when the client has gone or a deadline passes.
 func (c *clientConn) Read(p []byte) (int, error) {
-	c.halt()
-	c.mu.Lock()
-	if len(c.ahead) > 0 {
-		n := copy(p, c.ahead)
-		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
-			c.ahead = nil
+	for {
+		n, err := c.take(p)
+		if n > 0 || err != nil || len(p) == 0 {
+			return n, err
+		}
+		if err := c.fill(); err != nil {
+			return 0, err
 		}
-		c.mu.Unlock()
-		return n, nil
 	}
-	if c.err != nil {
-		defer c.mu.Unlock()
-		return 0, c.err
+}
+
+// take hands on what is pending of the present request. Nothing and no error: more has to be read.
+func (c *clientConn) take(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.frame.at == afterHead && len(p) > 1 {
+		c.frame.at = unframed // net/http looks for a gone client one byte at a time; this is a read of something else
 	}
-	c.mu.Unlock()
-	n, err := c.Conn.Read(p)
-	if n == 1 && len(p) == 1 && err == nil {
-		c.mu.Lock()
-		c.ended = make(chan struct{})
-		c.Conn.SetReadDeadline(time.Time{})
-		go c.readAhead(c.ended)
-		c.mu.Unlock()
+	switch {
+	case c.frame.at == afterHead || c.frame.at == afterBody:
+		return 0, c.readErr
+	case c.state == connClosing:
+		return 0, io.EOF
+	case len(c.pending) == 0:
+		return 0, c.readErr
+	}
+	n := c.frame.advance(c.pending[:min(len(p), len(c.pending))])
+	c.look()
+	copy(p, c.pending[:n])
+	if c.pending = c.pending[n:]; len(c.pending) == 0 {
+		c.pending = nil
 	}
-	return n, err
+	return n, nil
 }
 
-// readAhead reads until the client has gone, so much has come, or somebody reads.
-func (c *clientConn) readAhead(ended chan struct{}) {
-	defer close(ended)
-	chunk := make([]byte, 4<<10)
-	for {
-		n, err := c.Conn.Read(chunk)
+// look takes note of whether the present request was read to its end. The lock is held.
+func (c *clientConn) look() {
+	if c.frame.at == afterBody && c.state != connAnswering {
+		c.enter(connAnswering)
+	}
+}
+
+func (c *clientConn) enter(state connState) {
+	c.state, c.since = state, time.Now()
+}
+
+// fill reads from the socket once, waiting for bytes. Reading and closing exclude each other: nothing is read of a connection that
+// is being closed.
+func (c *clientConn) fill() error {
+	err := c.raw.Read(func(fd uintptr) (done bool) {
 		c.mu.Lock()
-		c.ahead = append(c.ahead, chunk[:n]...)
-		full := len(c.ahead) >= aheadMost
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.err = err
-			if c.gone != nil {
-				c.gone()
-			}
+		defer c.mu.Unlock()
+		if c.state == connClosing && c.frame.at == inHead {
+			return true
 		}
-		c.mu.Unlock()
-		if err != nil || full {
-			return
+		chunk := chunks.Get().(*[readChunk]byte)
+		defer chunks.Put(chunk)
+		n, err := syscall.Read(int(fd), chunk[:])
+		switch {
+		case err == syscall.EAGAIN:
+			return false
+		case err == syscall.EINTR:
+			return true
+		case err != nil:
+			c.readErr = os.NewSyscallError("read", err)
+		case n == 0:
+			c.readErr = io.EOF
+		default:
+			c.keep(chunk[:n])
 		}
+		return true
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connClosing && c.frame.at == inHead {
+		return io.EOF
 	}
+	return err
 }
 
-// halt ends the reading ahead.
-func (c *clientConn) halt() {
+// keep takes what was read from the socket. The lock is held.
+func (c *clientConn) keep(bytes []byte) {
+	if c.state == connNew || c.state == connIdle {
+		c.enter(connReading)
+	}
+	if (c.frame.at == afterHead || c.frame.at == afterBody) && len(c.pending)+len(bytes) > aheadMost {
+		c.overrun, c.pending = true, nil
+	}
+	if !c.overrun {
+		c.pending = append(c.pending, bytes...)
+	}
+}
+
+// begin says how the present request's body is framed: by its length, or in chunks.
+func (c *clientConn) begin(bodyLength int64) {
 	c.mu.Lock()
-	ended := c.ended
-	c.mu.Unlock()
-	if ended == nil {
-		return
+	defer c.mu.Unlock()
+	c.frame.begin(bodyLength)
+	c.look()
+}
+
+// ambiguous tells whether the present request states the end of its body in two ways: what one takes for its body may hide a second
+// request for another.
+func (c *clientConn) ambiguous() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.frame.lengths && c.frame.encoded
+}
+
+// reusable tells whether a further request can be read after the present one.
+func (c *clientConn) reusable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.overrun && c.frame.at != unframed
+}
+
+// answered takes note that the present request's answer is finished.
+func (c *clientConn) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.overrun || c.frame.at == unframed:
+		c.enter(connClosing)
+	case len(c.pending) > 0:
+		c.enter(connReading)
+	default:
+		c.enter(connIdle)
 	}
-	c.Conn.SetReadDeadline(time.Unix(1, 0))
-	<-ended
+	c.frame.next()
+}
+
+// status is what the connection does, and for how long.
+func (c *clientConn) status(now time.Time) (connState, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ended = nil
-	c.Conn.SetReadDeadline(c.until)
+	return c.state, now.Sub(c.since)
 }
 
-// SetReadDeadline leaves the reading ahead alone, which has none.
+// closeIdle closes a connection of which no byte of a request has been read, and tells whether it was one.
+func (c *clientConn) closeIdle() bool {
+	c.mu.Lock()
+	idle := c.state == connNew || c.state == connIdle
+	if idle {
+		c.enter(connClosing)
+		c.wasIdle = true
+	}
+	c.mu.Unlock()
+	if idle {
+		c.linger()
+	}
+	return idle
+}
+
+// Close ends sending; the socket is closed soon after.
+func (c *clientConn) Close() error {
+	c.linger()
+	return nil
+}
+
+// CloseWrite is what net/http ends a connection with whose client may still be sending.
+func (c *clientConn) CloseWrite() error {
+	c.linger()
+	return nil
+}
+
+// SetReadDeadline has no effect on a connection that is being closed, which has a deadline of its own.
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.until = t
-	if c.ended != nil {
+	if c.lingering {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SetDeadline sets both deadlines.
 func (c *clientConn) SetDeadline(t time.Time) error {
-	return errors.Join(c.SetReadDeadline(t), c.Conn.SetWriteDeadline(t))
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.Conn.SetWriteDeadline(t)
 }
 
-// CloseWrite is what net/http ends a connection with before it closes it, for the last answer not to be lost.
-func (c *clientConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
+// linger ends sending and has the socket closed when the client has closed too, or in lingerTime. Only the first call does anything.
+func (c *clientConn) linger() {
+	if !c.endSending() {
+		return
+	}
+	c.mu.Lock()
+	gone, wasIdle := c.readErr != nil, c.wasIdle
+	c.mu.Unlock()
+	switch {
+	case gone:
+		c.abort()
+	case wasIdle:
+		time.AfterFunc(lingerIdle, c.abort)
+	default:
+		go c.drain()
 	}
-	return nil
 }
 
-// open has a question's context end when the client goes.
-func (c *clientConn) open(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
+// endSending sends the end of the connection, and tells whether it had not been sent before.
+func (c *clientConn) endSending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.gone = cancel; c.err != nil {
-		cancel()
+	if c.lingering {
+		return false
 	}
-	return ctx, func() {
-		c.mu.Lock()
-		c.gone = nil
-		c.mu.Unlock()
-		cancel()
+	c.lingering = true
+	c.enter(connClosing)
+	c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	c.Conn.(*net.TCPConn).CloseWrite()
+	return true
+}
+
+// drain reads and drops what the client still sends, and closes the socket at its end.
+func (c *clientConn) drain() {
+	defer c.abort()
+	chunk := chunks.Get().(*[readChunk]byte)
+	defer chunks.Put(chunk)
+	for dropped := 0; dropped < lingerMost; {
+		n, err := c.Conn.Read(chunk[:])
+		if err != nil {
+			return
+		}
+		dropped += n
+	}
+}
+
+// abort closes the socket at once.
+func (c *clientConn) abort() {
+	c.mu.Lock()
+	first := !c.closed
+	c.closed, c.lingering = true, true
+	c.mu.Unlock()
+	if first {
+		c.Conn.Close()
+		c.released(c)
 	}
 }
 
@@ -136,3 +314,9 @@
 func withConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
+
+// connOf is the connection of a request.
+func connOf(ctx context.Context) *clientConn {
+	c, _ := ctx.Value(connKey{}).(*clientConn)
+	return c
+}
--- /dev/null
+++ b/internal/platform/conn_test.go
@@ -0,0 +1,301 @@
+package platform
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/hosts"
+)
+
+// pair is a client's connection and the dispatcher's end of it.
+func pair(t *testing.T) (client *net.TCPConn, conn *clientConn, closed <-chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dialed, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	conn, err = newClientConn(accepted.(*net.TCPConn), func(*clientConn) { close(done) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	dialed.SetDeadline(time.Now().Add(5 * time.Second))
+	t.Cleanup(func() {
+		dialed.Close()
+		conn.abort()
+	})
+	return dialed.(*net.TCPConn), conn, done
+}
+
+// entered waits until a connection is in a state.
+func entered(t *testing.T, c *clientConn, want connState) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if state, _ := c.status(time.Now()); state == want {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the connection never comes to state %d", want)
+		}
+	}
+}
+
+// A request that arrives as its connection is closed is either left unread, and its client sees an end in good order, or read, and
+// then the connection is not closed.
+func TestAnIdleConnectionIsClosedOrReadNotBoth(t *testing.T) {
+	client, conn, closed := pair(t)
+	if !conn.closeIdle() {
+		t.Fatal("a connection on which nothing came is not closed")
+	}
+	io.WriteString(client, "POST / HTTP/1.1\r\n\r\n")
+	if n, err := conn.Read(make([]byte, 100)); n != 0 || err != io.EOF {
+		t.Errorf("%d bytes are read of a connection that is closed, %v", n, err)
+	}
+	if _, err := client.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("its client sees %v", err)
+	}
+	<-closed
+
+	client, conn, _ = pair(t)
+	io.WriteString(client, "P")
+	if n, err := conn.Read(make([]byte, 100)); n != 1 || err != nil {
+		t.Fatalf("%d, %v", n, err)
+	}
+	if conn.closeIdle() {
+		t.Error("a connection is closed of whose request a byte was read")
+	}
+}
+
+// Bytes of a further request that have been read make a connection busy, though net/http takes it for idle.
+func TestAConnectionWithAPipelinedRequestIsNotIdle(t *testing.T) {
+	client, conn, _ := pair(t)
+	one := "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+	io.WriteString(client, one+"POST /next")
+	head := make([]byte, 4096)
+	n, err := conn.Read(head)
+	if err != nil || string(head[:n]) != one[:len(one)-3] {
+		t.Fatalf("%q, %v", head[:n], err)
+	}
+	conn.begin(3)
+	if n, err = conn.Read(head); err != nil || string(head[:n]) != "abc" {
+		t.Fatalf("%q, %v", head[:n], err)
+	}
+	conn.answered()
+	if conn.closeIdle() {
+		t.Error("it is closed over a request that has been read")
+	}
+	if n, err = conn.Read(head); err != nil || string(head[:n]) != "POST /next" {
+		t.Errorf("the next request is read as %q, %v", head[:n], err)
+	}
+}
+
+// A head is handed on up to its end however it is cut, and whichever line ends it has.
+func TestAHeadIsFramedInAnyPieces(t *testing.T) {
+	for _, head := range []string{"GET / HTTP/1.1\r\nA: b\r\n\r\n", "GET / HTTP/1.1\nA: b\n\n", "GET / HTTP/1.1\r\nA: b\n\r\n"} {
+		for cut := range head {
+			_, conn, _ := pair(t)
+			conn.pending = []byte(head + "rest")
+			got := ""
+			for _, size := range []int{cut, len(head) + 4} {
+				into := make([]byte, size)
+				n, _ := conn.take(into)
+				got += string(into[:n])
+			}
+			if got != head || conn.frame.at != afterHead {
+				t.Errorf("%q cut at %d: %q", head, cut, got)
+			}
+			conn.abort()
+		}
+	}
+}
+
+// A client that has sent more behind its open request than is kept is seen to go, and what it sent is not taken for a request.
+func TestAClientThatSendsMuchAndGoesIsSeen(t *testing.T) {
+	h := enter(t, nil)
+	there := make(chan *hosts.Exchange, 1)
+	h.reader.Do = func(e *hosts.Exchange) bool {
+		if e.Method != "POST" {
+			return e.Serve()
+		}
+		e.Hold()
+		there <- e
+		<-e.Left
+		return false
+	}
+	c := h.client()
+	io.WriteString(c, h.ask("trail-info"))
+	e := <-there
+	more := strings.Repeat(h.ask("hut-booking"), 4*aheadMost/300)
+	if _, err := io.WriteString(c, more); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	select {
+	case <-e.Left:
+	case <-time.After(100 * time.Millisecond):
+		t.Error("its attempt goes on")
+	}
+	h.settled()
+	if n := len(h.site.Seen("", "POST")); n != 1 {
+		t.Errorf("%d attempts", n)
+	}
+}
+
+// One that stays has its open request answered, and the connection is closed in good order before the others are taken.
+func TestAConnectionThatOverrunsIsClosedAfterItsAnswer(t *testing.T) {
+	h := enter(t, nil)
+	hold := make(chan struct{})
+	h.reader.Do = func(e *hosts.Exchange) bool { <-hold; return e.Serve() }
+	c := h.client()
+	io.WriteString(c, h.ask("trail-info"))
+	h.until("it is out", func() bool { return len(h.site.Seen("r1", "POST")) == 1 })
+	io.WriteString(c, strings.Repeat(h.ask("hut-booking"), 4*aheadMost/300))
+	close(hold)
+	if got := c.said(); got.status != 200 || !got.whole {
+		t.Errorf("%+v", got)
+	}
+	if _, err := c.from.ReadByte(); err != io.EOF {
+		t.Errorf("then %v", err)
+	}
+	h.settled()
+	if n := len(h.site.Seen("r1", "POST")); n != 1 {
+		t.Errorf("%d requests are taken", n)
+	}
+}
+
+// A close over bytes that the client has sent must not reset the connection: the end of the last answer may be lost with it.
+func TestNoCloseResetsAConnection(t *testing.T) {
+	for name, change := range map[string]func(h *house){
+		"a stream that breaks": func(h *house) {
+			h.write(func(e *hosts.Exchange) bool { e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a"))); return false })
+		},
+		"an answer at a stop": func(h *house) { h.node.front.stopping.Store(true) },
+		"an answer of failure": func(h *house) {
+			h.reader.Do = func(e *hosts.Exchange) bool { return e.Write(hosts.Refuse(400, false)) }
+			h.node.front.stopping.Store(true)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := enter(t, nil)
+			change(h)
+			c := h.client()
+			io.WriteString(c, h.ask("trail-info")+h.ask("trail-info"))
+			if got := c.said(); got.status == 0 {
+				t.Error("there is no answer")
+			}
+			if _, err := io.Copy(io.Discard, c.from); errors.Is(err, syscall.ECONNRESET) {
+				t.Error("the connection is reset")
+			}
+		})
+	}
+	t.Run("a request that is refused over its body", func(t *testing.T) {
+		h := enter(t, nil)
+		c := h.client()
+		head, body, _ := strings.Cut(h.ask("no-such", "Content-Length: 12", "Content-Length: 200000"), "\r\n\r\n")
+		io.WriteString(c, head+"\r\n\r\n")
+		if got := c.said(); got.status != 400 {
+			t.Errorf("%+v", got)
+		}
+		io.WriteString(c, body+strings.Repeat("x", 199_988)) // it crosses the answer
+		if _, err := io.Copy(io.Discard, c.from); errors.Is(err, syscall.ECONNRESET) {
+			t.Error("the connection is reset")
+		}
+	})
+}
+
+// Connections that the system has completed are accepted before the listener closes.
+func TestCompletedConnectionsAreAcceptedAtAStop(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newLimiter(listener.(*net.TCPListener), 100)
+	const waiting = 20
+	for range waiting { // nobody accepts yet
+		c, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	l.acceptLast()
+	for range waiting {
+		if _, err := l.Accept(); err != nil {
+			t.Fatalf("a completed connection is not accepted: %v", err)
+		}
+	}
+	if _, err := l.Accept(); err != http.ErrServerClosed {
+		t.Errorf("then %v", err)
+	}
+	l.closeSilent(0)
+}
+
+// A connection that became busy after it was looked at is not closed for room; the next one is.
+func TestRoomIsNotMadeByABusyConnection(t *testing.T) {
+	l := newLimiter(nil, 1)
+	client, busy, _ := pair(t)
+	l.conns[busy] = true
+	busy.since = time.Now().Add(-time.Hour)
+	io.WriteString(client, "P")
+	busy.Read(make([]byte, 10))
+	if l.makeRoom(time.Now()) {
+		t.Error("a connection whose request is being read made room")
+	}
+	_, silent, _ := pair(t)
+	l.conns[silent] = true
+	silent.since = time.Now().Add(-time.Hour)
+	l.most = 2
+	if !l.makeRoom(time.Now()) {
+		t.Error("a silent connection made no room")
+	}
+	if state, _ := busy.status(time.Now()); state != connReading {
+		t.Errorf("the busy one is in state %d", state)
+	}
+}
+
+// Descriptors run full of clients that say nothing while discovery is down: the dispatcher stays ready, follows discovery as soon as it
+// is back, and serves.
+func TestFullDescriptorsLeaveRoomForDiscovery(t *testing.T) {
+	h := enter(t, func(h *house, p *Place) { p.Limits.Sockets = 64 })
+	h.agent.SetMute(true)
+	h.agent.Cut()
+	for range 150 {
+		c, err := net.Dial("tcp", h.at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+	}
+	h.site.Change(func() { h.writers[0].State = "terminating" })
+	h.agent.SetMute(false)
+	h.until("the drain is known", func() bool { return h.standing("w1") == brain.Draining && h.agent.Watched() == 1 })
+	c := h.client()
+	io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("not ready: %v", err)
+	}
+	if got := h.says(h.ask("hut-booking")); got.status != 200 {
+		t.Errorf("%+v", got)
+	}
+	if n := len(h.site.Seen("w1", "POST")); n != 0 {
+		t.Errorf("%d attempts to a backend that drains", n)
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -33,16 +33,17 @@
 	open    int64         // questions that may be open
 	bodies  int64         // bytes that all bodies may have
 
-	answers  func() bool // the fleet is known
-	crowded  func() bool // clients' connections run short
-	ready    atomic.Bool
-	stopping atomic.Bool   // it wants no new questions
-	cut      chan struct{} // closed when streams are to be gone on with elsewhere
-	asked    atomic.Int64
-	Again    atomic.Int64 // questions asked before
-	Rest     atomic.Int64 // questions for the rest of a stream
-	Moved    atomic.Int64 // streams cut for that
-	held     atomic.Int64
+	fleetKnown func() bool // there is a backend that answers
+	crowded    func() bool // clients' connections run short
+	ready      atomic.Bool
+	stopping   atomic.Bool   // it wants no new questions
+	over       atomic.Bool   // it takes none any more
+	cut        chan struct{} // closed when streams are to be gone on with elsewhere
+	asked      atomic.Int64
+	Again      atomic.Int64 // questions asked before
+	Rest       atomic.Int64 // questions for the rest of a stream
+	Moved      atomic.Int64 // streams cut for that
+	held       atomic.Int64
 
 	mu      sync.Mutex
 	ids     map[string]bool // of questions that are open
@@ -64,7 +65,9 @@
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.stopping.Load() || f.crowded() {
+	conn := connOf(r.Context())
+	conn.begin(r.ContentLength)
+	if f.stopping.Load() || f.crowded() || !conn.reusable() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == chat.Ready && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
@@ -75,6 +78,9 @@
 	}
 	came := time.Now()
 	ask, no := chat.Read(r)
+	if conn.ambiguous() {
+		no = &chat.Refusal{Status: http.StatusBadRequest, Why: "length twice"}
+	}
 	grade, known := f.grades[ask.Grade]
 	channel, one := f.tenants[ask.Channel]
 	switch {
@@ -88,6 +94,10 @@
 		f.refuse(w, r, no)
 		return
 	}
+	if f.over.Load() {
+		f.full(w, r, "stopped")
+		return
+	}
 	if f.asked.Add(1) > f.open {
 		f.asked.Add(-1)
 		f.full(w, r, "questions")
@@ -99,7 +109,7 @@
 
 // answering tells whether there are boxes to serve with; once there were, that stays.
 func (f *front) answering() bool {
-	if !f.ready.Load() && f.answers() {
+	if !f.ready.Load() && f.fleetKnown() {
 		f.ready.Store(true)
 	}
 	return f.ready.Load()
@@ -144,11 +154,6 @@
 		delete(f.ids, ask.ID)
 		f.mu.Unlock()
 	}()
-	if c, ok := r.Context().Value(connKey{}).(*clientConn); ok {
-		ctx, over := c.open(r.Context())
-		defer over()
-		r = r.WithContext(ctx)
-	}
 	took := int64(0)
 	giveBack := func() { f.held.Add(-took); took = 0 }
 	defer giveBack()
@@ -157,17 +162,22 @@
 	case errors.Is(err, errNoRoom):
 		f.full(w, r, "bodies")
 		return
+	case errors.Is(err, errTooLong):
+		f.refuse(w, r, &chat.Refusal{Status: http.StatusRequestEntityTooLarge, Why: "body"})
+		return
 	case err != nil:
 		f.refuse(w, r, &chat.Refusal{Status: http.StatusBadRequest, Why: "half a request"})
 		return
 	}
+	length := len(body)
+	ask.Sized(length)
 	if ask.Again {
 		f.Again.Add(1)
 	}
 	if ask.Rest {
 		f.Rest.Add(1)
 	}
-	m := &matter{id: ask.ID, body: body, head: func(wait time.Duration) []byte { return chat.Errand(r, service, ask, wait) }}
+	m := &matter{id: ask.ID, body: body, head: func(wait time.Duration) []byte { return chat.Errand(r, service, ask, length, wait) }}
 	a := &dispatch.Asked{
 		Ask:   kserve.Ask{ID: ask.ID, Session: ask.Session, Shared: ask.Shared, Tokens: ask.Tokens, Prefix: ask.Prefix, Most: ask.Most, Again: ask.Again},
 		Grade: ask.Grade, Channel: ask.Channel, Matter: m,
@@ -197,35 +207,48 @@
 	}
 	m.body, body = nil, nil
 	giveBack()
-	f.pour(w, r, a, trip)
+	f.newPassing(w, r, a, trip).run()
 }
 
 var errNoRoom = errors.New("too many bodies are held")
 
+var errTooLong = errors.New("the body is too long")
+
 // body reads a request's body. Room is taken as it comes, not as it is announced.
-func (f *front) body(r *http.Request, w http.ResponseWriter, took *int64) ([]byte, error) {
-	ctl := http.NewResponseController(w)
-	ctl.SetReadDeadline(time.Now().Add(bodyWait))
-	var body []byte
-	for left := int(r.ContentLength); left > 0; {
-		step := min(left, max(bodyStep, len(body)))
-		*took += int64(step)
-		if f.held.Add(int64(step)) > f.bodies {
-			return nil, errNoRoom
+func (f *front) body(r *http.Request, w http.ResponseWriter, took *int64) (body []byte, err error) {
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(bodyWait))
+	for err == nil {
+		if len(body) == cap(body) {
+			step := bodyRoom(r.ContentLength, len(body))
+			*took += int64(step)
+			if f.held.Add(int64(step)) > f.bodies {
+				return nil, errNoRoom
+			}
+			body = append(make([]byte, 0, len(body)+step), body...)
 		}
-		at := len(body)
-		grown := make([]byte, at+step)
-		copy(grown, body)
-		body = grown
-		if _, err := io.ReadFull(r.Body, body[at:]); err != nil {
-			return nil, err
+		var n int
+		n, err = r.Body.Read(body[len(body):cap(body)])
+		if body = body[:len(body)+n]; len(body) > chat.BodyMost {
+			return nil, errTooLong
 		}
-		left -= step
 	}
-	ctl.SetReadDeadline(time.Time{})
+	control.SetReadDeadline(time.Time{})
+	if err != io.EOF {
+		return nil, err
+	}
 	return body, nil
 }
 
+// bodyRoom is how much more room a body gets of which so much has come; its length may be unknown.
+func bodyRoom(length int64, come int) int {
+	step := max(bodyStep, come)
+	if length >= 0 {
+		step = min(step, int(length)-come)
+	}
+	return max(step, 1)
+}
+
 // answer gives a final answer of which nothing was streamed.
 func (f *front) answer(w http.ResponseWriter, end kserve.Final) {
 	if end.Final != kserve.Declined {
@@ -238,57 +261,6 @@
 	http.Error(w, end.Error, http.StatusServiceUnavailable)
 }
 
-// pour passes a stream on as it comes. One that breaks ends the client's connection without the last chunk.
-func (f *front) pour(w http.ResponseWriter, r *http.Request, a *dispatch.Asked, trip *dispatch.Flight) {
-	ctl := http.NewResponseController(w)
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header()["Date"] = nil
-	var cut chan struct{} // a client that has had no event has had no answer: its stream is not cut yet
-	for {
-		select {
-		case piece, more := <-trip.Tokens:
-			if more {
-				ctl.SetWriteDeadline(time.Now().Add(writeWait))
-				_, err := w.Write(piece)
-				for len(trip.Tokens) > 0 && err == nil {
-					if piece, more = <-trip.Tokens; !more {
-						break
-					}
-					_, err = w.Write(piece)
-				}
-				if err == nil {
-					err = ctl.Flush()
-				}
-				if err != nil {
-					f.loop.Post(func() { f.loop.Left(a) })
-					panic(http.ErrAbortHandler)
-				}
-				cut = f.cut
-				if more {
-					continue
-				}
-			}
-			select {
-			case end := <-a.Final():
-				if end.Final != kserve.Satisfied {
-					panic(http.ErrAbortHandler)
-				}
-				return
-			case <-r.Context().Done():
-				f.loop.Post(func() { f.loop.Left(a) })
-				panic(http.ErrAbortHandler)
-			}
-		case <-cut:
-			f.Moved.Add(1)
-			f.loop.Post(func() { f.loop.Left(a) })
-			panic(http.ErrAbortHandler)
-		case <-r.Context().Done():
-			f.loop.Post(func() { f.loop.Left(a) })
-			panic(http.ErrAbortHandler) // a plain return would end the stream as whole
-		}
-	}
-}
-
 // state is what operators see.
 func (f *front) state() string {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/platform/limiter.go
@@ -0,0 +1,195 @@
+package platform
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	silentFor = 50 * time.Millisecond // a connection on which no request came by then makes room before others
+	idleFor   = 2 * time.Second       // one without an open request may be closed by then
+	roomWait  = 10 * time.Millisecond // until another look, where none makes room
+	drainTime = 20 * time.Millisecond // at the end of accepting, for connections that the system has completed already
+)
+
+const (
+	// crowdedShare is the share of the connections that may be open, above which answers end theirs: one that has just had its
+	// answer may else not be closed for idleFor, and clients that ask once and stay would shut out the others.
+	crowdedShare = 0.5
+	// closingShare is how many connections that are being closed may be open beside the others.
+	closingShare = 0.1
+)
+
+// limiter accepts clients' connections and bounds how many are open. Where as many are open as may be, the oldest that is silent or
+// idle makes room; where there is none, the next waits outside until one is.
+type limiter struct {
+	*net.TCPListener
+	most     int
+	mu       sync.Mutex
+	conns    map[*clientConn]bool
+	draining bool         // connections without an open request are closed
+	last     atomic.Bool  // what is completed already is accepted, and no more
+	Pushed   atomic.Int64 // connections that made room
+	Waited   atomic.Int64 // looks that found none
+}
+
+func newLimiter(listener *net.TCPListener, most int) *limiter {
+	return &limiter{TCPListener: listener, most: most, conns: map[*clientConn]bool{}}
+}
+
+// Accept returns the next connection. After acceptLast it returns http.ErrServerClosed once no completed one is left.
+func (l *limiter) Accept() (net.Conn, error) {
+	for !l.last.Load() && !l.makeRoom(time.Now()) {
+		l.Waited.Add(1)
+		time.Sleep(roomWait)
+	}
+	raw, err := l.AcceptTCP()
+	if l.last.Load() && (err != nil || l.count() >= l.most+l.closingMost()) {
+		l.TCPListener.Close()
+		if err == nil {
+			raw.Close()
+		}
+		return nil, http.ErrServerClosed
+	}
+	if err != nil {
+		return nil, err
+	}
+	c, err := newClientConn(raw, l.forget)
+	if err != nil {
+		raw.Close()
+		return nil, err
+	}
+	l.mu.Lock()
+	l.conns[c] = true
+	l.mu.Unlock()
+	return c, nil
+}
+
+// closingMost is how many connections that are being closed may be open beside the others.
+func (l *limiter) closingMost() int { return max(int(closingShare*float64(l.most)), 1) }
+
+// acceptLast has Accept take the connections that are completed already, and then end.
+func (l *limiter) acceptLast() {
+	l.last.Store(true)
+	l.SetDeadline(time.Now().Add(drainTime))
+}
+
+// makeRoom tells whether there is room for a connection.
+func (l *limiter) makeRoom(now time.Time) bool {
+	if l.count() < l.most {
+		return true
+	}
+	open, closing := 0, 0
+	var victim, lingering oldest
+	l.mu.Lock()
+	for c := range l.conns {
+		state, since := c.status(now)
+		if state == connClosing {
+			closing++
+			lingering.consider(c, state, since)
+			continue
+		}
+		open++
+		if state == connNew && since > silentFor || state == connIdle && since > idleFor {
+			victim.consider(c, state, since)
+		}
+	}
+	l.mu.Unlock()
+	if closing >= l.closingMost() {
+		lingering.conn.abort()
+	}
+	if open < l.most {
+		return true
+	}
+	if victim.conn == nil || !victim.conn.closeIdle() {
+		return false
+	}
+	l.Pushed.Add(1)
+	return true
+}
+
+// oldest is the connection that is longest in its state. Those on which nothing has come yet go before the others.
+type oldest struct {
+	conn  *clientConn
+	state connState
+	since time.Duration
+}
+
+func (o *oldest) consider(c *clientConn, state connState, since time.Duration) {
+	switch {
+	case o.conn == nil:
+	case o.state != state:
+		if state != connNew {
+			return
+		}
+	case since <= o.since:
+		return
+	}
+	*o = oldest{c, state, since}
+}
+
+// forget is told that a connection's socket is closed.
+func (l *limiter) forget(c *clientConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// moved is told by net/http of a connection's state.
+func (l *limiter) moved(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*clientConn)
+	if !ok || state != http.StateIdle {
+		return
+	}
+	c.answered()
+	l.mu.Lock()
+	draining := l.draining
+	l.mu.Unlock()
+	if draining {
+		c.closeIdle()
+	}
+}
+
+// drain closes the connections without an open request, now and as their answers end. Those on which nothing came yet are left for
+// closeSilent: their clients may just be about to send.
+func (l *limiter) drain() {
+	l.mu.Lock()
+	l.draining = true
+	l.mu.Unlock()
+	l.closeEach(func(state connState, _ time.Duration) bool { return state == connIdle })
+}
+
+// closeSilent closes connections on which nothing came for so long, and those between two requests.
+func (l *limiter) closeSilent(after time.Duration) {
+	l.closeEach(func(state connState, since time.Duration) bool {
+		return state == connIdle || state == connNew && since >= after
+	})
+}
+
+func (l *limiter) closeEach(which func(state connState, since time.Duration) bool) {
+	l.mu.Lock()
+	now := time.Now()
+	var chosen []*clientConn
+	for c := range l.conns {
+		if which(c.status(now)) {
+			chosen = append(chosen, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range chosen {
+		c.closeIdle()
+	}
+}
+
+// Crowded tells whether answers should end their connections.
+func (l *limiter) Crowded() bool { return float64(l.count()) > crowdedShare*float64(l.most) }
+
+// count is how many connections are open, those that are being closed among them.
+func (l *limiter) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
--- a/internal/platform/place.go
+++ b/internal/platform/place.go
@@ -89,10 +89,12 @@
 
 // Shares of the descriptors, and of the memory.
 const (
-	ownSockets  = 24  // what is neither a client's nor a box's: listener, discovery, siblings, the process's own
-	clientShare = 0.6 // of the rest
-	heapShare   = 0.6 // of the memory, above which the collector works harder
-	bodyShare   = 0.2 // of the memory, for the bodies of questions
+	ownSockets  = 24   // what is neither a client's nor a box's: listener, discovery, siblings, the process's own
+	clientShare = 0.55 // of the rest, for connections of clients
+	boxShare    = 0.35 // of the rest, for attempts
+	callShare   = 0.08 // of the rest, for calls that release
+	heapShare   = 0.6  // of the memory, above which the collector works harder
+	bodyShare   = 0.2  // of the memory, for the bodies of questions
 	socketsElse = 1024
 	memoryElse  = 192
 )
@@ -100,6 +102,7 @@
 // room is what the limits leave to each use.
 type room struct {
 	clients, boxes int   // connections
+	releases       int   // calls that release, at a time
 	heap, bodies   int64 // bytes
 }
 
@@ -112,6 +115,9 @@
 		memory = memoryElse << 20
 	}
 	free := max(sockets-ownSockets, 16)
-	clients := int(clientShare * float64(free))
-	return room{clients: clients, boxes: free - clients, heap: int64(heapShare * float64(memory)), bodies: int64(bodyShare * float64(memory))}
+	share := func(part float64, least int) int { return max(int(part*float64(free)), least) }
+	return room{
+		clients: share(clientShare, 8), boxes: share(boxShare, 4), releases: share(callShare, 2),
+		heap: int64(heapShare * float64(memory)), bodies: int64(bodyShare * float64(memory)),
+	}
 }
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -23,14 +23,11 @@
 )
 
 const (
-	service   = "backend.local"
-	comeAfter = 450 * time.Millisecond // after a stop, in which the front may still send new connections here
-
+	service  = "backend.local"
 	tellEach = 5 * time.Second // between two lines on how things stand
-	// After a stop, the streams that still run are left to be gone on with elsewhere: before the kill, and before the next dispatcher
-	// of a rolling restart stops, so that somebody is there for their clients.
-	moveAfter  = 2400 * time.Millisecond
-	yieldAfter = 3200 * time.Millisecond // after a stop, when what has not begun is ended
+	// firstListWait is how long a dispatcher that knows an old list waits for discovery's before it takes clients: what discovery has
+	// counts as known from the start.
+	firstListWait = time.Second
 )
 
 // node is one dispatcher with its ways in and out.
@@ -45,7 +42,8 @@
 	loop     *dispatch.Loop
 	carrier  *carrier
 	front    *front
-	gate     *gate
+	limiter  *limiter
+	served   chan struct{}   // closed when no further connection is accepted
 	peers    *dispatch.Peers // none that listens where the configuration has no address
 	follower *endpoints.Follower
 }
@@ -66,14 +64,15 @@
 	room, facts := p.room(), brain.Flat(p.Settings)
 	began := time.Now()
 	since := func() time.Duration { return time.Since(began) }
-	n := &node{place: p, facts: facts, log: log}
+	n := &node{place: p, facts: facts, log: log, served: make(chan struct{})}
 	n.life, n.end = context.WithCancel(ctx)
 	boxes := &reach.Boxes{
 		Limit: max(facts.Span("policyLimits.dialTimeoutUs"), 10*time.Millisecond), Most: room.boxes, Since: since, Life: n.life, Group: &n.trips, Bare: true,
 	}
 	n.carrier = &carrier{
 		fields: facts.Names("report.fields"), boxes: boxes, life: n.life, group: &n.trips, log: log, passed: map[string]*passed{},
-		hosts: map[*dispatch.Box]*reach.Host{}, calls: make(chan struct{}, letGoMost),
+		hosts: map[*dispatch.Box]*reach.Host{}, releaser: releaser{calls: make(chan struct{}, room.releases)}, since: since,
+		slots: make(chan struct{}, room.boxes),
 	}
 	places := dispatch.Places{
 		Zone: func(name string) int { return facts.Index("dcs", name) },
@@ -108,10 +107,13 @@
 		}
 	}
 	n.follower.Move(p.Discovery)
-	n.gate = &gate{Listener: listener, most: room.clients, conns: map[net.Conn]*standing{}}
+	n.limiter = newLimiter(listener.(*net.TCPListener), room.clients)
 	n.front = newFront(n.loop, facts, room.bodies)
-	n.front.crowded = n.gate.Crowded
-	n.front.answers = func() bool {
+	n.front.crowded = n.limiter.Crowded
+	n.front.fleetKnown = func() bool {
+		if !n.follower.Heard() && since() < firstListWait {
+			return false
+		}
 		ready := false
 		n.loop.Call(n.life, func() { ready = n.loop.Answers() })
 		return ready
@@ -127,19 +129,20 @@
 		n.group.Go(func() error { return n.peers.Listen(n.life, n.loop) })
 	}
 	web := &http.Server{
-		Handler: n.front, ReadHeaderTimeout: headWait, IdleTimeout: restMost, MaxHeaderBytes: chat.HeadMost, ConnState: n.gate.moved, ConnContext: withConn,
+		Handler: n.front, ReadHeaderTimeout: headWait, IdleTimeout: restMost, MaxHeaderBytes: chat.HeadMost, ConnState: n.limiter.moved, ConnContext: withConn,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 	failed := make(chan error, 1)
 	n.group.Go(func() error {
-		if err := web.Serve(n.gate); !errors.Is(err, http.ErrServerClosed) {
+		defer close(n.served)
+		if err := web.Serve(n.limiter); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
 		return nil
 	})
 	p := n.place
-	n.log.Info("serving", "listen", n.gate.Addr().String(), "discovery", p.Discovery, "cores", p.Limits.Cores, "memory_mb", p.Limits.MemoryMB,
-		"sockets", p.Limits.Sockets, "clients", n.gate.most, "boxes", n.carrier.boxes.Most)
+	n.log.Info("serving", "listen", n.limiter.Addr().String(), "discovery", p.Discovery, "cores", p.Limits.Cores, "memory_mb", p.Limits.MemoryMB,
+		"sockets", p.Limits.Sockets, "clients", n.limiter.most, "boxes", n.carrier.boxes.Most)
 	tick := time.NewTicker(tellEach)
 	defer tick.Stop()
 	for run := true; run; {
@@ -160,41 +163,15 @@
 			n.tell()
 		}
 	}
-	n.stop(web, err == nil)
+	n.stop(web)
 	return err
 }
 
-// stop answers what was taken, and ends all of it.
-func (n *node) stop(web *http.Server, listening bool) {
-	n.front.stopping.Store(true)
-	n.log.Info("stopping", "open", n.front.asked.Load())
-	if listening {
-		time.Sleep(comeAfter)
-	}
-	if n.facts.Yes("familyInfo.resume") {
-		defer time.AfterFunc(moveAfter-comeAfter, func() { close(n.front.cut) }).Stop()
-	}
-	defer time.AfterFunc(yieldAfter-comeAfter, func() { n.loop.Post(n.loop.Yield) }).Stop()
-	web.Shutdown(n.life) // waits for every question that is open
-	n.carrier.settle(time.Second)
-	n.tell()
-	n.end()
-	n.trips.Wait()
-	n.group.Wait()
-}
-
-// settle waits until boxes were told of all releases, or for so long.
-func (c *carrier) settle(most time.Duration) {
-	for end := time.Now().Add(most); time.Now().Before(end) && len(c.calls) > 0; {
-		time.Sleep(5 * time.Millisecond)
-	}
-}
-
 // tell logs how things stand.
 func (n *node) tell() {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	c, f, g := n.carrier, n.front, n.gate
+	c, f, g := n.carrier, n.front, n.limiter
 	n.loop.Call(n.life, func() {
 		t := n.loop.Tally
 		n.log.Info("state", "taken", t.Taken, "again", f.Again.Load(), "rest", f.Rest.Load(), "moved", f.Moved.Load(), "satisfied", t.Satisfied,
--- /dev/null
+++ b/internal/platform/shutdown_test.go
@@ -0,0 +1,217 @@
+package platform
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/hosts"
+)
+
+func TestTheTimesOfAShutdownFollowFromTheDeadlines(t *testing.T) {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for name, c := range map[string]struct {
+		deadlinesUs []any
+		want        stopTimes
+	}{
+		"long deadlines count as 3 s":  {[]any{4e6, 8e6}, stopTimes{ms(450), ms(2400), ms(3200), ms(3700)}},
+		"3 s":                          {[]any{3e6}, stopTimes{ms(450), ms(2400), ms(3200), ms(3700)}},
+		"the longest counts":           {[]any{5e5, 1.2e6}, stopTimes{ms(450), ms(600), ms(1400), ms(1900)}},
+		"a second":                     {[]any{1e6}, stopTimes{ms(450), ms(450), ms(1200), ms(1700)}},
+		"next to none":                 {[]any{1e4}, stopTimes{ms(355), ms(355), ms(355), ms(710)}},
+		"none stated":                  {[]any{nil}, stopTimes{ms(450), ms(2400), ms(3200), ms(3700)}},
+		"one stated, one not, so long": {[]any{1e6, nil}, stopTimes{ms(450), ms(2400), ms(3200), ms(3700)}},
+	} {
+		var classes []any
+		for _, d := range c.deadlinesUs {
+			classes = append(classes, map[string]any{"name": "a", "giveUpUs": d})
+		}
+		got := stopTimesOf(brain.Flat(map[string]any{"requestClasses": classes}))
+		if got != c.want {
+			t.Errorf("%s: %+v, want %+v", name, got, c.want)
+		}
+		if !(got.accept <= got.move && got.move <= got.answer && got.answer < got.kill) {
+			t.Errorf("%s: out of order: %+v", name, got)
+		}
+	}
+}
+
+// shortDeadlines has all classes wait for so long.
+func shortDeadlines(p *Place, us float64) {
+	for _, class := range p.Settings["requestClasses"].([]any) {
+		class.(map[string]any)["giveUpUs"] = us
+	}
+}
+
+// With short deadlines SIGKILL comes soon after SIGTERM: what has not begun is answered before, and streams are left to others.
+func TestAStopIsOverBeforeTheKillOfShortDeadlines(t *testing.T) {
+	h := enter(t, func(h *house, p *Place) { shortDeadlines(p, 1e6) })
+	h.write(func(e *hosts.Exchange) bool {
+		if e.Method != "POST" || e.ID == "q1" {
+			<-e.Left // it never begins
+			return false
+		}
+		e.Write(hosts.Opening)
+		for e.Write(hosts.Chunk(hosts.Event("a"))) {
+			select {
+			case <-e.Left:
+				return false
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+		return false
+	})
+	never, long := h.client(), h.client()
+	io.WriteString(never, h.ask("trail-info", "X-Timeout-Ms: 3000", "X-Timeout-Ms: 60000"))
+	io.WriteString(long, h.ask("trail-info"))
+	h.until("both are out", func() bool { return len(h.site.Seen("w1", "POST"))+len(h.site.Seen("w2", "POST")) == 2 })
+	const kill = 1700 * time.Millisecond
+	began := time.Now()
+	h.quit()
+	if got := long.said(); got.status != 200 || got.whole {
+		t.Errorf("a long stream: %+v", got.status)
+	}
+	if got := never.said(); got.status != 503 {
+		t.Errorf("one that never began: %+v", got)
+	}
+	if took := time.Since(began); took > kill {
+		t.Errorf("the last answer came %v after SIGTERM, SIGKILL comes after %v", took, kill)
+	}
+}
+
+// A request whose first half was read before the stop is served: its connection is not idle, and what was read must not be dropped.
+func TestARequestThatIsHalfReadAtAStopIsServed(t *testing.T) {
+	for _, kind := range []string{"a new connection", "a connection that was used before"} {
+		t.Run(kind, func(t *testing.T) {
+			h := enter(t, nil)
+			c := h.client()
+			if kind != "a new connection" {
+				io.WriteString(c, h.ask("trail-info"))
+				if got := c.said(); got.status != 200 {
+					t.Fatalf("%+v", got)
+				}
+			}
+			raw := h.ask("hut-booking")
+			io.WriteString(c, raw[:40])
+			time.Sleep(20 * time.Millisecond) // for the dispatcher to read it
+			h.quit()
+			h.until("the listener is closed", func() bool {
+				_, err := hostsDial(h.at)
+				return errors.Is(err, syscall.ECONNREFUSED)
+			})
+			time.Sleep(2 * stopStep)
+			io.WriteString(c, raw[40:])
+			if got := c.said(); got.status != 200 || !got.whole || !got.closes {
+				t.Errorf("%+v", got)
+			}
+		})
+	}
+}
+
+// A connection at rest is closed at once, so that its client goes elsewhere; what it sends in that moment is not taken.
+func TestARequestThatCrossesAStopIsNotTaken(t *testing.T) {
+	h := enter(t, nil)
+	c := h.client()
+	io.WriteString(c, h.ask("trail-info"))
+	if got := c.said(); got.status != 200 || got.closes {
+		t.Fatalf("%+v", got)
+	}
+	before := len(h.site.Seen("r1", "POST"))
+	h.node.limiter.drain()
+	io.WriteString(c, h.ask("hut-booking"))
+	if _, err := c.from.ReadByte(); err != io.EOF {
+		t.Errorf("the client sees %v", err)
+	}
+	h.quit()
+	h.until("it has ended", func() bool { return h.node.limiter.count() == 0 })
+	if n := len(h.site.Seen("r1", "POST")); n != before {
+		t.Error("the request was taken all the same")
+	}
+}
+
+// An answer that began before the stop and says that its connection stays open ends with its connection all the same.
+func TestAnAnswerThatBeganBeforeAStopEndsItsConnection(t *testing.T) {
+	h := enter(t, nil)
+	there, finish := make(chan bool), make(chan bool)
+	h.write(func(e *hosts.Exchange) bool {
+		e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")))
+		there <- true
+		<-finish
+		return e.Write(hosts.Chunk(hosts.Usage+hosts.Done) + hosts.Last)
+	})
+	c := h.client()
+	io.WriteString(c, h.ask("trail-info"))
+	<-there
+	h.quit()
+	h.until("it stops", func() bool { return h.node.front.stopping.Load() })
+	finish <- true
+	if got := c.said(); got.status != 200 || !got.whole {
+		t.Errorf("%+v", got)
+	}
+	if _, err := c.from.ReadByte(); err != io.EOF {
+		t.Errorf("then the client sees %v", err)
+	}
+}
+
+// A stream is not cut once its last token has been passed on: its end is near, and its client has nothing to come back for.
+func TestAStreamAtItsEndIsNotCut(t *testing.T) {
+	h := enter(t, nil)
+	passed, finish := make(chan bool), make(chan bool)
+	final := strings.Replace(hosts.Event("z"), "null", `"stop"`, 1)
+	h.write(func(e *hosts.Exchange) bool {
+		e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")) + hosts.Chunk(final))
+		passed <- true
+		<-finish
+		return e.Write(hosts.Chunk(hosts.Usage+hosts.Done) + hosts.Last)
+	})
+	c := h.client()
+	io.WriteString(c, h.ask("trail-info"))
+	<-passed
+	first := make([]byte, 1)
+	if _, err := c.from.Peek(1); err != nil {
+		t.Fatal(err, first)
+	}
+	time.Sleep(20 * time.Millisecond) // for the last token to be passed on
+	close(h.node.front.cut)
+	time.Sleep(cutWait + 50*time.Millisecond)
+	finish <- true
+	if got := c.said(); !got.whole || !strings.Contains(got.text, "[DONE]") {
+		t.Errorf("%+v", got)
+	}
+	h.settled()
+	h.node.front.cut = make(chan struct{}) // for the stop
+}
+
+// What an attempt of a client that has gone may have left at its backend is released before the dispatcher ends.
+func TestAStopReleasesWhatAbandonedAttemptsHold(t *testing.T) {
+	h := enter(t, func(h *house, p *Place) { p.Settings["policyLimits"].(map[string]any)["cancelling"] = false })
+	there := make(chan bool, 1)
+	h.reader.Do = func(e *hosts.Exchange) bool {
+		if e.Method != "POST" {
+			return e.Serve()
+		}
+		e.Hold()
+		there <- true
+		<-e.Left
+		return false
+	}
+	c := h.client()
+	io.WriteString(c, h.ask("trail-info"))
+	<-there
+	c.Close()
+	h.until("it is seen to go", func() bool { return h.node.front.asked.Load() == 0 })
+	h.quit()
+	select {
+	case err := <-h.ended:
+		h.ended <- err
+	case <-time.After(5 * time.Second):
+		t.Fatal("it does not end")
+	}
+	if n := h.site.Held(); n != 0 {
+		t.Errorf("%d states are held after the end", n)
+	}
+}
