--- a/internal/platform/conn_test.go
+++ b/internal/platform/conn_test.go
@@ -44,19 +44,6 @@
 	return dialed.(*net.TCPConn), conn, done
 }
 
-// entered waits until a connection is in a state.
-func entered(t *testing.T, c *clientConn, want connState) {
-	t.Helper()
-	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
-		if state, _ := c.status(time.Now()); state == want {
-			return
-		}
-		if time.Now().After(end) {
-			t.Fatalf("the connection never comes to state %d", want)
-		}
-	}
-}
-
 // A request that arrives as its connection is closed is either left unread, and its client sees an end in good order, or read, and
 // then the connection is not closed.
 func TestAnIdleConnectionIsClosedOrReadNotBoth(t *testing.T) {
