Settings that a customer may leave out or state as nought do not keep an instance from starting

Sound asked for the four figures of the rule on cold hosts, for siblings and for maxAttempts, and refused nought for most; Grades asked for aimUs and windowUs. A deployment without that rule, or with a class that states only its deadline, could not be served.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -65,6 +65,7 @@
 	if err := facts.Sound(); err != nil {
 		return nil, err
 	}
+	facts = facts.Complete()
 	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed), own: Mix(seed, 1)}
 	d.unread.Width, d.asked.Width, d.begins.Width = refresh, refresh, refresh
 	d.served.Width = 200 * time.Millisecond
