A request with an id that is open or was taken lately gets 409 before any answer that invites a retry

TestAKnownIDIsRefusedWithoutInvitingARetry has the three crossings; on the code before, the first gets 503.

--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -217,3 +217,81 @@
 	}
 	h.settled()
 }
+
+// The id of a request that is open, or whose client has left, is refused without inviting a retry, also while the dispatcher stops: the
+// request that it belongs to may have run.
+func TestAKnownIDIsRefusedWithoutInvitingARetry(t *testing.T) {
+	h := enter(t, nil)
+	there, hold := make(chan bool, 1), make(chan struct{})
+	h.write(func(e *hosts.Exchange) bool {
+		if e.Method != "POST" {
+			return e.Serve()
+		}
+		there <- true
+		select {
+		case <-hold:
+		case <-e.Left:
+		}
+		return e.Serve()
+	})
+	raw := h.ask("hut-booking")
+	c := h.client()
+	io.WriteString(c, raw)
+	<-there
+	c.Close()
+	h.until("its client is seen to go", func() bool { return h.node.front.asked.Load() == 0 })
+	if got := h.says(raw); got.status != 409 || got.after != "" {
+		t.Errorf("after its client has left: %+v", got)
+	}
+	raw = h.ask("hut-booking")
+	c = h.client()
+	io.WriteString(c, raw)
+	<-there
+	h.node.front.over.Store(true)
+	if got := h.says(raw); got.status != 409 || got.after != "" {
+		t.Errorf("while it stops: %+v", got)
+	}
+	h.node.front.open = 0
+	if got := h.says(raw); got.status != 409 || got.after != "" {
+		t.Errorf("while too many are open: %+v", got)
+	}
+	close(hold)
+	if got := c.said(); got.status != 200 {
+		t.Errorf("the open one: %+v", got)
+	}
+	h.settled()
+	if n := len(h.site.Seen("r1", "POST")); n != 2 {
+		t.Errorf("%d requests were taken", n)
+	}
+}
+
+// Ids are remembered for their span, and not without bound.
+func TestIDsAreForgotten(t *testing.T) {
+	r := newIDRegister(time.Hour)
+	for i := range 3 * idsMost {
+		id := fmt.Sprint(i)
+		if !r.claim(id) || r.claim(id) {
+			t.Fatalf("%s is not claimed once", id)
+		}
+		r.release(id, true)
+		if !r.known(id) {
+			t.Fatalf("%s is forgotten at once", id)
+		}
+	}
+	if n := len(r.recent) + len(r.earlier); n > 2*idsMost+1 || r.known("0") {
+		t.Errorf("%d are remembered", n)
+	}
+	r.claim("x")
+	r.release("x", false)
+	if r.known("x") {
+		t.Error("one that was not taken is remembered")
+	}
+	r.span = 0
+	for _, id := range []string{"y", "z", "a"} {
+		r.claim(id)
+		r.release(id, true)
+	}
+	if r.known("y") || !r.known("z") {
+		t.Error("the span does not count")
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -45,14 +45,14 @@
 	Moved      atomic.Int64 // streams cut for that
 	held       atomic.Int64
 
+	ids     *idRegister
 	mu      sync.Mutex
-	ids     map[string]bool // of questions that are open
 	refused map[string]int64
 }
 
 func newFront(loop *dispatch.Loop, facts brain.Facts, bodies int64) *front {
 	f := &front{
-		loop: loop, grades: map[string]int{}, tenants: map[string]int{}, ids: map[string]bool{}, refused: map[string]int64{},
+		loop: loop, grades: map[string]int{}, tenants: map[string]int{}, ids: newIDRegister(longestDeadline(facts) + idsSpan), refused: map[string]int64{},
 		cut: make(chan struct{}), after: facts.Span("policyLimits.maxRetryAfterUs"), open: int64(facts.Num("policyLimits.maxOpen", 1e4)), bodies: bodies,
 	}
 	for i, name := range facts.Names("requestClasses") {
@@ -94,6 +94,10 @@
 		f.refuse(w, r, no)
 		return
 	}
+	if f.ids.known(ask.ID) {
+		f.refuse(w, r, errKnownID) // before any answer that would invite a retry
+		return
+	}
 	if f.over.Load() {
 		f.full(w, r, "stopped")
 		return
@@ -107,6 +111,9 @@
 	f.question(w, r, ask, grade, channel, came)
 }
 
+// errKnownID refuses a request with the id of another one.
+var errKnownID = &chat.Refusal{Status: http.StatusConflict, Why: "open id"}
+
 // answering tells whether there are boxes to serve with; once there were, that stays.
 func (f *front) answering() bool {
 	if !f.ready.Load() && f.fleetKnown() {
@@ -139,21 +146,12 @@
 }
 
 func (f *front) question(w http.ResponseWriter, r *http.Request, ask chat.Ask, grade, channel int, came time.Time) {
-	f.mu.Lock()
-	twice := f.ids[ask.ID]
-	if !twice {
-		f.ids[ask.ID] = true
-	}
-	f.mu.Unlock()
-	if twice {
-		f.refuse(w, r, &chat.Refusal{Status: http.StatusConflict, Why: "open id"})
+	if !f.ids.claim(ask.ID) {
+		f.refuse(w, r, errKnownID)
 		return
 	}
-	defer func() {
-		f.mu.Lock()
-		delete(f.ids, ask.ID)
-		f.mu.Unlock()
-	}()
+	taken := false
+	defer func() { f.ids.release(ask.ID, taken) }()
 	took := int64(0)
 	giveBack := func() { f.held.Add(-took); took = 0 }
 	defer giveBack()
@@ -182,6 +180,7 @@
 		Ask:   kserve.Ask{ID: ask.ID, Session: ask.Session, Shared: ask.Shared, Tokens: ask.Tokens, Prefix: ask.Prefix, Most: ask.Most, Again: ask.Again},
 		Grade: ask.Grade, Channel: ask.Channel, Matter: m,
 	}
+	taken = true
 	if !f.loop.Call(r.Context(), func() {
 		f.loop.Arrive(a, grade, channel, ask.Left-time.Since(came))
 	}) {
--- /dev/null
+++ b/internal/platform/ids.go
@@ -0,0 +1,60 @@
+package platform
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	idsMost = 4096             // ids of one generation
+	idsSpan = 10 * time.Second // beyond the longest deadline, that an id is remembered for
+)
+
+// idRegister knows the ids of requests that are open or were so lately. Each request has an id of its own, a client's retry too, so one
+// that comes again is not the client's: its own request may have run, and a refusal of the copy would say that it has not.
+type idRegister struct {
+	span time.Duration // for which an id is remembered at least
+
+	mu              sync.Mutex
+	open            map[string]bool
+	recent, earlier map[string]bool // taken in the present span, and in the one before
+	turned          time.Time       // when the present span began
+}
+
+func newIDRegister(span time.Duration) *idRegister {
+	return &idRegister{span: span, open: map[string]bool{}, recent: map[string]bool{}, earlier: map[string]bool{}, turned: time.Now()}
+}
+
+// known tells whether an id is open or was taken lately.
+func (r *idRegister) known(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.knownLocked(id)
+}
+
+func (r *idRegister) knownLocked(id string) bool { return r.open[id] || r.recent[id] || r.earlier[id] }
+
+// claim opens an id; false: it is known.
+func (r *idRegister) claim(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.knownLocked(id) {
+		return false
+	}
+	r.open[id] = true
+	return true
+}
+
+// release closes an id. One that was taken is remembered.
+func (r *idRegister) release(id string, taken bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.open, id)
+	if !taken {
+		return
+	}
+	if now := time.Now(); now.Sub(r.turned) >= r.span || len(r.recent) >= idsMost {
+		r.earlier, r.recent, r.turned = r.recent, map[string]bool{}, now
+	}
+	r.recent[id] = true
+}
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -714,8 +714,8 @@
 	}
 	h.settled()
 	h.until("no connection to them is left", func() bool { return h.node.carrier.boxes.Known() == 3 })
-	if len(h.node.front.ids) != 0 || len(h.node.front.refused) != 0 {
-		t.Errorf("%d ids, %d reasons", len(h.node.front.ids), len(h.node.front.refused))
+	if len(h.node.front.ids.open) != 0 || len(h.node.front.refused) != 0 {
+		t.Errorf("%d ids, %d reasons", len(h.node.front.ids.open), len(h.node.front.refused))
 	}
 }
 
--- a/internal/platform/shutdown.go
+++ b/internal/platform/shutdown.go
@@ -39,7 +39,11 @@
 // stopTimesOf derives the times of a shutdown from the settings: SIGKILL comes no sooner than the longest deadline, counted as 3 s
 // where it is longer, and 0.7 s more.
 func stopTimesOf(facts brain.Facts) stopTimes {
-	kill := min(longestDeadline(facts), killAfterMost) + killAfterElse
+	longest := longestDeadline(facts)
+	if longest == 0 {
+		longest = killAfterMost
+	}
+	kill := min(longest, killAfterMost) + killAfterElse
 	return stopTimes{
 		accept: min(acceptTime, kill/2),
 		move:   max(kill-moveBefore, min(acceptTime, kill/2)),
@@ -48,13 +52,13 @@
 	}
 }
 
-// longestDeadline is that of the class which waits longest. A class that states none may wait for as long as the platform counts.
+// longestDeadline is that of the class which waits longest; 0: one states none.
 func longestDeadline(facts brain.Facts) time.Duration {
 	longest := time.Duration(0)
 	for i := range facts.Names("requestClasses") {
 		deadline := facts.Span(fmt.Sprintf("requestClasses.%d.giveUpUs", i))
 		if deadline <= 0 {
-			return killAfterMost
+			return 0
 		}
 		longest = max(longest, deadline)
 	}
