Trips that time out count for how long first tokens take; the crossings are tabled

At fault: Began alone fed `ahead`, so in a jam it told how long the quick ones took. patience gave a further attempt time by it, and shed held back too little. Now a trip that timed out counts with the time that it waited.

In the form that lands a place is kept by what was known before the trip, as TestWhatWasGivenUpOnKeepsItsPlaceForAsLongAgain asks; it was not played when this was written. TestTimedOutTripsTellOfAJam fails without it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -301,15 +301,17 @@
 	if t == nil || h.Role == Reads || g.Effect == Idempotent {
 		return false
 	}
-	return g.Effect == Unrepeatable || d.door.Now() >= t.Sent+g.Window-10*time.Millisecond || !g.Reach.Joins(h, t.Host)
+	late := d.door.Now() >= t.Sent+g.Window-10*time.Millisecond
+	return g.Effect == Unrepeatable || late || !g.Reach.Joins(h, t.Host)
 }
 
-// Stands tells, right before a trip's first byte, whether it may still go out. While its connection was made its
-// client may have gone, its host may drain and the window for repeats may have closed: what the gate then let
+// Stands tells, right before a trip's first byte, whether it may still go out. While its connection was made
+// its client may have gone, its host may drain and the window for repeats may have closed: what the gate let
 // through was right when it was chosen, and is no more (rules 1 to 3).
 func (d *Dispatcher) Stands(t *Trip) bool {
 	q := t.Question
-	return !t.Ended && !q.Over && d.door.Now() < q.Expiry && t.Host.Standing == Ready && !d.harmful(q, t.Host, t.Number)
+	open := !t.Ended && !q.Over && d.door.Now() < q.Expiry
+	return open && t.Host.Standing == Ready && !d.harmful(q, t.Host, t.Number)
 }
 
 func (d *Dispatcher) cold(h *Host) bool {
@@ -688,8 +690,13 @@
 	d.window = max(min(d.window, floods*perHost*float64(len(d.hosts))), 1)
 	// What was given up on still runs at its host, where first tokens come late for all: what is let out in its
 	// place at once would only wait behind it and be given up on too. So it keeps its place for as long again.
-	jammed := d.ahead.Or(0) > impatient*(q.Promised-q.Taken).Seconds()
 	t := q.Trips[len(q.Trips)-1]
+	jammed := d.ahead.Or(0) > impatient*(q.Promised-q.Taken).Seconds()
+	// A trip that timed out would have had its first token later still: told by those alone that had one, a
+	// jam looks quick, and second trips are sent into it.
+	if t.Began == 0 && t.Outcome == TimedOut {
+		d.ahead.Add(max(out.Seconds(), d.ahead.Or(0)), 0.1)
+	}
 	if jammed && t.Began == 0 && (t.Outcome == TimedOut || t.Outcome == Cancelled) {
 		d.door.Wake(min(now-t.Sent, q.Promised-q.Taken), func() { d.unbegun--; d.serve() })
 	} else {
@@ -765,7 +772,8 @@
 	d.streams += t.Weigh(-1)
 	d.facts.Report(h, r.Load)
 	q.Over = q.Over || r.Over
-	if r.Outcome != Unreached && r.Outcome != Moot { // only a trip that came to its host takes the state, if for a while
+	// Only a trip that came to its host takes the state, if for a while.
+	if r.Outcome != Unreached && r.Outcome != Moot {
 		q.Waits = now
 	}
 	switch r.Outcome {
--- a/brain/ends_test.go
+++ b/brain/ends_test.go
@@ -220,3 +220,26 @@
 		}
 	}
 }
+
+// Trips that time out tell how long first tokens take as well as those that had one: in a jam only the quick ones have.
+func TestTimedOutTripsTellOfAJam(t *testing.T) {
+	d, out := begin(t)
+	d.ahead.Add(0.1, 0.1)
+	for range 20 {
+		q := ask(d)
+		d.hold(q)
+		d.serve()
+		trip := out.sent[len(out.sent)-1]
+		out.now += 700 * time.Millisecond
+		q.Last = true
+		d.Ended(trip, Result{Outcome: TimedOut, Took: 700 * time.Millisecond})
+		out.now += time.Second
+	}
+	if ahead := d.ahead.Or(0); ahead < 0.5 || ahead > 0.7 {
+		t.Errorf("first tokens are taken to come after %.2f s, where none comes within 0.7 s", ahead)
+	}
+	trip := &Trip{Question: &Question{Grade: d.grades[0], Expiry: out.now + 2*time.Second}, Sent: out.now, Stage: ToRead}
+	if got := d.patience(trip); got != 2*time.Second {
+		t.Errorf("a trip leaves time for another into the jam: %v", got)
+	}
+}
--- a/brain/facts_test.go
+++ b/brain/facts_test.go
@@ -81,3 +81,37 @@
 		}
 	}
 }
+
+// A repeat whose connection came up after the window in which repeats are dropped is not sent; before that it is.
+func TestARepeatWhoseWindowClosedIsNotSent(t *testing.T) {
+	out := &door{now: time.Second}
+	d, err := New(stated("siblings", 1.0), 1, out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	hosts := []Listing{{Host: &Host{ID: 1}, Standing: Ready, Units: 1}, {Host: &Host{ID: 2}, Standing: Ready, Units: 1}}
+	d.Listed(hosts, true)
+	q := &Question{ID: 1, Prompt: 100, Most: 10, Left: 4 * time.Second}
+	d.Arrive(q, 0, 0)
+	d.Ended(out.sent[0], Result{Outcome: Broken})
+	if len(out.sent) != 2 {
+		t.Fatalf("%d trips", len(out.sent))
+	}
+	repeat := out.sent[1]
+	if !d.Stands(repeat) {
+		t.Error("a repeat within the window does not stand")
+	}
+	out.now = out.sent[0].Sent + q.Grade.Window
+	if d.Stands(repeat) {
+		t.Error("a repeat stands after the window")
+	}
+	out.now = out.sent[0].Sent + q.Grade.Window/2
+	repeat.Host.Standing = Draining
+	if d.Stands(repeat) {
+		t.Error("a trip to a host that drains stands")
+	}
+	repeat.Host.Standing, q.Over = Ready, true
+	if d.Stands(repeat) {
+		t.Error("a trip stands after its question is over")
+	}
+}
