--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -37,7 +37,7 @@
 // then, and its first byte has not been written.
 func (h *house) submit(id string, class int, crossing func(a *dispatch.Asked)) *dispatch.Asked {
 	h.t.Helper()
-	a := &dispatch.Asked{Ask: kserve.Ask{ID: id, Tokens: 400, Most: 50}, Matter: &matter{id: id, body: []byte("{}"), head: func(wait time.Duration) []byte {
+	a := &dispatch.Asked{Ask: kserve.Ask{ID: id, Tokens: 400, Most: 50}, Matter: &payload{id: id, body: []byte("{}"), head: func(wait time.Duration) []byte {
 		return fmt.Appendf(nil, "POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: %s\r\nX-Timeout-Ms: %d\r\nContent-Length: 2\r\n\r\n", id, wait.Milliseconds())
 	}}}
 	h.node.loop.Call(context.Background(), func() {
@@ -166,7 +166,7 @@
 				}
 				e.Hold()
 				c.Close()
-				h.until("the client is seen to go", func() bool { return h.node.front.asked.Load() == 0 })
+				h.until("the client is seen to go", func() bool { return h.node.frontend.asked.Load() == 0 })
 				e.Write("HTTP/1.1 202 Accepted\r\nContent-Length: 21\r\n\r\n{\"cached_tokens\":100}")
 				return true
 			}
@@ -239,7 +239,7 @@
 	io.WriteString(c, raw)
 	<-there
 	c.Close()
-	h.until("its client is seen to go", func() bool { return h.node.front.asked.Load() == 0 })
+	h.until("its client is seen to go", func() bool { return h.node.frontend.asked.Load() == 0 })
 	if got := h.says(raw); got.status != 409 || got.after != "" {
 		t.Errorf("after its client has left: %+v", got)
 	}
@@ -247,11 +247,11 @@
 	c = h.client()
 	io.WriteString(c, raw)
 	<-there
-	h.node.front.over.Store(true)
+	h.node.frontend.over.Store(true)
 	if got := h.says(raw); got.status != 409 || got.after != "" {
 		t.Errorf("while it stops: %+v", got)
 	}
-	h.node.front.open = 0
+	h.node.frontend.open = 0
 	if got := h.says(raw); got.status != 409 || got.after != "" {
 		t.Errorf("while too many are open: %+v", got)
 	}
--- a/internal/platform/conn_test.go
+++ b/internal/platform/conn_test.go
@@ -173,10 +173,10 @@
 		"a stream that breaks": func(h *house) {
 			h.write(func(e *hosts.Exchange) bool { e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a"))); return false })
 		},
-		"an answer at a stop": func(h *house) { h.node.front.stopping.Store(true) },
+		"an answer at a stop": func(h *house) { h.node.frontend.stopping.Store(true) },
 		"an answer of failure": func(h *house) {
 			h.reader.Do = func(e *hosts.Exchange) bool { return e.Write(hosts.Refuse(400, false)) }
-			h.node.front.stopping.Store(true)
+			h.node.frontend.stopping.Store(true)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/platform/front.go
+++ b/internal/platform/frontend.go
@@ -24,8 +24,8 @@
 	bodyStep  = 16 << 10                // of a body, as it comes
 )
 
-// front takes questions from clients.
-type front struct {
+// frontend takes requests from clients.
+type frontend struct {
 	loop    *dispatch.Loop
 	grades  map[string]int
 	tenants map[string]int
@@ -50,8 +50,8 @@
 	refused map[string]int64
 }
 
-func newFront(loop *dispatch.Loop, facts brain.Facts, bodies int64) *front {
-	f := &front{
+func newFrontend(loop *dispatch.Loop, facts brain.Facts, bodies int64) *frontend {
+	f := &frontend{
 		loop: loop, grades: map[string]int{}, tenants: map[string]int{}, ids: newIDRegister(longestDeadline(facts) + idsSpan), refused: map[string]int64{},
 		cut: make(chan struct{}), after: facts.Span("policyLimits.maxRetryAfterUs"), open: int64(facts.Num("policyLimits.maxOpen", 1e4)), bodies: bodies,
 	}
@@ -64,7 +64,7 @@
 	return f
 }
 
-func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn := connOf(r.Context())
 	conn.begin(r.ContentLength)
 	if f.stopping.Load() || f.crowded() || !conn.reusable() {
@@ -115,7 +115,7 @@
 var errKnownID = &chat.Refusal{Status: http.StatusConflict, Why: "open id"}
 
 // answering tells whether there are boxes to serve with; once there were, that stays.
-func (f *front) answering() bool {
+func (f *frontend) answering() bool {
 	if !f.ready.Load() && f.fleetKnown() {
 		f.ready.Store(true)
 	}
@@ -123,7 +123,7 @@
 }
 
 // refuse answers what is no question, and ends the connection: what else waits on it may be no request either.
-func (f *front) refuse(w http.ResponseWriter, r *http.Request, no *chat.Refusal) {
+func (f *frontend) refuse(w http.ResponseWriter, r *http.Request, no *chat.Refusal) {
 	f.count(no.Why)
 	w.Header().Set("Connection", "close")
 	// What the server reads of a body that nobody wants is bounded in time.
@@ -131,7 +131,7 @@
 	http.Error(w, no.Why, no.Status)
 }
 
-func (f *front) full(w http.ResponseWriter, r *http.Request, why string) {
+func (f *frontend) full(w http.ResponseWriter, r *http.Request, why string) {
 	f.count("full " + why)
 	w.Header().Set("Retry-After", seconds(f.after))
 	f.refuse(w, r, &chat.Refusal{Status: http.StatusServiceUnavailable, Why: why})
@@ -139,13 +139,13 @@
 
 func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
 
-func (f *front) count(why string) {
+func (f *frontend) count(why string) {
 	f.mu.Lock()
 	f.refused[why]++
 	f.mu.Unlock()
 }
 
-func (f *front) question(w http.ResponseWriter, r *http.Request, ask chat.Ask, grade, channel int, came time.Time) {
+func (f *frontend) question(w http.ResponseWriter, r *http.Request, ask chat.Ask, grade, channel int, came time.Time) {
 	if !f.ids.claim(ask.ID) {
 		f.refuse(w, r, errKnownID)
 		return
@@ -175,7 +175,7 @@
 	if ask.Rest {
 		f.Rest.Add(1)
 	}
-	m := &matter{id: ask.ID, body: body, head: func(wait time.Duration) []byte { return chat.Errand(r, service, ask, length, wait) }}
+	m := &payload{id: ask.ID, body: body, head: func(wait time.Duration) []byte { return chat.Errand(r, service, ask, length, wait) }}
 	a := &dispatch.Asked{
 		Ask:   kserve.Ask{ID: ask.ID, Session: ask.Session, Shared: ask.Shared, Tokens: ask.Tokens, Prefix: ask.Prefix, Most: ask.Most, Again: ask.Again},
 		Grade: ask.Grade, Channel: ask.Channel, Matter: m,
@@ -214,7 +214,7 @@
 var errTooLong = errors.New("the body is too long")
 
 // body reads a request's body. Room is taken as it comes, not as it is announced.
-func (f *front) body(r *http.Request, w http.ResponseWriter, took *int64) (body []byte, err error) {
+func (f *frontend) body(r *http.Request, w http.ResponseWriter, took *int64) (body []byte, err error) {
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(time.Now().Add(bodyWait))
 	for err == nil {
@@ -249,7 +249,7 @@
 }
 
 // answer gives a final answer of which nothing was streamed.
-func (f *front) answer(w http.ResponseWriter, end kserve.Final) {
+func (f *frontend) answer(w http.ResponseWriter, end kserve.Final) {
 	if end.Final != kserve.Declined {
 		http.Error(w, end.Error, http.StatusBadGateway)
 		return
@@ -261,7 +261,7 @@
 }
 
 // state is what operators see.
-func (f *front) state() string {
+func (f *frontend) state() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return fmt.Sprint(f.refused)
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -119,7 +119,7 @@
 func (h *house) settled() {
 	h.t.Helper()
 	h.until("nothing is left of the questions", func() bool {
-		still := h.site.Out() + h.site.Held() + int(h.node.front.asked.Load()) + int(h.node.front.held.Load()) + int(h.node.carrier.releasing.Load())
+		still := h.site.Out() + h.site.Held() + int(h.node.frontend.asked.Load()) + int(h.node.frontend.held.Load()) + int(h.node.transport.releasing.Load())
 		h.node.loop.Call(context.Background(), func() {
 			for _, b := range []*hosts.Box{h.reader, h.writers[0], h.writers[1]} {
 				if m := h.node.loop.HostOf(b.UID); m != nil && (m.Streams != 0 || m.Tokens != 0 || m.Unread != 0) {
@@ -662,7 +662,7 @@
 	io.WriteString(never, h.ask("trail-info", "X-Timeout-Ms: 3000", "X-Timeout-Ms: 60000"))
 	h.until("both are out", func() bool { return len(h.site.Seen("w1", "POST"))+len(h.site.Seen("w2", "POST")) == 2 })
 	h.quit()
-	h.until("it wants no new clients", func() bool { return h.node.front.stopping.Load() })
+	h.until("it wants no new clients", func() bool { return h.node.frontend.stopping.Load() })
 	io.WriteString(late, h.ask("trail-info"))
 	if got := late.said(); got.status != 200 || !got.closes {
 		t.Errorf("asked after the stop: %+v", got)
@@ -683,14 +683,14 @@
 		<-e.Left
 		return false
 	})
-	close(h.node.front.cut)
+	close(h.node.frontend.cut)
 	for range 20 {
 		if got := h.says(h.ask("trail-info")); got.status != 200 || got.text != hosts.Event("a") || got.whole {
 			t.Fatalf("%+v", got)
 		}
 	}
 	h.settled()
-	h.node.front.cut = make(chan struct{}) // for the stop
+	h.node.frontend.cut = make(chan struct{}) // for the stop
 }
 
 // Ids of boxes and of clients that are always new leave nothing behind.
@@ -707,15 +707,15 @@
 		h.site.Change(func() { fresh.State = "terminated" })
 		h.until("it is forgotten as a way", func() bool {
 			known := 0
-			h.node.loop.Call(context.Background(), func() { known = len(h.node.carrier.hosts) })
+			h.node.loop.Call(context.Background(), func() { known = len(h.node.transport.hosts) })
 			return known == 3
 		})
 		fresh.Kill()
 	}
 	h.settled()
-	h.until("no connection to them is left", func() bool { return h.node.carrier.boxes.Known() == 3 })
-	if len(h.node.front.ids.open) != 0 || len(h.node.front.refused) != 0 {
-		t.Errorf("%d ids, %d reasons", len(h.node.front.ids.open), len(h.node.front.refused))
+	h.until("no connection to them is left", func() bool { return h.node.transport.boxes.Known() == 3 })
+	if len(h.node.frontend.ids.open) != 0 || len(h.node.frontend.refused) != 0 {
+		t.Errorf("%d ids, %d reasons", len(h.node.frontend.ids.open), len(h.node.frontend.refused))
 	}
 }
 
--- a/internal/platform/releases.go
+++ b/internal/platform/releases.go
@@ -29,8 +29,8 @@
 
 // Release has what is held for a request released. Any backend takes that call: one that answers is asked first, then another beside
 // it each time that none has answered for a while, as a backend that is cut off keeps its caller waiting.
-func (c *carrier) Release(b *dispatch.Box, a *dispatch.Asked) {
-	m, _ := a.Matter.(*matter)
+func (c *transport) Release(b *dispatch.Box, a *dispatch.Asked) {
+	m, _ := a.Matter.(*payload)
 	if m == nil {
 		return
 	}
@@ -51,7 +51,7 @@
 
 // releaseOrder is the order in which backends are called: the one that answered the last release, the one that may hold the state,
 // and then the others from there on around. Where many backends are cut off, calls to them would else take all descriptors.
-func (c *carrier) releaseOrder(holder *reach.Host) []*reach.Host {
+func (c *transport) releaseOrder(holder *reach.Host) []*reach.Host {
 	first := max(slices.Index(c.order, holder), 0)
 	order := slices.Concat(c.order[first:], c.order[:first])
 	if i := slices.Index(order, c.heard.Load()); i > 0 {
@@ -61,7 +61,7 @@
 }
 
 // releaseAny calls backends until one answers.
-func (c *carrier) releaseAny(targets []*reach.Host, call []byte) bool {
+func (c *transport) releaseAny(targets []*reach.Host, call []byte) bool {
 	ctx, end := context.WithTimeout(c.life, releaseMost)
 	defer end()
 	heard := make(chan bool)
@@ -95,7 +95,7 @@
 }
 
 // release calls one backend and tells whether it answered. Its time begins when there is a descriptor for the call.
-func (c *carrier) release(ctx context.Context, host *reach.Host, call []byte) bool {
+func (c *transport) release(ctx context.Context, host *reach.Host, call []byte) bool {
 	select {
 	case c.calls <- struct{}{}:
 	case <-ctx.Done():
@@ -110,7 +110,7 @@
 	return true
 }
 
-func (c *carrier) callRelease(ctx context.Context, host *reach.Host, call []byte) bool {
+func (c *transport) callRelease(ctx context.Context, host *reach.Host, call []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, releaseTry)
 	defer cancel()
 	conn, err := host.Get(ctx)
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -32,20 +32,20 @@
 
 // node is one dispatcher with its ways in and out.
 type node struct {
-	place    Place
-	facts    brain.Facts
-	log      *slog.Logger
-	life     context.Context // of trips, which outlive the wish to stop
-	end      context.CancelFunc
-	trips    errgroup.Group
-	group    errgroup.Group
-	loop     *dispatch.Loop
-	carrier  *carrier
-	front    *front
-	limiter  *limiter
-	served   chan struct{}   // closed when no further connection is accepted
-	peers    *dispatch.Peers // none that listens where the configuration has no address
-	follower *endpoints.Follower
+	place     Place
+	facts     brain.Facts
+	log       *slog.Logger
+	life      context.Context // of trips, which outlive the wish to stop
+	end       context.CancelFunc
+	trips     errgroup.Group
+	group     errgroup.Group
+	loop      *dispatch.Loop
+	transport *transport
+	frontend  *frontend
+	limiter   *limiter
+	served    chan struct{}   // closed when no further connection is accepted
+	peers     *dispatch.Peers // none that listens where the configuration has no address
+	follower  *endpoints.Follower
 }
 
 // Run serves until the context ends; then it answers what it has and returns. again says when the configuration is to be read anew.
@@ -69,7 +69,7 @@
 	boxes := &reach.Boxes{
 		Limit: max(facts.Span("policyLimits.dialTimeoutUs"), 10*time.Millisecond), Most: room.boxes, Since: since, Life: n.life, Group: &n.trips, Bare: true,
 	}
-	n.carrier = &carrier{
+	n.transport = &transport{
 		fields: facts.Names("report.fields"), boxes: boxes, life: n.life, group: &n.trips, log: log, passed: map[string]*passed{},
 		hosts: map[*dispatch.Box]*reach.Host{}, releaser: releaser{calls: make(chan struct{}, room.releases)}, since: since,
 		slots: make(chan struct{}, room.boxes),
@@ -89,15 +89,15 @@
 		}
 		n.peers.Plain = true
 	}
-	n.carrier.tell = n.peers.Tell
-	if n.loop, err = dispatch.NewLoop(facts, p.chance(), places, n.carrier, since, p.Name, log); err != nil {
+	n.transport.tell = n.peers.Tell
+	if n.loop, err = dispatch.NewLoop(facts, p.chance(), places, n.transport, since, p.Name, log); err != nil {
 		listener.Close()
 		if n.peers.Conn != nil {
 			n.peers.Conn.Close()
 		}
 		return nil, err
 	}
-	n.carrier.loop = n.loop
+	n.transport.loop = n.loop
 	n.follower = &endpoints.Follower{Log: log, Since: since, Listed: func(lines []boxlist.Box, whole bool) {
 		n.loop.Post(func() { n.loop.Listed(lines, whole) })
 	}}
@@ -108,9 +108,9 @@
 	}
 	n.follower.Move(p.Discovery)
 	n.limiter = newLimiter(listener.(*net.TCPListener), room.clients)
-	n.front = newFront(n.loop, facts, room.bodies)
-	n.front.crowded = n.limiter.Crowded
-	n.front.fleetKnown = func() bool {
+	n.frontend = newFrontend(n.loop, facts, room.bodies)
+	n.frontend.crowded = n.limiter.Crowded
+	n.frontend.fleetKnown = func() bool {
 		if !n.follower.Heard() && since() < firstListWait {
 			return false
 		}
@@ -122,14 +122,14 @@
 }
 
 func (n *node) run(ctx context.Context, again <-chan os.Signal, read func() (Place, error)) (err error) {
-	n.trips.Go(n.carrier.boxes.Tend)
+	n.trips.Go(n.transport.boxes.Tend)
 	n.group.Go(func() error { return n.loop.Run(n.life) })
 	n.group.Go(func() error { return n.follower.Follow(n.life) })
 	if n.peers.Conn != nil {
 		n.group.Go(func() error { return n.peers.Listen(n.life, n.loop) })
 	}
 	web := &http.Server{
-		Handler: n.front, ReadHeaderTimeout: headWait, IdleTimeout: restMost, MaxHeaderBytes: chat.HeadMost, ConnState: n.limiter.moved, ConnContext: withConn,
+		Handler: n.frontend, ReadHeaderTimeout: headWait, IdleTimeout: restMost, MaxHeaderBytes: chat.HeadMost, ConnState: n.limiter.moved, ConnContext: withConn,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 	failed := make(chan error, 1)
@@ -142,7 +142,7 @@
 	})
 	p := n.place
 	n.log.Info("serving", "listen", n.limiter.Addr().String(), "discovery", p.Discovery, "cores", p.Limits.Cores, "memory_mb", p.Limits.MemoryMB,
-		"sockets", p.Limits.Sockets, "clients", n.limiter.most, "boxes", n.carrier.boxes.Most)
+		"sockets", p.Limits.Sockets, "clients", n.limiter.most, "boxes", n.transport.boxes.Most)
 	tick := time.NewTicker(tellEach)
 	defer tick.Stop()
 	for run := true; run; {
@@ -171,7 +171,7 @@
 func (n *node) tell() {
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	c, f, g := n.carrier, n.front, n.limiter
+	c, f, g := n.transport, n.frontend, n.limiter
 	n.loop.Call(n.life, func() {
 		t := n.loop.Tally
 		n.log.Info("state", "taken", t.Taken, "again", f.Again.Load(), "rest", f.Rest.Load(), "moved", f.Moved.Load(), "satisfied", t.Satisfied,
@@ -186,11 +186,11 @@
 
 // compare logs what the module believes of each box beside what passed on its connections, and forgets boxes that are gone.
 func (n *node) compare() {
-	n.carrier.mu.Lock()
-	defer n.carrier.mu.Unlock()
-	for name, p := range n.carrier.passed {
+	n.transport.mu.Lock()
+	defer n.transport.mu.Unlock()
+	for name, p := range n.transport.passed {
 		if h := n.loop.HostOf(name); h == nil && p.reads+p.writes == 0 {
-			delete(n.carrier.passed, name)
+			delete(n.transport.passed, name)
 		} else if h != nil {
 			n.log.Debug("box", "name", name, "role", h.Role, "standing", h.Standing, "streams", h.Streams, "writes", p.writes, "unread", h.Unread, "reads", p.reads,
 				"tokens", h.Tokens, "room", h.Room, "util", h.Util, "queue", h.Queue, "said", p.load, "sent", p.sent)
--- a/internal/platform/shutdown.go
+++ b/internal/platform/shutdown.go
@@ -68,11 +68,11 @@
 // stop answers what was taken, releases what is held, and ends all of it.
 func (n *node) stop(web *http.Server) {
 	began, times := time.Now(), stopTimesOf(n.facts)
-	n.log.Info("stopping", "open", n.front.asked.Load(), "accept", times.accept, "move", times.move, "answer", times.answer)
-	n.front.stopping.Store(true)
+	n.log.Info("stopping", "open", n.frontend.asked.Load(), "accept", times.accept, "move", times.move, "answer", times.answer)
+	n.frontend.stopping.Store(true)
 	n.limiter.drain()
 	if n.facts.Yes("familyInfo.resume") {
-		defer time.AfterFunc(times.move, func() { close(n.front.cut) }).Stop()
+		defer time.AfterFunc(times.move, func() { close(n.frontend.cut) }).Stop()
 	}
 	defer time.AfterFunc(times.answer, n.answerAll).Stop()
 	time.Sleep(times.accept)
@@ -93,7 +93,7 @@
 
 // answerAll has every request without a first event answered, those that are still to come among them.
 func (n *node) answerAll() {
-	n.front.over.Store(true)
+	n.frontend.over.Store(true)
 	n.loop.Post(n.loop.Yield)
 }
 
@@ -102,9 +102,9 @@
 	for end := time.Now().Add(releasesMost); time.Now().Before(end); time.Sleep(stopStep) {
 		open := 0
 		n.loop.Call(n.life, func() { open = n.loop.CallOff() })
-		if open == 0 && n.carrier.releasing.Load() == 0 {
+		if open == 0 && n.transport.releasing.Load() == 0 {
 			return
 		}
 	}
-	n.log.Warn("not all releases were heard", "waiting", n.carrier.releasing.Load())
+	n.log.Warn("not all releases were heard", "waiting", n.transport.releasing.Load())
 }
--- a/internal/platform/shutdown_test.go
+++ b/internal/platform/shutdown_test.go
@@ -147,7 +147,7 @@
 	io.WriteString(c, h.ask("trail-info"))
 	<-there
 	h.quit()
-	h.until("it stops", func() bool { return h.node.front.stopping.Load() })
+	h.until("it stops", func() bool { return h.node.frontend.stopping.Load() })
 	finish <- true
 	if got := c.said(); got.status != 200 || !got.whole {
 		t.Errorf("%+v", got)
@@ -176,14 +176,14 @@
 		t.Fatal(err, first)
 	}
 	time.Sleep(20 * time.Millisecond) // for the last token to be passed on
-	close(h.node.front.cut)
+	close(h.node.frontend.cut)
 	time.Sleep(cutWait + 50*time.Millisecond)
 	finish <- true
 	if got := c.said(); !got.whole || !strings.Contains(got.text, "[DONE]") {
 		t.Errorf("%+v", got)
 	}
 	h.settled()
-	h.node.front.cut = make(chan struct{}) // for the stop
+	h.node.frontend.cut = make(chan struct{}) // for the stop
 }
 
 // What an attempt of a client that has gone may have left at its backend is released before the dispatcher ends.
@@ -203,7 +203,7 @@
 	io.WriteString(c, h.ask("trail-info"))
 	<-there
 	c.Close()
-	h.until("it is seen to go", func() bool { return h.node.front.asked.Load() == 0 })
+	h.until("it is seen to go", func() bool { return h.node.frontend.asked.Load() == 0 })
 	h.quit()
 	select {
 	case err := <-h.ended:
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -15,17 +15,17 @@
 
 // passing is one backend's stream on its way to a client.
 type passing struct {
-	front   *front
-	w       http.ResponseWriter
-	control *http.ResponseController
-	ctx     context.Context
-	asked   *dispatch.Asked
-	trip    *dispatch.Flight
-	last    []byte // what was passed on last
+	frontend *frontend
+	w        http.ResponseWriter
+	control  *http.ResponseController
+	ctx      context.Context
+	asked    *dispatch.Asked
+	trip     *dispatch.Flight
+	last     []byte // what was passed on last
 }
 
-func (f *front) newPassing(w http.ResponseWriter, r *http.Request, a *dispatch.Asked, trip *dispatch.Flight) *passing {
-	return &passing{front: f, w: w, control: http.NewResponseController(w), ctx: r.Context(), asked: a, trip: trip}
+func (f *frontend) newPassing(w http.ResponseWriter, r *http.Request, a *dispatch.Asked, trip *dispatch.Flight) *passing {
+	return &passing{frontend: f, w: w, control: http.NewResponseController(w), ctx: r.Context(), asked: a, trip: trip}
 }
 
 // run passes events on as they come. A stream that breaks ends the client's connection without the last chunk: a plain return would
@@ -33,7 +33,7 @@
 func (p *passing) run() {
 	p.w.Header().Set("Content-Type", "text/event-stream")
 	p.w.Header()["Date"] = nil
-	cut := p.front.cut
+	cut := p.frontend.cut
 	var overdue <-chan time.Time
 	for {
 		select {
@@ -42,7 +42,7 @@
 				p.end()
 				return
 			}
-			if p.front.cutting() && p.midway() {
+			if p.frontend.cutting() && p.midway() {
 				p.move()
 			}
 		case <-cut:
@@ -96,18 +96,18 @@
 
 // move cuts the stream for its client to continue elsewhere.
 func (p *passing) move() {
-	p.front.Moved.Add(1)
+	p.frontend.Moved.Add(1)
 	p.abort()
 }
 
 // abort ends the request and its client's connection.
 func (p *passing) abort() {
-	p.front.loop.Post(func() { p.front.loop.Left(p.asked) })
+	p.frontend.loop.Post(func() { p.frontend.loop.Left(p.asked) })
 	panic(http.ErrAbortHandler)
 }
 
 // cutting tells whether streams are cut to be continued elsewhere.
-func (f *front) cutting() bool {
+func (f *frontend) cutting() bool {
 	select {
 	case <-f.cut:
 		return true
--- a/internal/platform/carrier.go
+++ b/internal/platform/transport.go
@@ -29,15 +29,15 @@
 	shortMost = 64 << 10                // bytes of an answer that is no stream
 )
 
-// matter is what is sent of a question.
-type matter struct {
+// payload is what is sent of a question.
+type payload struct {
 	head func(wait time.Duration) []byte
 	id   string
 	body []byte
 }
 
-// carrier takes trips to boxes.
-type carrier struct {
+// transport takes attempts to backends.
+type transport struct {
 	fields []string // of load reports
 	boxes  *reach.Boxes
 	loop   *dispatch.Loop
@@ -58,7 +58,7 @@
 	Strange atomic.Int64 // answers that tell of a fault of this program: 400 and 404
 }
 
-func (c *carrier) Reach(b *dispatch.Box, at []addresses.Spec) {
+func (c *transport) Reach(b *dispatch.Box, at []addresses.Spec) {
 	h := c.boxes.Set(b.Name, at, uint64(b.Host.ID))
 	c.order = slices.DeleteFunc(c.order, func(o *reach.Host) bool { return o == c.hosts[b] })
 	delete(c.hosts, b)
@@ -68,7 +68,7 @@
 	}
 }
 
-func (c *carrier) Tell(peer int, n brain.News) { c.tell(peer, n) }
+func (c *transport) Tell(peer int, n brain.News) { c.tell(peer, n) }
 
 // passed is what went over a box's connections.
 type passed struct {
@@ -78,7 +78,7 @@
 }
 
 // pass takes note of a request that went out whole, or of its end.
-func (c *carrier) pass(f *dispatch.Flight, out int, load string) {
+func (c *transport) pass(f *dispatch.Flight, out int, load string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.passed[f.Box.Name]
@@ -100,10 +100,10 @@
 }
 
 // Carry starts a trip.
-func (c *carrier) Carry(f *dispatch.Flight) {
+func (c *transport) Carry(f *dispatch.Flight) {
 	ctx, off := context.WithCancelCause(c.life)
 	f.Off = off
-	m, host := f.Asked.Matter.(*matter), c.hosts[f.Box]
+	m, host := f.Asked.Matter.(*payload), c.hosts[f.Box]
 	c.group.Go(func() error {
 		r := c.fly(ctx, f, host, m)
 		off(nil)
@@ -117,7 +117,7 @@
 var errStale = errors.New("not sent")
 
 // connect gets a connection for a trip, over which all of the request has gone out; until then it can't have run.
-func (c *carrier) connect(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *matter) (*reach.Conn, func() bool, error) {
+func (c *transport) connect(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (*reach.Conn, func() bool, error) {
 	limit := c.boxes.Limit
 	if t := f.Trip.Connect; t > 0 && t < limit {
 		limit = t
@@ -149,7 +149,7 @@
 
 // put sends a request over a new connection, if it may still go out. Nothing but the loop can tell: a drain, the client's going or
 // the end of the window for repeats may have come while the connection was made.
-func (c *carrier) put(ctx context.Context, f *dispatch.Flight, conn *reach.Conn, m *matter) (stop func() bool, err error) {
+func (c *transport) put(ctx context.Context, f *dispatch.Flight, conn *reach.Conn, m *payload) (stop func() bool, err error) {
 	wanted := false
 	if !c.loop.Call(ctx, func() { wanted = c.loop.Wanted(f) }) || !wanted {
 		c.Stale.Add(1)
@@ -165,7 +165,7 @@
 }
 
 // open gets a connection for a trip within the descriptors that attempts may have.
-func (c *carrier) open(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *matter) (conn *reach.Conn, stop func() bool, err error) {
+func (c *transport) open(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (conn *reach.Conn, stop func() bool, err error) {
 	if host == nil {
 		return nil, nil, errStale // its backend is gone
 	}
@@ -192,7 +192,7 @@
 }
 
 // fly is one trip. Its connection is closed before its end is told.
-func (c *carrier) fly(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *matter) (r brain.Result) {
+func (c *transport) fly(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (r brain.Result) {
 	conn, stop, err := c.open(ctx, f, host, m)
 	if err != nil {
 		return notSent(ctx, err)
