--- a/internal/chat/answer_test.go
+++ b/internal/chat/answer_test.go
@@ -122,3 +122,49 @@
 		}
 	})
 }
+
+// A token that is followed by another is told from the last one, in any form of JSON.
+func TestMidway(t *testing.T) {
+	for events, want := range map[string]bool{
+		"": false,
+		"data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"},\"finish_reason\":null}]}\n\n":                       true,
+		"data: { \"choices\" : [ { \"finish_reason\" : null } ] }\n\n":                                                       true,
+		"data: {\"choices\":[{\"delta\":{\"content\":\"data: x\"}}]}\n\n":                                                    true,
+		"data: {\"choices\":[{\"finish_reason\":\"stop\"}]}\n\n":                                                             false,
+		"data: {\"choices\":[{\"finish_reason\":null}]}\n\ndata: {\"choices\":[],\"usage\":{}}\n\n":                          false,
+		"data: {\"choices\":[{\"finish_reason\":null}]}\n\ndata: [DONE]\n\n":                                                 false,
+		"data: {\"choices\":[{\"finish_reason\":\"stop\"}]}\n\ndata: {\"choices\":[{\"finish_reason\":null}]}\n\n: X: y\n\n": true,
+	} {
+		if got := Midway([]byte(events)); got != want {
+			t.Errorf("%q: %t", events, got)
+		}
+	}
+}
+
+// No report makes a value that is no number, negative or without bound.
+func FuzzLoad(f *testing.F) {
+	f.Add("inflight=7,queue=2,util=0.61")
+	f.Add("util=NaN,queue=-1,queue=1e400")
+	f.Fuzz(func(t *testing.T, text string) {
+		for _, v := range Load(text, []string{"util", "queue"}) {
+			if !(v >= 0 && v <= 1e9) {
+				t.Errorf("%q: %g", text, v)
+			}
+		}
+	})
+}
+
+// Whatever a backend answers, only its own mark proves that a request never ran, and no answer without a stream serves.
+func FuzzOutcome(f *testing.F) {
+	f.Add(202, "1", []byte(`{"cached_tokens":4096}`))
+	f.Add(503, "", []byte(`{}`))
+	f.Fuzz(func(t *testing.T, status int, mark string, body []byte) {
+		resp := &http.Response{StatusCode: status, Header: http.Header{"X-Not-Processed": {mark}}}
+		for _, stage := range []brain.Stage{brain.ToRead, brain.ToWrite, brain.Whole} {
+			o, note := Outcome(stage, resp, body)
+			if o == brain.Answered || o == brain.Full && mark != "1" || o == brain.Read && stage != brain.ToRead || note < 0 || note > tokensMost {
+				t.Errorf("%d %q at stage %d: %d, %d", status, mark, stage, o, note)
+			}
+		}
+	})
+}
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -580,8 +580,8 @@
 	if got := c.said(); got.status != 200 || !got.closes {
 		t.Errorf("%+v", got)
 	}
-	if n := h.node.limiter.count(); n > h.node.limiter.most+1 {
-		t.Errorf("%d connections are open, %d may be", n, h.node.limiter.most)
+	if n, most := h.node.limiter.count(), h.node.place.room().clients; n > most+1 {
+		t.Errorf("%d connections are open, %d may be", n, most)
 	}
 }
 
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -107,7 +107,7 @@
 		}
 	}
 	n.follower.Move(p.Discovery)
-	n.limiter = newLimiter(listener.(*net.TCPListener), room.clients)
+	n.limiter = newLimiter(listener.(*net.TCPListener), int(float64(room.clients)/(1+closingShare)))
 	n.frontend = newFrontend(n.loop, facts, room.bodies)
 	n.frontend.crowded = n.limiter.Crowded
 	n.frontend.fleetKnown = func() bool {
