The scripted backends' counters of two tests are atomic; the race detector found them

TestARequestThatIsCutOffInTheMiddleIsSentAgain and TestAnswersThatComeTooEarlyOrWithoutEnd counted connections in a plain int from the goroutine of each. Nothing of the program was in the reports.

--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -96,9 +97,9 @@
 // A connection that breaks within the request proves that it never ran: also what must not be repeated is sent again.
 func TestARequestThatIsCutOffInTheMiddleIsSentAgain(t *testing.T) {
 	h := enter(t, nil)
-	tries := 0
+	var tries atomic.Int64
 	h.reader.Greet = func(c net.Conn) bool {
-		if tries++; tries > 1 {
+		if tries.Add(1) > 1 {
 			return true
 		}
 		c.(*net.TCPConn).SetReadBuffer(1 << 10)
@@ -138,9 +139,9 @@
 	})
 	t.Run("a refusal before the last byte", func(t *testing.T) {
 		h := enter(t, nil)
-		tries := 0
+		var tries atomic.Int64
 		h.reader.Greet = func(c net.Conn) bool {
-			if tries++; tries > 1 {
+			if tries.Add(1) > 1 {
 				return true
 			}
 			io.ReadFull(c, make([]byte, 50))
