An attempt that is cut off while its request is written may have run; the write-up says what is not shown

What the backend had by then only the backend knows. It ends as timed out now, and is not sent a second time within the same attempt. TestARequestCutOffByItsDeadlineIsNotCalledHarmless fails without it (outcome 5, unreached).

--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -13,6 +13,7 @@
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/hosts"
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/reach"
 )
 
 // hostsDial opens a connection and closes it again.
@@ -118,6 +119,26 @@
 	h.settled()
 }
 
+// A request that is called off while it is being written is not called harmless to repeat; one of which nothing went out is.
+func TestARequestCutOffByItsDeadlineIsNotCalledHarmless(t *testing.T) {
+	for sent, want := range map[int]brain.Outcome{0: brain.Unreached, 10: brain.TimedOut} {
+		ours, far := net.Pipe()
+		ctx, off := context.WithCancelCause(context.Background())
+		go func() {
+			io.ReadFull(far, make([]byte, sent))
+			off(dispatch.ErrLate)
+		}()
+		_, err := write(ctx, &reach.Conn{Conn: ours}, []byte("POST / HTTP/1.1\r\n\r\n"), []byte("{}"))
+		if err == nil {
+			t.Fatal("a request that was cut off counts as sent")
+		}
+		if got := notSent(ctx, err); got.Outcome != want {
+			t.Errorf("with %d bytes out: %v", sent, got.Outcome)
+		}
+		far.Close()
+	}
+}
+
 // Answers in front of the answer are read up to a bound, and an answer that comes before the request's last byte counts.
 func TestAnswersThatComeTooEarlyOrWithoutEnd(t *testing.T) {
 	t.Run("1xx without end", func(t *testing.T) {
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -113,8 +113,12 @@
 	})
 }
 
-// errStale ends an attempt that was not sent, as it might not go out any more or had no descriptor.
-var errStale = errors.New("not sent")
+var (
+	// errStale ends an attempt that was not sent, as it might not go out any more or had no descriptor.
+	errStale = errors.New("not sent")
+	// errCutOff ends an attempt that was called off while its request was being written.
+	errCutOff = errors.New("called off with part of the request sent")
+)
 
 // connect gets a connection for a trip, over which all of the request has gone out; until then it can't have run.
 func (c *transport) connect(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (*reach.Conn, func() bool, error) {
@@ -141,7 +145,7 @@
 			return conn, stop, nil
 		}
 		conn.Drop()
-		if errors.Is(err, errStale) || within.Err() != nil {
+		if errors.Is(err, errStale) || errors.Is(err, errCutOff) || within.Err() != nil {
 			return nil, nil, err
 		}
 	}
@@ -155,12 +159,20 @@
 		c.Stale.Add(1)
 		return nil, errStale
 	}
+	return write(ctx, conn, m.head(f.Until-c.since()), m.body)
+}
+
+// write sends a request, and has its connection closed when it is called off.
+func write(ctx context.Context, conn *reach.Conn, head, body []byte) (stop func() bool, err error) {
 	stop = context.AfterFunc(ctx, func() { conn.Conn.Close() })
-	whole, err := conn.Put(m.head(f.Until-c.since()), m.body)
+	whole, err := conn.Put(head, body)
 	if whole {
 		return stop, nil
 	}
 	stop()
+	if ctx.Err() != nil && conn.Sent() {
+		return nil, errCutOff
+	}
 	return nil, cmp.Or(err, io.ErrShortWrite)
 }
 
@@ -180,11 +192,14 @@
 	return conn, stop, err
 }
 
-// notSent is the result of an attempt of which no backend got the last byte.
+// notSent is the result of an attempt of which no backend got the last byte. Where the dispatcher itself cut the request off, it does not
+// call the attempt harmless: what the backend had of it by then only the backend knows.
 func notSent(ctx context.Context, err error) brain.Result {
 	switch {
 	case errors.Is(context.Cause(ctx), dispatch.ErrLeft):
 		return brain.Result{Outcome: brain.Cancelled}
+	case errors.Is(err, errCutOff):
+		return brain.Result{Outcome: brain.TimedOut}
 	case errors.Is(err, errStale):
 		return brain.Result{Outcome: brain.Moot}
 	}
