--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -73,9 +73,8 @@
 	At    string
 	State string
 	// Do answers in place of the box's own way; it tells whether the connection may be used again.
-	Do func(e *Exchange) bool
-	// Greet is given each connection before a request is read of it, and tells whether requests are to be read.
-	Greet func(c net.Conn) bool
+	Do    func(e *Exchange) bool
+	greet func(c net.Conn) bool
 	site  *Site
 	l     net.Listener
 	conns map[net.Conn]bool
@@ -111,6 +110,13 @@
 	})
 }
 
+// Greet has each connection handed over before a request is read of it; what it returns tells whether requests are to be read.
+func (b *Box) Greet(greet func(c net.Conn) bool) {
+	b.site.mu.Lock()
+	defer b.site.mu.Unlock()
+	b.greet = greet
+}
+
 // Kill ends a box's process: its connections are reset, and new ones refused.
 func (b *Box) Kill() {
 	b.l.Close()
@@ -165,7 +171,7 @@
 		s.mu.Unlock()
 	}()
 	s.mu.Lock()
-	greet := b.Greet
+	greet := b.greet
 	s.mu.Unlock()
 	if greet != nil && !greet(c) {
 		return
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -99,7 +99,7 @@
 func TestARequestThatIsCutOffInTheMiddleIsSentAgain(t *testing.T) {
 	h := enter(t, nil)
 	var tries atomic.Int64
-	h.reader.Greet = func(c net.Conn) bool {
+	h.reader.Greet(func(c net.Conn) bool {
 		if tries.Add(1) > 1 {
 			return true
 		}
@@ -107,7 +107,7 @@
 		io.ReadFull(c, make([]byte, 100))
 		c.(*net.TCPConn).SetLinger(0)
 		return false
-	}
+	})
 	big := make([]byte, 250_000)
 	for i := range big {
 		big[i] = 'x'
@@ -161,14 +161,14 @@
 	t.Run("a refusal before the last byte", func(t *testing.T) {
 		h := enter(t, nil)
 		var tries atomic.Int64
-		h.reader.Greet = func(c net.Conn) bool {
+		h.reader.Greet(func(c net.Conn) bool {
 			if tries.Add(1) > 1 {
 				return true
 			}
 			io.ReadFull(c, make([]byte, 50))
 			io.WriteString(c, hosts.Refuse(503, true))
 			return false
-		}
+		})
 		if got := h.says(h.ask("hut-booking")); got.status != 200 {
 			t.Errorf("%+v", got)
 		}
--- a/internal/platform/shutdown_test.go
+++ b/internal/platform/shutdown_test.go
@@ -121,6 +121,17 @@
 		t.Fatalf("%+v", got)
 	}
 	before := len(h.site.Seen("r1", "POST"))
+	h.until("its connection is idle", func() bool {
+		idle := 0
+		h.node.limiter.mu.Lock()
+		for conn := range h.node.limiter.conns {
+			if state, _ := conn.status(time.Now()); state == connIdle {
+				idle++
+			}
+		}
+		h.node.limiter.mu.Unlock()
+		return idle == 1
+	})
 	h.node.limiter.drain()
 	io.WriteString(c, h.ask("hut-booking"))
 	if _, err := c.from.ReadByte(); err != io.EOF {
@@ -215,3 +226,31 @@
 		t.Errorf("%d states are held after the end", n)
 	}
 }
+
+// A new process does not take clients by an old list while discovery may still say more; where discovery says nothing, the old list
+// serves.
+func TestAnOldListWaitsForDiscoverys(t *testing.T) {
+	t.Run("discovery answers", func(t *testing.T) {
+		h := enter(t, func(h *house, p *Place) {
+			p.Known = h.site.List()
+			h.site.Change(func() { h.writers[0].State = "terminating" })
+		})
+		if h.standing("w1") != brain.Draining {
+			t.Error("it is ready before it has discovery's list")
+		}
+	})
+	t.Run("discovery is down", func(t *testing.T) {
+		began := time.Now()
+		h := enter(t, func(h *house, p *Place) {
+			p.Known = h.site.List()
+			h.agent.SetMute(true)
+		})
+		if took := time.Since(began); took < firstListWait || took > 2*firstListWait {
+			t.Errorf("it is ready after %v", took)
+		}
+		if got := h.says(h.ask("hut-booking")); got.status != 200 {
+			t.Errorf("%+v", got)
+		}
+		h.settled()
+	})
+}
