--- a/internal/platform/conn_test.go
+++ b/internal/platform/conn_test.go
@@ -116,16 +116,7 @@
 // A client that has sent more behind its open request than is kept is seen to go, and what it sent is not taken for a request.
 func TestAClientThatSendsMuchAndGoesIsSeen(t *testing.T) {
 	h := enter(t, nil)
-	there := make(chan *hosts.Exchange, 1)
-	h.reader.Do = func(e *hosts.Exchange) bool {
-		if e.Method != "POST" {
-			return e.Serve()
-		}
-		e.Hold()
-		there <- e
-		<-e.Left
-		return false
-	}
+	there := h.holdReads()
 	c := h.client()
 	io.WriteString(c, h.ask("trail-info"))
 	e := <-there
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -115,6 +115,21 @@
 	})
 }
 
+// holdReads has the prefill backend hold a state for each request and answer none; what comes is handed over.
+func (h *house) holdReads() <-chan *hosts.Exchange {
+	there := make(chan *hosts.Exchange, 1)
+	h.reader.Do = func(e *hosts.Exchange) bool {
+		if e.Method != "POST" {
+			return e.Serve()
+		}
+		e.Hold()
+		there <- e
+		<-e.Left
+		return false
+	}
+	return there
+}
+
 // settled waits until nothing is out, held or open, at the dispatcher as at the boxes: rule 5, and every count back at nought.
 func (h *house) settled() {
 	h.t.Helper()
@@ -461,16 +476,7 @@
 // A client that has sent a further request behind its open one is seen to go all the same; while it stays, both are answered.
 func TestAClientThatPipelinesIsSeenToGo(t *testing.T) {
 	h := enter(t, nil)
-	there := make(chan *hosts.Exchange, 1)
-	h.reader.Do = func(e *hosts.Exchange) bool {
-		if e.Method != "POST" {
-			return e.Serve()
-		}
-		e.Hold()
-		there <- e
-		<-e.Left
-		return false
-	}
+	there := h.holdReads()
 	c := h.client()
 	io.WriteString(c, h.ask("trail-info"))
 	e := <-there
--- a/internal/platform/shutdown_test.go
+++ b/internal/platform/shutdown_test.go
@@ -200,16 +200,7 @@
 // What an attempt of a client that has gone may have left at its backend is released before the dispatcher ends.
 func TestAStopReleasesWhatAbandonedAttemptsHold(t *testing.T) {
 	h := enter(t, func(h *house, p *Place) { p.Settings["policyLimits"].(map[string]any)["cancelling"] = false })
-	there := make(chan bool, 1)
-	h.reader.Do = func(e *hosts.Exchange) bool {
-		if e.Method != "POST" {
-			return e.Serve()
-		}
-		e.Hold()
-		there <- true
-		<-e.Left
-		return false
-	}
+	there := h.holdReads()
 	c := h.client()
 	io.WriteString(c, h.ask("trail-info"))
 	<-there
