--- a/brain/admission.go
+++ b/brain/admission.go
@@ -10,9 +10,36 @@
 // Admission: which requests wait in the queue, how many may be out without a first token (the concurrency
 // window), and which are rejected because they can't make their latency target any more.
 
+const (
+	// admittedWidth is a tenth of how long a class's admitted requests are remembered.
+	admittedWidth = 500 * time.Millisecond
+	// admittedPrior is how many requests are taken to have been admitted beside those that were seen.
+	admittedPrior = 30.0
+	// fairness is the exponent of alpha-fair sharing: with 0 the class of least value would get nothing while others
+	// wait, with 1 shares follow the values, with 2 their square roots.
+	fairness = 2.0
+)
+
+// weigh has the queue follow what was admitted of each class lately: the less, the more its requests count. With a
+// fixed order of classes, the last one would wait for all of the others and be rejected as late.
+func (d *Dispatcher) weigh() {
+	for _, g := range d.grades {
+		g.Weight = math.Pow(g.admittedShare(d.door.Now()), -fairness)
+	}
+	for _, q := range d.queue {
+		q.Density = d.density(q)
+	}
+	slices.SortFunc(d.queue, compareRank)
+}
+
+// compareRank orders requests in the queue: densest first, then newest, which has most time left.
+func compareRank(a, b *Question) int {
+	return cmp.Or(cmp.Compare(b.Density, a.Density), cmp.Compare(b.Taken, a.Taken), cmp.Compare(a.ID, b.ID))
+}
+
 // density is the value of a request for its work.
 func (d *Dispatcher) density(q *Question) float64 {
-	v := q.Grade.Benefit
+	v := q.Grade.Benefit * cmp.Or(q.Grade.Weight, 1)
 	if q.Surplus {
 		v *= d.facts.Num("overShareWorth", 1)
 	}
@@ -25,17 +52,14 @@
 	return v
 }
 
-// enqueue puts a request into the queue, densest first, then newest, which has most time left. One whose
-// deadline passes before the next look is rejected at once.
+// enqueue puts a request into the queue. One whose deadline passes before the next look is rejected at once.
 func (d *Dispatcher) enqueue(q *Question) {
 	if d.door.Now()+2*sweep > q.Expiry {
 		d.giveUp(q)
 		return
 	}
 	q.Density = d.density(q)
-	i, _ := slices.BinarySearchFunc(d.queue, q, func(a, b *Question) int {
-		return cmp.Or(cmp.Compare(b.Density, a.Density), cmp.Compare(b.Taken, a.Taken), cmp.Compare(a.ID, b.ID))
-	})
+	i, _ := slices.BinarySearchFunc(d.queue, q, compareRank)
 	d.queue = slices.Insert(d.queue, i, q)
 }
 
@@ -44,8 +68,9 @@
 func (d *Dispatcher) dispatch() {
 	for len(d.queue) > 0 && d.mayDispatch() {
 		q := d.queue[0]
+		first := len(q.Trips) == 0
 		if d.route(q) {
-			d.spendCredit()
+			d.admitted(q, first)
 		} else if len(q.Trips) == 0 || d.takable(q) {
 			break
 		} else {
@@ -55,7 +80,23 @@
 	}
 	if len(d.queue) > 0 && !d.sweeping {
 		d.sweeping = true
-		d.door.Wake(sweep, func() { d.sweeping = false; d.shed(); d.dispatch() })
+		d.door.Wake(sweep, d.sweepQueue)
+	}
+}
+
+// sweepQueue looks at the queue anew.
+func (d *Dispatcher) sweepQueue() {
+	d.sweeping = false
+	d.weigh()
+	d.shed()
+	d.dispatch()
+}
+
+// admitted takes note that a request was sent on, for the first time or again.
+func (d *Dispatcher) admitted(q *Question, first bool) {
+	d.spendCredit()
+	if first {
+		q.Grade.Admitted.Add(d.door.Now(), 1)
 	}
 }
 
--- a/brain/admission_test.go
+++ b/brain/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 )
@@ -200,3 +201,37 @@
 		}
 	}
 }
+
+// A class of which little was admitted goes before one of twice its value; among its own requests the newest stays first.
+func TestAClassThatIsLeftOutGoesFirst(t *testing.T) {
+	f := facts()
+	f["requestClasses"] = 2.0
+	for key, value := range map[string]any{"aimUs": 1e6, "effect": "repeatable"} {
+		f["requestClasses.1."+key] = value
+	}
+	f["requestClasses.0.worth"], f["requestClasses.1.worth"] = 2.0, 1.0
+	for admittedOfTheLast, want := range map[int][]uint64{100: {2, 1, 4, 3}, 20: {4, 3, 2, 1}} {
+		out := &door{now: 100 * time.Second}
+		d, err := New(f, 1, out)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, admitted := range []int{100, admittedOfTheLast} {
+			d.grades[i].Offered.Add(out.now, 100)
+			d.grades[i].Admitted.Add(out.now, float64(admitted))
+		}
+		for id := uint64(1); id <= 4; id++ {
+			q := ask(d)
+			q.ID, q.Grade, q.Taken = id, d.grades[(id-1)/2], q.Taken+time.Duration(id)
+			d.enqueue(q)
+		}
+		d.weigh()
+		var order []uint64
+		for _, q := range d.queue {
+			order = append(order, q.ID)
+		}
+		if !slices.Equal(order, want) {
+			t.Errorf("with %d of 100 admitted the queue is %v, wanted %v", admittedOfTheLast, order, want)
+		}
+	}
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -128,6 +128,7 @@
 	now := d.door.Now()
 	q.Grade = d.grades[min(grade, len(d.grades)-1)]
 	q.Taken, q.Expiry, q.Memory = now, now+q.Left, q.Prompt+answer*q.Most
+	q.Grade.Offered.Add(now, 1)
 	q.Promised = now + q.Grade.Promise + time.Duration(q.Prompt/1000*float64(q.Grade.PromisePK))
 	if channel < len(d.channels) {
 		c := d.channels[channel]
--- a/brain/facts.go
+++ b/brain/facts.go
@@ -162,6 +162,8 @@
 			PromisePK: f.Span(fmt.Sprintf("familyInfo.aimUsPer1000PromptTokens.%d", i)),
 			Benefit:   f.Num(at+"worth", 1),
 			Late:      f.Num(at+"lateWorth", 1),
+			Offered:   Ring{Width: admittedWidth},
+			Admitted:  Ring{Width: admittedWidth},
 		})
 	}
 	return grades, nil
--- a/brain/types.go
+++ b/brain/types.go
@@ -78,6 +78,15 @@
 	Late      float64 // part of the benefit that is left after the promised time
 	Reading   Mean    // tokens left to read of this grade's questions
 	Writing   Mean    // seconds that its answers stream
+	Offered   Ring    // its requests taken lately
+	Admitted  Ring    // those of them that were sent on
+	Weight    float64 // by which its requests count for more, as few were admitted; 0: not weighed yet
+}
+
+// admittedShare is which share of the class's requests was sent on lately. A prior of some requests keeps few of them from saying much.
+func (g *Grade) admittedShare(now time.Duration) float64 {
+	offered := g.Offered.Sum(now)
+	return (min(g.Admitted.Sum(now), offered) + admittedPrior) / (offered + admittedPrior)
 }
 
 // Channel is a tenant with its share of the service.
