Failing tests: an error of accept that passes ends the process, or resets connections at a stop

Seen by them: 'accept tcp: accept4: no buffer space available' is the end of run, and clients get 'connection refused'. limiter.Accept returns what the system says, and http.Server.Serve goes on only after errors that Go calls temporary (ECONNRESET, ECONNABORTED, EMFILE, ENFILE, time-outs); accept(2) documents a dozen more that pass. At a stop any error, and a stall of over 20 ms, close the listener over completed connections, whose requests are lost.

--- a/cmd/sloetrestle/platform.go
+++ b/cmd/sloetrestle/platform.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"sloetrestle/internal/platform"
+	"sloetrestle/internal/system"
 )
 
 func platformCommand() *cobra.Command {
@@ -32,7 +33,7 @@
 		if err != nil {
 			return err
 		}
-		return platform.Run(cmd.Context(), place, reload, read, log)
+		return platform.Run(cmd.Context(), place, system.Real(), reload, read, log)
 	})
 	return c
 }
--- /dev/null
+++ b/internal/platform/accept_test.go
@@ -0,0 +1,109 @@
+package platform
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"sloetrestle/internal/system"
+)
+
+// failingListener fails to accept so many times, as accept(2) documents, before the next connection.
+type failingListener struct {
+	system.Listener
+	errno syscall.Errno
+	left  atomic.Int64
+}
+
+func (l *failingListener) Accept() (system.Conn, error) {
+	if l.left.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", l.errno)}
+	}
+	return l.Listener.Accept()
+}
+
+// failing is a listener that fails so often, and how to connect to it.
+func failing(t *testing.T, errno syscall.Errno, times int64) (l *failingListener, dial func()) {
+	t.Helper()
+	sound, err := system.Real().Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l = &failingListener{Listener: sound, errno: errno}
+	l.left.Store(times)
+	return l, func() {
+		c, err := net.Dial("tcp", sound.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+}
+
+// momentaryErrors are what accept(2) may fail with for a moment: descriptors or memory run short, a firewall says no, or an error of
+// the network that was pending on the new connection.
+var momentaryErrors = []syscall.Errno{
+	syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO, syscall.EPERM, syscall.ENETDOWN,
+	syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH, syscall.ETIMEDOUT,
+}
+
+// An error of accept that passes ends nothing: the next connection is accepted.
+func TestAMomentaryErrorOfAcceptEndsNothing(t *testing.T) {
+	for _, errno := range momentaryErrors {
+		flaky, dial := failing(t, errno, 3)
+		l := newLimiter(flaky, 100)
+		dial()
+		if _, err := l.Accept(); err != nil {
+			t.Errorf("%v: %v", errno, err)
+		}
+		l.Close()
+		l.closeSilent(0)
+	}
+}
+
+// The same of the whole dispatcher, which is serving then.
+func TestADispatcherOutlivesAMomentWithoutMemory(t *testing.T) {
+	flaky := &failingListener{errno: syscall.ENOBUFS}
+	h := enter(t, func(h *house, _ *Place) {
+		h.system.Listen = func(address string) (system.Listener, error) {
+			l, err := system.Real().Listen(address)
+			flaky.Listener = l
+			return flaky, err
+		}
+	})
+	flaky.left.Store(3)
+	h.client()
+	if got := h.says(h.ask("hut-booking")); got.status != 200 {
+		t.Errorf("after the error: %+v", got)
+	}
+}
+
+// At a stop, neither an error of accept nor a dispatcher that is held up leaves completed connections to be reset with the listener.
+func TestTheLastAcceptLosesNoConnection(t *testing.T) {
+	for _, errno := range momentaryErrors {
+		checkLastAccept(t, errno.Error(), errno, 2, 0)
+	}
+	checkLastAccept(t, "held up", 0, 0, 10*drainTime)
+}
+
+// checkLastAccept has a connection completed and accepting end, with a listener that fails so often and a dispatcher held up for so long.
+func checkLastAccept(t *testing.T, name string, errno syscall.Errno, failures int64, heldUp time.Duration) {
+	t.Helper()
+	flaky, dial := failing(t, errno, failures)
+	l := newLimiter(flaky, 100)
+	dial()
+	l.acceptLast()
+	time.Sleep(heldUp)
+	if _, err := l.Accept(); err != nil {
+		t.Errorf("%s: the completed connection is lost: %v", name, err)
+		return
+	}
+	if _, err := l.Accept(); err != http.ErrServerClosed {
+		t.Errorf("%s: then %v", name, err)
+	}
+	l.closeSilent(0)
+}
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"sloetrestle/internal/system"
 )
 
 const (
@@ -40,7 +42,7 @@
 // Every close ends sending first, and closes the socket when the client has closed too or a bounded time is over: closing a socket
 // with unread bytes resets the connection, and the end of the last answer may be lost with it.
 type clientConn struct {
-	net.Conn
+	system.Conn
 	raw      syscall.RawConn
 	released func(*clientConn) // called once the socket is closed
 
@@ -57,7 +59,7 @@
 }
 
 // newClientConn wraps an accepted connection.
-func newClientConn(conn *net.TCPConn, released func(*clientConn)) (*clientConn, error) {
+func newClientConn(conn system.Conn, released func(*clientConn)) (*clientConn, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return nil, err
@@ -124,7 +126,7 @@
 		}
 		chunk := chunks.Get().(*[readChunk]byte)
 		defer chunks.Put(chunk)
-		n, err := syscall.Read(int(fd), chunk[:])
+		n, err := c.TryRead(fd, chunk[:])
 		switch {
 		case err == syscall.EAGAIN:
 			return false
@@ -278,7 +280,7 @@
 	c.lingering = true
 	c.enter(connClosing)
 	c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	c.Conn.(*net.TCPConn).CloseWrite()
+	c.Conn.CloseWrite()
 	return true
 }
 
--- a/internal/platform/conn_test.go
+++ b/internal/platform/conn_test.go
@@ -13,6 +13,7 @@
 
 	"sloetrestle/brain"
 	"sloetrestle/internal/hosts"
+	"sloetrestle/internal/system"
 )
 
 // pair is a client's connection and the dispatcher's end of it.
@@ -32,7 +33,7 @@
 		t.Fatal(err)
 	}
 	done := make(chan struct{})
-	conn, err = newClientConn(accepted.(*net.TCPConn), func(*clientConn) { close(done) })
+	conn, err = newClientConn(system.TCPConn{TCPConn: accepted.(*net.TCPConn)}, func(*clientConn) { close(done) })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -200,11 +201,11 @@
 
 // Connections that the system has completed are accepted before the listener closes.
 func TestCompletedConnectionsAreAcceptedAtAStop(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := system.Real().Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newLimiter(listener.(*net.TCPListener), 100)
+	l := newLimiter(listener, 100)
 	const waiting = 20
 	for range waiting { // nobody accepts yet
 		c, err := net.Dial("tcp", listener.Addr().String())
--- a/internal/platform/limiter.go
+++ b/internal/platform/limiter.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sloetrestle/internal/system"
 )
 
 const (
@@ -26,7 +28,7 @@
 // limiter accepts clients' connections and bounds how many are open. Where as many are open as may be, the oldest that is silent or
 // idle makes room; where there is none, the next waits outside until one is.
 type limiter struct {
-	*net.TCPListener
+	listener system.Listener
 	most     int
 	mu       sync.Mutex
 	conns    map[*clientConn]bool
@@ -36,19 +38,25 @@
 	Waited   atomic.Int64 // looks that found none
 }
 
-func newLimiter(listener *net.TCPListener, most int) *limiter {
-	return &limiter{TCPListener: listener, most: most, conns: map[*clientConn]bool{}}
+func newLimiter(listener system.Listener, most int) *limiter {
+	return &limiter{listener: listener, most: most, conns: map[*clientConn]bool{}}
 }
 
+// Addr is where the limiter listens.
+func (l *limiter) Addr() net.Addr { return l.listener.Addr() }
+
+// Close ends listening.
+func (l *limiter) Close() error { return l.listener.Close() }
+
 // Accept returns the next connection. After acceptLast it returns http.ErrServerClosed once no completed one is left.
 func (l *limiter) Accept() (net.Conn, error) {
 	for !l.last.Load() && !l.makeRoom(time.Now()) {
 		l.Waited.Add(1)
 		time.Sleep(roomWait)
 	}
-	raw, err := l.AcceptTCP()
+	raw, err := l.listener.Accept()
 	if l.last.Load() && (err != nil || l.count() >= l.most+l.closingMost()) {
-		l.TCPListener.Close()
+		l.listener.Close()
 		if err == nil {
 			raw.Close()
 		}
@@ -74,7 +82,7 @@
 // acceptLast has Accept take the connections that are completed already, and then end.
 func (l *limiter) acceptLast() {
 	l.last.Store(true)
-	l.SetDeadline(time.Now().Add(drainTime))
+	l.listener.SetDeadline(time.Now().Add(drainTime))
 }
 
 // makeRoom tells whether there is room for a connection.
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -19,6 +19,7 @@
 
 	"sloetrestle/brain"
 	"sloetrestle/internal/hosts"
+	"sloetrestle/internal/system"
 )
 
 // house is a dispatcher in this process with a reader and two writers.
@@ -35,13 +36,14 @@
 	quit    context.CancelFunc
 	ended   chan error
 	ids     int
+	system  system.System
 }
 
 // open starts everything; all of it has ended when the test has, and the boxes saw no rule broken.
 func enter(t *testing.T, change func(h *house, p *Place)) *house {
 	t.Helper()
 	before := goleak.IgnoreCurrent()
-	h := &house{t: t, site: hosts.New(), again: make(chan os.Signal, 1), ended: make(chan error, 1)}
+	h := &house{t: t, site: hosts.New(), again: make(chan os.Signal, 1), ended: make(chan error, 1), system: system.Real()}
 	h.reader = h.site.Box("r1", hosts.Reader)
 	h.writers = []*hosts.Box{h.site.Box("w1", hosts.Writer), h.site.Box("w2", hosts.Writer)}
 	h.agent = h.site.Agent()
@@ -53,7 +55,7 @@
 		change(h, &p)
 	}
 	var err error
-	if h.node, err = open(context.Background(), p, slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
+	if h.node, err = open(context.Background(), p, h.system, slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
 		t.Fatal(err)
 	}
 	h.at = h.node.limiter.Addr().String()
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"runtime"
@@ -20,6 +19,7 @@
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/endpoints"
 	"sloetrestle/internal/reach"
+	"sloetrestle/internal/system"
 )
 
 const (
@@ -49,10 +49,10 @@
 }
 
 // Run serves until the context ends; then it answers what it has and returns. again says when the configuration is to be read anew.
-func Run(ctx context.Context, p Place, again <-chan os.Signal, read func() (Place, error), log *slog.Logger) error {
+func Run(ctx context.Context, p Place, sys system.System, again <-chan os.Signal, read func() (Place, error), log *slog.Logger) error {
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(p.room().heap)
-	n, err := open(context.WithoutCancel(ctx), p, log)
+	n, err := open(context.WithoutCancel(ctx), p, sys, log)
 	if err != nil {
 		return err
 	}
@@ -60,7 +60,7 @@
 }
 
 // open makes a dispatcher that listens, and knows the list that it was started with.
-func open(ctx context.Context, p Place, log *slog.Logger) (*node, error) {
+func open(ctx context.Context, p Place, sys system.System, log *slog.Logger) (*node, error) {
 	room, facts := p.room(), brain.Flat(p.Settings)
 	began := time.Now()
 	since := func() time.Duration { return time.Since(began) }
@@ -78,7 +78,7 @@
 		Zone: func(name string) int { return facts.Index("dcs", name) },
 		Kind: func(name string) int { return facts.Index("kinds", name) },
 	}
-	listener, err := net.Listen("tcp", p.Listen)
+	listener, err := sys.Listen(p.Listen)
 	if err != nil {
 		return nil, err
 	}
@@ -107,7 +107,7 @@
 		}
 	}
 	n.follower.Move(p.Discovery)
-	n.limiter = newLimiter(listener.(*net.TCPListener), int(float64(room.clients)/(1+closingShare)))
+	n.limiter = newLimiter(listener, int(float64(room.clients)/(1+closingShare)))
 	n.frontend = newFrontend(n.loop, facts, room.bodies)
 	n.frontend.crowded = n.limiter.Crowded
 	n.frontend.fleetKnown = func() bool {
