Accept goes on after whatever the system says, and ends only after a look at the backlog

Root cause (incident): limiter.Accept handed every error of accept(2) to http.Server.Serve, which ends on all that Go does not call temporary; run took that for the end of the process: 'accept tcp: accept4: no buffer space available'. At a stop, any error, and a deadline that had passed before the look, closed the listener over connections that the system had completed: their requests are reset.

Change: only a closed listener ends accepting; other errors are counted (accept_failed), logged and retried after 1 to 100 ms. The listener is closed at a stop after a look that waited and found nothing. The same mistake elsewhere: serve's listeners (system.Persistent), sockets opened at the start (system.Open: an address still in use, no descriptors for a moment), peers' UDP reads, which span without a wait.

--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -13,6 +13,7 @@
 	"sloetrestle/brain"
 	"sloetrestle/internal/budget"
 	"sloetrestle/internal/news"
+	"sloetrestle/internal/system"
 )
 
 // The first byte of a message tells its form.
@@ -71,7 +72,7 @@
 }
 
 // ListenPeers opens the socket for a dispatcher of the given number.
-func ListenPeers(own int, listen string, others []string) (*Peers, error) {
+func ListenPeers(own int, listen string, others []string, open func(address string) (*net.UDPConn, error)) (*Peers, error) {
 	p := &Peers{Own: own}
 	for i, other := range others {
 		at, err := net.ResolveUDPAddr("udp", other)
@@ -80,12 +81,11 @@
 		}
 		p.To = append(p.To, at)
 	}
-	at, err := net.ResolveUDPAddr("udp", listen)
-	if err != nil {
+	var err error
+	if p.Conn, err = system.Open(func() (*net.UDPConn, error) { return open(listen) }); err != nil {
 		return nil, fmt.Errorf("news: %w", err)
 	}
-	p.Conn, err = net.ListenUDP("udp", at)
-	return p, err
+	return p, nil
 }
 
 // Tell sends news; a message that can't be sent is as good as lost.
@@ -126,14 +126,17 @@
 	stop := context.AfterFunc(ctx, func() { p.Conn.Close() })
 	defer stop()
 	buf := make([]byte, 2048)
+	var retry system.Retry
 	for {
 		n, sender, err := p.Conn.ReadFromUDP(buf)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			continue // such as a port that nobody listens at
+			retry.Wait() // such as a port that nobody listens at, or no memory for a moment
+			continue
 		}
+		retry.Reset()
 		if n > 0 && buf[0] == peerBudget && !p.Plain {
 			from, w, err := p.readBudget(buf[:n])
 			if err != nil || p.Budget == nil {
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -23,6 +23,7 @@
 	"sloetrestle/internal/reach"
 	"sloetrestle/internal/setup"
 	"sloetrestle/internal/storm"
+	"sloetrestle/internal/system"
 )
 
 // Version is the program's.
@@ -89,6 +90,7 @@
 			return fmt.Errorf("dispatcher.listen: %w", err)
 		}
 		defer l.Close()
+		l = system.Persistent{Listener: l, Failed: func(err error) { log.Warn("accept failed", "error", err) }}
 		if i < len(d.Place.Listen) && d.Place.ConnPerS > 0 {
 			l = &guarded{l, doorMu, door, since}
 		}
@@ -102,7 +104,7 @@
 		defer books.Close()
 	}
 	if d.Limits.Siblings || len(d.Budgets) > 0 && d.Place.Siblings > 1 {
-		if trips.Peers, err = ListenPeers(d.Place.Number, d.Place.News, d.Place.Peers); err != nil {
+		if trips.Peers, err = ListenPeers(d.Place.Number, d.Place.News, d.Place.Peers, system.Real().ListenUDP); err != nil {
 			return fmt.Errorf("dispatcher.%w", err)
 		}
 		group.Go(func() error { return trips.Peers.Listen(life, loop) })
--- a/internal/platform/accept_test.go
+++ b/internal/platform/accept_test.go
@@ -55,7 +55,7 @@
 func TestAMomentaryErrorOfAcceptEndsNothing(t *testing.T) {
 	for _, errno := range momentaryErrors {
 		flaky, dial := failing(t, errno, 3)
-		l := newLimiter(flaky, 100)
+		l := newLimiter(flaky, 100, quiet)
 		dial()
 		if _, err := l.Accept(); err != nil {
 			t.Errorf("%v: %v", errno, err)
@@ -94,7 +94,7 @@
 func checkLastAccept(t *testing.T, name string, errno syscall.Errno, failures int64, heldUp time.Duration) {
 	t.Helper()
 	flaky, dial := failing(t, errno, failures)
-	l := newLimiter(flaky, 100)
+	l := newLimiter(flaky, 100, quiet)
 	dial()
 	l.acceptLast()
 	time.Sleep(heldUp)
--- a/internal/platform/conn_test.go
+++ b/internal/platform/conn_test.go
@@ -205,7 +205,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newLimiter(listener, 100)
+	l := newLimiter(listener, 100, quiet)
 	const waiting = 20
 	for range waiting { // nobody accepts yet
 		c, err := net.Dial("tcp", listener.Addr().String())
@@ -228,7 +228,7 @@
 
 // A connection that became busy after it was looked at is not closed for room; the next one is.
 func TestRoomIsNotMadeByABusyConnection(t *testing.T) {
-	l := newLimiter(nil, 1)
+	l := newLimiter(nil, 1, quiet)
 	client, busy, _ := pair(t)
 	l.conns[busy] = true
 	busy.since = time.Now().Add(-time.Hour)
--- a/internal/platform/limiter.go
+++ b/internal/platform/limiter.go
@@ -1,8 +1,11 @@
 package platform
 
 import (
+	"errors"
+	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +17,15 @@
 	silentFor = 50 * time.Millisecond // a connection on which no request came by then makes room before others
 	idleFor   = 2 * time.Second       // one without an open request may be closed by then
 	roomWait  = 10 * time.Millisecond // until another look, where none makes room
-	drainTime = 20 * time.Millisecond // at the end of accepting, for connections that the system has completed already
+
+	// At the end of accepting, for connections that the system has completed already: how long a look waits for one, until
+	// drainMost is over and after that.
+	drainTime  = 20 * time.Millisecond
+	drainLeast = time.Millisecond
+	drainMost  = 100 * time.Millisecond
+
+	lastRounds   = 50                     // looks for completed connections at the end of accepting, if errors or stalls spoil them
+	lastRoomWait = 200 * time.Millisecond // at the end of accepting, for a place for a completed connection
 )
 
 const (
@@ -33,13 +44,17 @@
 	mu       sync.Mutex
 	conns    map[*clientConn]bool
 	draining bool         // connections without an open request are closed
+	ending   time.Time    // when acceptLast was called; set before last is
 	last     atomic.Bool  // what is completed already is accepted, and no more
 	Pushed   atomic.Int64 // connections that made room
 	Waited   atomic.Int64 // looks that found none
+	Failed   atomic.Int64 // errors of accept that were passed over
+	Shut     atomic.Int64 // connections that were shut unread at a stop, as there was no room
+	log      *slog.Logger
 }
 
-func newLimiter(listener system.Listener, most int) *limiter {
-	return &limiter{listener: listener, most: most, conns: map[*clientConn]bool{}}
+func newLimiter(listener system.Listener, most int, log *slog.Logger) *limiter {
+	return &limiter{listener: listener, most: most, log: log, conns: map[*clientConn]bool{}}
 }
 
 // Addr is where the limiter listens.
@@ -48,26 +63,85 @@
 // Close ends listening.
 func (l *limiter) Close() error { return l.listener.Close() }
 
-// Accept returns the next connection. After acceptLast it returns http.ErrServerClosed once no completed one is left.
+// Accept returns the next connection. It fails only once the listener is closed: whatever else the system says passes. After acceptLast
+// it returns http.ErrServerClosed once no completed connection is left.
 func (l *limiter) Accept() (net.Conn, error) {
+	var retry system.Retry
+	for {
+		l.awaitRoom()
+		raw, err := l.listener.Accept()
+		if err != nil && l.last.Load() {
+			raw, err = l.acceptCompleted()
+		}
+		switch {
+		case err == nil:
+			if c, err := l.admit(raw); err == nil {
+				return c, nil
+			}
+			raw.Close()
+		case errors.Is(err, net.ErrClosed), errors.Is(err, http.ErrServerClosed):
+			return nil, err
+		default:
+			l.failed(err)
+			retry.Wait()
+		}
+	}
+}
+
+// awaitRoom waits until one more connection may be open, or accepting ends.
+func (l *limiter) awaitRoom() {
 	for !l.last.Load() && !l.makeRoom(time.Now()) {
 		l.Waited.Add(1)
 		time.Sleep(roomWait)
 	}
-	raw, err := l.listener.Accept()
-	if l.last.Load() && (err != nil || l.count() >= l.most+l.closingMost()) {
-		l.listener.Close()
-		if err == nil {
-			raw.Close()
+}
+
+// acceptCompleted returns a connection that the system has completed; http.ErrServerClosed: there is none any more, and the listener is
+// closed. A closed listener resets those that wait, and loses their requests, so it is closed only after a look that found none:
+// neither an error that passes nor a deadline that went by before the look says that.
+func (l *limiter) acceptCompleted() (system.Conn, error) {
+	var retry system.Retry
+	for round := 0; round < lastRounds; round++ {
+		l.awaitLastRoom()
+		began := time.Now()
+		wait := drainTime
+		if began.Sub(l.ending) > drainMost {
+			wait = drainLeast // connections that come one by one must not keep it open
+		}
+		l.listener.SetDeadline(began.Add(wait))
+		raw, err := l.listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return raw, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			l.failed(err)
+			retry.Wait()
+		} else if time.Since(began) < 2*wait {
+			break // it looked at once, and nothing came while it waited
 		}
-		return nil, http.ErrServerClosed
 	}
-	if err != nil {
-		return nil, err
+	l.listener.Close()
+	return nil, http.ErrServerClosed
+}
+
+// awaitLastRoom waits for a while until one more connection may be open: at a stop, connections at rest are being closed.
+func (l *limiter) awaitLastRoom() {
+	for end := time.Now().Add(lastRoomWait); l.count() >= l.most+l.closingMost() && time.Now().Before(end); {
+		time.Sleep(roomWait)
+	}
+}
+
+// errNoPlace says that a connection can't be held.
+var errNoPlace = errors.New("too many connections are open")
+
+// admit takes a connection on.
+func (l *limiter) admit(raw system.Conn) (net.Conn, error) {
+	if l.last.Load() && l.count() >= l.most+l.closingMost() {
+		l.Shut.Add(1)
+		return nil, errNoPlace
 	}
 	c, err := newClientConn(raw, l.forget)
 	if err != nil {
-		raw.Close()
 		return nil, err
 	}
 	l.mu.Lock()
@@ -76,13 +150,20 @@
 	return c, nil
 }
 
+// failed takes note of an error of accept that is passed over.
+func (l *limiter) failed(err error) {
+	l.Failed.Add(1)
+	l.log.Warn("accept failed", "error", err)
+}
+
 // closingMost is how many connections that are being closed may be open beside the others.
 func (l *limiter) closingMost() int { return max(int(closingShare*float64(l.most)), 1) }
 
 // acceptLast has Accept take the connections that are completed already, and then end.
 func (l *limiter) acceptLast() {
+	l.ending = time.Now()
 	l.last.Store(true)
-	l.listener.SetDeadline(time.Now().Add(drainTime))
+	l.listener.SetDeadline(l.ending) // ends an Accept that waits; the looks of acceptCompleted follow
 }
 
 // makeRoom tells whether there is room for a connection.
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -22,6 +22,9 @@
 	"sloetrestle/internal/system"
 )
 
+// quiet is a log that nobody reads.
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
 // house is a dispatcher in this process with a reader and two writers.
 type house struct {
 	t       *testing.T
@@ -55,7 +58,7 @@
 		change(h, &p)
 	}
 	var err error
-	if h.node, err = open(context.Background(), p, h.system, slog.New(slog.NewTextHandler(io.Discard, nil))); err != nil {
+	if h.node, err = open(context.Background(), p, h.system, quiet); err != nil {
 		t.Fatal(err)
 	}
 	h.at = h.node.limiter.Addr().String()
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -78,12 +78,12 @@
 		Zone: func(name string) int { return facts.Index("dcs", name) },
 		Kind: func(name string) int { return facts.Index("kinds", name) },
 	}
-	listener, err := sys.Listen(p.Listen)
+	listener, err := system.Open(func() (system.Listener, error) { return sys.Listen(p.Listen) })
 	if err != nil {
 		return nil, err
 	}
 	if n.peers = (&dispatch.Peers{}); p.PeerListen != "" {
-		if n.peers, err = dispatch.ListenPeers(int(facts.Num("slotNo", 0)), p.PeerListen, p.Peers); err != nil {
+		if n.peers, err = dispatch.ListenPeers(int(facts.Num("slotNo", 0)), p.PeerListen, p.Peers, sys.ListenUDP); err != nil {
 			listener.Close()
 			return nil, fmt.Errorf("siblings: %w", err)
 		}
@@ -107,7 +107,7 @@
 		}
 	}
 	n.follower.Move(p.Discovery)
-	n.limiter = newLimiter(listener, int(float64(room.clients)/(1+closingShare)))
+	n.limiter = newLimiter(listener, int(float64(room.clients)/(1+closingShare)), log)
 	n.frontend = newFrontend(n.loop, facts, room.bodies)
 	n.frontend.crowded = n.limiter.Crowded
 	n.frontend.fleetKnown = func() bool {
@@ -177,7 +177,7 @@
 		n.log.Info("state", "taken", t.Taken, "again", f.Again.Load(), "rest", f.Rest.Load(), "moved", f.Moved.Load(), "satisfied", t.Satisfied,
 			"declined", t.Declined, "forfeited", t.Forfeited, "left", t.Left, "overdue", t.Overdue, "trips", t.Trips, "outcomes", fmt.Sprint(t.Outcomes),
 			"prefills", fmt.Sprint(t.Prefills), "began", t.Began, "in_time", t.InTime, "held_ms", t.Held.Milliseconds(), "first_ms", t.First.Milliseconds(),
-			"believes", fmt.Sprintf("%+v", n.loop.Believes()), "open", f.asked.Load(), "bodies", f.held.Load(), "clients", g.count(), "pushed", g.Pushed.Load(), "waited", g.Waited.Load(), "refused", f.state(),
+			"believes", fmt.Sprintf("%+v", n.loop.Believes()), "open", f.asked.Load(), "bodies", f.held.Load(), "clients", g.count(), "pushed", g.Pushed.Load(), "waited", g.Waited.Load(), "accept_failed", g.Failed.Load(), "shut", g.Shut.Load(), "refused", f.state(),
 			"released", c.Calls.Load(), "unheard", c.Unheard.Load(), "stale", c.Stale.Load(), "spoilt", c.Spoilt.Load(), "strange", c.Strange.Load(),
 			"watch_lost", n.follower.Lost(), "strangers", n.peers.Dropped.Load(), "heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine())
 		n.compare()
