Clients' connections: rests end unread, requests have 2.7 s, one that waited is older

A close between two requests now leaves unread what comes, whoever closes. - A client that stops in the middle of a request and stays: up to 3.5 s (late head, then body), and for ten minutes where it sent less than four bytes of a further request, as net/http waits for four under the idle deadline.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -18,8 +18,15 @@
 	lingerTime = 500 * time.Millisecond // from the end of sending to the close, if the client does not close before
 	lingerIdle = 100 * time.Millisecond // the same for a connection between two requests, which is not read meanwhile
 	lingerMost = 1 << 20                // bytes read and dropped in that time
+
+	// requestMost is for a whole request, from its first byte, or from the connection's beginning: a client that stops in the middle of
+	// one and stays is owed an error or a close within 3 s.
+	requestMost = 2700 * time.Millisecond
 )
 
+// atOnce is how soon after its connection a request may come that was there before it.
+const atOnce = 10 * time.Millisecond
+
 // chunks are buffers for one read.
 var chunks = sync.Pool{New: func() any { return new([readChunk]byte) }}
 
@@ -49,6 +56,11 @@
 	mu        sync.Mutex
 	state     connState
 	since     time.Time // when the state began
+	waited    time.Time // since when the connection may have waited to be accepted
+	lastRead  time.Time // when bytes last came from the socket
+	came      time.Time // when the present request had come at the latest; zero: it is coming now
+	until     time.Time // when the present request has to be whole
+	deadline  time.Time // for reads, as net/http wants it
 	pending   []byte    // read from the socket, not handed on yet
 	frame     requestFrame
 	overrun   bool  // more came behind the open request than is kept
@@ -64,7 +76,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &clientConn{Conn: conn, raw: raw, released: released, since: time.Now()}, nil
+	now := time.Now()
+	return &clientConn{Conn: conn, raw: raw, released: released, since: now, waited: now, until: now.Add(requestMost)}, nil
 }
 
 // Read hands on bytes of the present request. Once that is whole, it returns only when the client has gone or a deadline passes.
@@ -111,8 +124,27 @@
 	}
 }
 
+// enter has a state begin. The lock is held.
 func (c *clientConn) enter(state connState) {
-	c.state, c.since = state, time.Now()
+	now := time.Now()
+	if state == connReading && c.state != connNew {
+		c.until = now.Add(requestMost)
+	}
+	c.state, c.since = state, now
+	c.limitRead()
+}
+
+// limitRead sets the deadline for reads: the one that net/http wants or, in the middle of a request, that of the request if it is
+// earlier. The lock is held.
+func (c *clientConn) limitRead() error {
+	if c.lingering {
+		return nil
+	}
+	deadline := c.deadline
+	if c.state == connReading && (deadline.IsZero() || c.until.Before(deadline)) {
+		deadline = c.until
+	}
+	return c.Conn.SetReadDeadline(deadline)
 }
 
 // fill reads from the socket once, waiting for bytes. Reading and closing exclude each other: nothing is read of a connection that
@@ -151,7 +183,12 @@
 
 // keep takes what was read from the socket. The lock is held.
 func (c *clientConn) keep(bytes []byte) {
+	c.lastRead = time.Now()
 	if c.state == connNew || c.state == connIdle {
+		c.came = time.Time{}
+		if c.state == connNew && c.lastRead.Sub(c.since) < atOnce {
+			c.came = c.waited // it may have waited as long as its connection did
+		}
 		c.enter(connReading)
 	}
 	if (c.frame.at == afterHead || c.frame.at == afterBody) && len(c.pending)+len(bytes) > aheadMost {
@@ -193,6 +230,7 @@
 	case c.overrun || c.frame.at == unframed:
 		c.enter(connClosing)
 	case len(c.pending) > 0:
+		c.came = c.lastRead // it waited behind the one that was answered
 		c.enter(connReading)
 	default:
 		c.enter(connIdle)
@@ -200,6 +238,16 @@
 	c.frame.next()
 }
 
+// requestCame is when the present request had come, if it was not just now: behind another one, or before the connection was accepted.
+func (c *clientConn) requestCame(now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.came.IsZero() || c.came.After(now) {
+		return now
+	}
+	return c.came
+}
+
 // status is what the connection does, and for how long.
 func (c *clientConn) status(now time.Time) (connState, time.Duration) {
 	c.mu.Lock()
@@ -238,10 +286,8 @@
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lingering {
-		return nil
-	}
-	return c.Conn.SetReadDeadline(t)
+	c.deadline = t
+	return c.limitRead()
 }
 
 // SetDeadline sets both deadlines.
@@ -277,6 +323,8 @@
 	if c.lingering {
 		return false
 	}
+	// Between two requests what still comes is left unread, whoever closes: a request that was read has to be answered.
+	c.wasIdle = c.wasIdle || c.state == connNew || c.state == connIdle
 	c.lingering = true
 	c.enter(connClosing)
 	c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
--- a/internal/platform/conn_test.go
+++ b/internal/platform/conn_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -278,3 +280,112 @@
 		t.Errorf("%d attempts to a backend that drains", n)
 	}
 }
+
+// countedConn counts the bytes that are read of a connection.
+type countedConn struct {
+	system.Conn
+	read atomic.Int64
+}
+
+func (c *countedConn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	c.read.Add(int64(max(n, 0)))
+	return n, err
+}
+
+// A connection between two requests that net/http closes, as nothing came for long, is not read any more: a request that crosses that
+// must stay unread, for its client to send it elsewhere.
+func TestARequestThatCrossesTheEndOfARestIsNotRead(t *testing.T) {
+	client, conn, closed := pair(t)
+	counted := &countedConn{Conn: conn.Conn}
+	conn.Conn = counted
+	conn.Close() // as net/http does when a read's deadline has passed
+	io.WriteString(client, "POST / HTTP/1.1\r\n\r\n")
+	if _, err := client.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("its client sees %v", err)
+	}
+	<-closed
+	if n := counted.read.Load(); n != 0 {
+		t.Errorf("%d bytes were read and dropped", n)
+	}
+}
+
+// A client that stops in the middle of a request and stays gets an error or a close within 3 s of its connection, however it divides
+// that time, and on a connection that was used before within 3 s of the request's first byte.
+func TestAClientThatStopsInARequestIsLetGo(t *testing.T) {
+	h := enter(t, nil)
+	const inHead, wholeHead = 40, -1 // where a request is cut
+	for name, c := range map[string]struct {
+		used    bool
+		cuts    []int
+		chunked bool
+	}{
+		"before its head's end":                     {cuts: []int{inHead}},
+		"late in its head and then in its body":     {cuts: []int{inHead, wholeHead}},
+		"after a byte of a further request":         {used: true, cuts: []int{1}},
+		"late in a further head, and then its body": {used: true, cuts: []int{1, wholeHead}},
+		"in the body of a further request":          {used: true, cuts: []int{wholeHead}},
+		"in the middle of a chunk":                  {cuts: []int{wholeHead}, chunked: true},
+	} {
+		raw := h.ask("trail-info")
+		if c.chunked {
+			raw = h.chunked("trail-info", "c\r\n{\"mo")
+		}
+		var pieces []string
+		from := 0
+		for _, cut := range c.cuts {
+			if cut == wholeHead {
+				cut = strings.Index(raw, "\r\n\r\n") + len("\r\n\r\n{")
+			}
+			pieces, from = append(pieces, raw[from:cut]), cut
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			k := h.client()
+			if c.used {
+				io.WriteString(k, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+				if got := k.said(); got.status != 200 {
+					t.Fatalf("%+v", got)
+				}
+			}
+			began := time.Now()
+			for i, piece := range pieces {
+				if i > 0 {
+					time.Sleep(1500 * time.Millisecond)
+				}
+				io.WriteString(k, piece)
+			}
+			if got := k.said(); got.status/100 == 2 {
+				t.Errorf("%+v", got)
+			}
+			if took := time.Since(began); took > 3*time.Second {
+				t.Errorf("its end came after %v", took)
+			}
+		})
+	}
+}
+
+// What an attempt tells its backend is at most what its client has left: a request that waited behind another one has less.
+func TestARequestThatWaitedBehindAnotherHasLessTime(t *testing.T) {
+	h := enter(t, nil)
+	const answer = 600 * time.Millisecond
+	h.write(func(e *hosts.Exchange) bool {
+		if e.ID == "q1" {
+			time.Sleep(answer)
+		}
+		return e.Serve()
+	})
+	c := h.client()
+	io.WriteString(c, h.ask("hut-booking")+h.ask("hut-booking"))
+	for range 2 {
+		if got := c.said(); got.status != 200 {
+			t.Fatalf("%+v", got)
+		}
+	}
+	for _, e := range h.site.Seen("", "POST") {
+		left, _ := strconv.Atoi(e.Head.Get("X-Timeout-Ms"))
+		if e.ID == "q2" && time.Duration(left)*time.Millisecond > 3*time.Second-answer+100*time.Millisecond {
+			t.Errorf("%s is told %d ms", e.Box.UID, left)
+		}
+	}
+}
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -18,7 +18,6 @@
 
 const (
 	headWait  = 2300 * time.Millisecond // for a request's head, from when the connection came or the request began
-	bodyWait  = 2 * time.Second         // for its body
 	writeWait = 20 * time.Second        // for one piece to a client that does not read
 	restMost  = 10 * time.Minute        // that a client's connection may rest while there is room
 	bodyStep  = 16 << 10                // of a body, as it comes
@@ -76,7 +75,7 @@
 		}
 		return
 	}
-	came := time.Now()
+	came := conn.requestCame(time.Now())
 	ask, no := chat.Read(r)
 	if conn.ambiguous() {
 		no = &chat.Refusal{Status: http.StatusBadRequest, Why: "length twice"}
@@ -216,7 +215,7 @@
 // body reads a request's body. Room is taken as it comes, not as it is announced.
 func (f *frontend) body(r *http.Request, w http.ResponseWriter, took *int64) (body []byte, err error) {
 	control := http.NewResponseController(w)
-	control.SetReadDeadline(time.Now().Add(bodyWait))
+	control.SetReadDeadline(time.Now().Add(requestMost)) // the connection knows when the request has to be whole
 	for err == nil {
 		if len(body) == cap(body) {
 			step := bodyRoom(r.ContentLength, len(body))
--- a/internal/platform/limiter.go
+++ b/internal/platform/limiter.go
@@ -68,14 +68,14 @@
 func (l *limiter) Accept() (net.Conn, error) {
 	var retry system.Retry
 	for {
-		l.awaitRoom()
+		waiting := l.awaitRoom()
 		raw, err := l.listener.Accept()
 		if err != nil && l.last.Load() {
 			raw, err = l.acceptCompleted()
 		}
 		switch {
 		case err == nil:
-			if c, err := l.admit(raw); err == nil {
+			if c, err := l.admit(raw, waiting.began()); err == nil {
 				return c, nil
 			}
 			raw.Close()
@@ -88,12 +88,27 @@
 	}
 }
 
+// roomWaiting is a wait for room for one more connection.
+type roomWaiting struct{ from, to time.Time }
+
+// began is since when a connection that is accepted now may have been complete: since the wait for room began, if it was there at its
+// end.
+func (w roomWaiting) began() time.Time {
+	now := time.Now()
+	if w.to.Sub(w.from) < roomWait || now.Sub(w.to) > atOnce {
+		return now
+	}
+	return w.from
+}
+
 // awaitRoom waits until one more connection may be open, or accepting ends.
-func (l *limiter) awaitRoom() {
+func (l *limiter) awaitRoom() roomWaiting {
+	began := time.Now()
 	for !l.last.Load() && !l.makeRoom(time.Now()) {
 		l.Waited.Add(1)
 		time.Sleep(roomWait)
 	}
+	return roomWaiting{began, time.Now()}
 }
 
 // acceptCompleted returns a connection that the system has completed; http.ErrServerClosed: there is none any more, and the listener is
@@ -134,8 +149,8 @@
 // errNoPlace says that a connection can't be held.
 var errNoPlace = errors.New("too many connections are open")
 
-// admit takes a connection on.
-func (l *limiter) admit(raw system.Conn) (net.Conn, error) {
+// admit takes a connection on that may have been complete for a while.
+func (l *limiter) admit(raw system.Conn, complete time.Time) (net.Conn, error) {
 	if l.last.Load() && l.count() >= l.most+l.closingMost() {
 		l.Shut.Add(1)
 		return nil, errNoPlace
@@ -144,6 +159,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.waited = complete
 	l.mu.Lock()
 	l.conns[c] = true
 	l.mu.Unlock()
