What this machine lacks for a moment is no word from a backend; what can't be sent frees its state

Cause, by reading, then shown by tests: - reach.connect called every error of connecting a refusal, and four within 40 ms make a backend unreachable, which the module takes for a restart: with EMFILE, ENFILE, ENOBUFS, EADDRNOTAVAIL or ENETUNREACH for a moment all backends became cold for a ramp, here and at the peers that are told. Such errors are waited out now; an attempt that could not begin in its time is not sent ('moot'): it proves that nothing ran and says nothing of its backend. The same in serve (Seen.Local). - A decode attempt waited for a descriptor without bound while its state was held, and a request that the backend's machine does not acknowledge counted as out (a state waited for 3.0 s in the test, 0.8 are allowed). Both end within the time for its connection, or twice that; the kernel tells what is not acknowledged (SIOCOUTQ).

--- a/internal/addresses/addresses.go
+++ b/internal/addresses/addresses.go
@@ -113,10 +113,11 @@
 	OtherOwner               // it answered with another box's name
 	Served                   // a trip went well over it
 	Lost                     // a trip stalled or broke on it
+	NotTried                 // this machine could not begin to connect, which says nothing of the address
 )
 
 func (r Result) String() string {
-	return [...]string{"proven", "refused", "silent", "broke", "another box answers", "served", "a trip was lost"}[r]
+	return [...]string{"proven", "refused", "silent", "broke", "another box answers", "served", "a trip was lost", "not tried"}[r]
 }
 
 func (r Result) good() bool { return r == Proven || r == Served }
@@ -305,6 +306,9 @@
 	}
 	r.out = slices.Delete(r.out, i, i+1)
 	a.trying--
+	if res == NotTried {
+		return false
+	}
 	r.book.Did(now, a, res, took)
 	if res != Proven || a.Dropped {
 		r.next = now // the next need not wait for one that has failed
@@ -380,5 +384,7 @@
 // Rechecked takes the end of a background try.
 func (b *Book) Rechecked(now time.Duration, a *Address, res Result, took time.Duration) {
 	a.trying--
-	b.Did(now, a, res, took)
+	if res != NotTried {
+		b.Did(now, a, res, took)
+	}
 }
--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -32,6 +32,7 @@
 
 // Seen is what the socket of a trip showed.
 type Seen struct {
+	Local     bool         // this machine could not begin to connect
 	Connected bool         // a byte of the request went out, over one proven connection
 	Told      *kserve.Told // what the box said at the end
 	Cause     error        // why it was called off, if it was
@@ -56,6 +57,8 @@
 	switch {
 	case !s.Connected && errors.Is(s.Cause, ErrLeft):
 		return brain.Cancelled, 0
+	case s.Local:
+		return brain.Moot, 0
 	case !s.Connected:
 		return brain.Unreached, 0
 	case errors.Is(s.Cause, ErrLate):
@@ -146,7 +149,7 @@
 	conn, resp, err := host.Send(f.ctx, func() (*http.Request, error) {
 		return kserve.NewErrand(f.ctx, reach.URL(host.Name), c.Model, text, e)
 	})
-	seen.Connected = conn != nil && conn.Sent()
+	seen.Local, seen.Connected = errors.Is(err, reach.ErrLocal), conn != nil && conn.Sent()
 	if err != nil {
 		return seen
 	}
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,6 +17,7 @@
 	"sloetrestle/internal/hosts"
 	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/reach"
+	"sloetrestle/internal/system"
 )
 
 // hostsDial opens a connection and closes it again.
@@ -317,3 +321,107 @@
 		t.Error("the span does not count")
 	}
 }
+
+// localFailures has connecting to backends fail on this machine, with the error that is set.
+func localFailures(h *house) *atomic.Pointer[syscall.Errno] {
+	failing := new(atomic.Pointer[syscall.Errno])
+	h.system.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if errno := failing.Load(); errno != nil && address != h.agent.At {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", *errno)}
+		}
+		return system.Real().Dial(ctx, network, address)
+	}
+	return failing
+}
+
+// What this machine lacks for a moment is no word from a backend: nothing is held against the fleet, a short moment is waited out, and
+// what a longer one keeps from being sent is rejected with the promise that it did not run.
+func TestALocalFailureIsNotHeldAgainstBackends(t *testing.T) {
+	var failing *atomic.Pointer[syscall.Errno]
+	h := enter(t, func(h *house, _ *Place) { failing = localFailures(h) })
+	for _, errno := range []syscall.Errno{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EAGAIN,
+	} {
+		failing.Store(&errno)
+		time.AfterFunc(100*time.Millisecond, func() { failing.Store(nil) })
+		if got := h.says(h.ask("hut-booking")); got.status != 200 {
+			t.Errorf("%v for 100 ms: %+v", errno, got)
+		}
+		failing.Store(&errno)
+		if got := h.says(h.ask("hut-booking")); got.status != 503 {
+			t.Errorf("%v for longer: %+v", errno, got)
+		}
+		failing.Store(nil)
+		h.node.loop.Call(context.Background(), func() {
+			if b := h.node.loop.Believes(); b.Cold != 0 || b.Doubted != 0 {
+				t.Errorf("%v: %d backends are taken for restarting, %d for failing", errno, b.Cold, b.Doubted)
+			}
+		})
+		if got := h.says(h.ask("hut-booking")); got.status != 200 {
+			t.Errorf("after %v: %+v", errno, got)
+		}
+	}
+	h.settled()
+}
+
+// A state that waits is released in its time also where no descriptor for a decode attempt comes free, or the backend takes the
+// connection but not the request.
+func TestAStateIsLetGoWhereNothingCanBeSent(t *testing.T) {
+	t.Run("no descriptor", func(t *testing.T) {
+		h := enter(t, nil)
+		done, hogged := make(chan struct{}), make(chan struct{})
+		h.reader.Do = func(e *hosts.Exchange) bool {
+			if e.Method == "POST" { // while it reads, others take all descriptors, and wait for the last
+				go func() {
+					defer close(hogged)
+					for taken := 0; ; taken++ {
+						select {
+						case h.node.transport.slots <- struct{}{}:
+						case <-done:
+							for range taken {
+								<-h.node.transport.slots
+							}
+							return
+						}
+					}
+				}()
+				time.Sleep(20 * time.Millisecond)
+			}
+			return e.Serve()
+		}
+		if got := h.says(h.ask("hut-booking")); got.status != 503 {
+			t.Errorf("%+v", got)
+		}
+		close(done)
+		<-hogged
+		h.settled()
+	})
+	t.Run("the request is not taken", func(t *testing.T) {
+		h := enter(t, nil)
+		for _, w := range h.writers {
+			w.Greet(func(c net.Conn) bool {
+				c.(*net.TCPConn).SetReadBuffer(1 << 10)
+				raw, err := c.(*net.TCPConn).SyscallConn()
+				if err != nil {
+					t.Error(err)
+				}
+				// Calls that release are read; of a request nothing is, so that it never goes out whole.
+				var first [1]byte
+				raw.Read(func(fd uintptr) bool {
+					_, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+					return err != syscall.EAGAIN
+				})
+				if first[0] == 'D' {
+					return true
+				}
+				time.Sleep(3 * time.Second)
+				return false
+			})
+		}
+		body := `{"model":"` + strings.Repeat("a", 250<<10) + `"}`
+		if got := h.says(h.ask("hut-booking", "Content-Length: 12", fmt.Sprintf("Content-Length: %d", len(body)), `{"model":""}`, body)); got.status == 200 {
+			t.Errorf("%+v", got)
+		}
+		h.until("the state is released", func() bool { return h.site.Held() == 0 })
+	})
+}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -67,7 +67,7 @@
 	n := &node{place: p, facts: facts, log: log, served: make(chan struct{})}
 	n.life, n.end = context.WithCancel(ctx)
 	boxes := &reach.Boxes{
-		Limit: max(facts.Span("policyLimits.dialTimeoutUs"), 10*time.Millisecond), Most: room.boxes, Since: since, Life: n.life, Group: &n.trips, Bare: true,
+		Limit: max(facts.Span("policyLimits.dialTimeoutUs"), 10*time.Millisecond), Most: room.boxes, Since: since, Life: n.life, Group: &n.trips, Dial: sys.Dial, Bare: true,
 	}
 	n.transport = &transport{
 		fields: facts.Names("report.fields"), boxes: boxes, life: n.life, group: &n.trips, log: log, passed: map[string]*passed{},
@@ -178,7 +178,7 @@
 			"declined", t.Declined, "forfeited", t.Forfeited, "left", t.Left, "overdue", t.Overdue, "trips", t.Trips, "outcomes", fmt.Sprint(t.Outcomes),
 			"prefills", fmt.Sprint(t.Prefills), "began", t.Began, "in_time", t.InTime, "held_ms", t.Held.Milliseconds(), "first_ms", t.First.Milliseconds(),
 			"believes", fmt.Sprintf("%+v", n.loop.Believes()), "open", f.asked.Load(), "bodies", f.held.Load(), "clients", g.count(), "pushed", g.Pushed.Load(), "waited", g.Waited.Load(), "accept_failed", g.Failed.Load(), "shut", g.Shut.Load(), "refused", f.state(),
-			"released", c.Calls.Load(), "unheard", c.Unheard.Load(), "stale", c.Stale.Load(), "spoilt", c.Spoilt.Load(), "strange", c.Strange.Load(),
+			"released", c.Calls.Load(), "unheard", c.Unheard.Load(), "stale", c.Stale.Load(), "local", c.Local.Load(), "unarrived", c.Unarrived.Load(), "spoilt", c.Spoilt.Load(), "strange", c.Strange.Load(),
 			"watch_lost", n.follower.Lost(), "strangers", n.peers.Dropped.Load(), "heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine())
 		n.compare()
 	})
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -19,6 +19,7 @@
 	"sloetrestle/internal/chat"
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/reach"
+	"sloetrestle/internal/system"
 )
 
 const (
@@ -27,6 +28,9 @@
 	dialWait  = 10 * time.Millisecond   // between them
 	stallTime = 4200 * time.Millisecond // without an event, after which a stream is taken for dead
 	shortMost = 64 << 10                // bytes of an answer that is no stream
+
+	// arrivalTimes is how many times as long as for its connection a request is given to arrive, where a state waits for it.
+	arrivalTimes = 2
 )
 
 // payload is what is sent of a question.
@@ -53,9 +57,11 @@
 	slots chan struct{}        // one for each attempt that has or makes a connection
 	since func() time.Duration // the loop's clock
 	releaser
-	Stale   atomic.Int64 // trips that were not wanted any more when their connection was there
-	Spoilt  atomic.Int64 // answers that could not be read
-	Strange atomic.Int64 // answers that tell of a fault of this program: 400 and 404
+	Local     atomic.Int64 // connections that this machine could not begin
+	Unarrived atomic.Int64 // attempts called off, as their requests did not arrive
+	Stale     atomic.Int64 // trips that were not wanted any more when their connection was there
+	Spoilt    atomic.Int64 // answers that could not be read
+	Strange   atomic.Int64 // answers that tell of a fault of this program: 400 and 404
 }
 
 func (c *transport) Reach(b *dispatch.Box, at []addresses.Spec) {
@@ -121,15 +127,23 @@
 )
 
 // connect gets a connection for a trip, over which all of the request has gone out; until then it can't have run.
-func (c *transport) connect(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (*reach.Conn, func() bool, error) {
-	limit := c.boxes.Limit
-	if t := f.Trip.Connect; t > 0 && t < limit {
-		limit = t
-	}
-	within, done := context.WithTimeout(ctx, limit)
-	defer done()
+func (c *transport) connect(ctx, within context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (*reach.Conn, func() bool, error) {
+	limit := c.connectLimit(f)
+	var local error // why this machine could not begin the last connection
 	for began, refused := time.Now(), 0; ; {
 		conn, err := host.Get(within)
+		if err != nil && local != nil && within.Err() != nil {
+			return nil, nil, local
+		}
+		if local = nil; errors.Is(err, reach.ErrLocal) {
+			// No descriptors or ports for a moment say nothing of the backend. Taken for its refusals, they had the module take a whole
+			// fleet for restarting.
+			c.Local.Add(1)
+			c.log.Warn("not connected", "backend", host.Name, "error", err)
+			local = err
+			sleep(within, dialWait)
+			continue
+		}
 		if err != nil {
 			// One that is refused or reset while it is made says little: a box that is really away refuses the next too. Told at
 			// once, a rash of resets had the module take a whole fleet for restarting.
@@ -137,9 +151,12 @@
 			if refused == dialTries || ctx.Err() != nil || time.Since(began) >= limit/2 {
 				return nil, nil, err
 			}
-			time.Sleep(dialWait)
+			sleep(within, dialWait)
 			continue
 		}
+		if until, bounded := within.Deadline(); bounded && f.Trip.Connect > 0 {
+			conn.SetWriteDeadline(until) // a request that is not taken leaves a state waiting as no connection does
+		}
 		stop, err := c.put(ctx, f, conn, m)
 		if err == nil {
 			return conn, stop, nil
@@ -151,6 +168,26 @@
 	}
 }
 
+// connectLimit is how long a trip's connection may take.
+func (c *transport) connectLimit(f *dispatch.Flight) time.Duration {
+	if t := f.Trip.Connect; t > 0 {
+		return min(t, c.boxes.Limit)
+	}
+	return c.boxes.Limit
+}
+
+// sleep waits; false: the context ended before.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // put sends a request over a new connection, if it may still go out. Nothing but the loop can tell: a drain, the client's going or
 // the end of the window for repeats may have come while the connection was made.
 func (c *transport) put(ctx context.Context, f *dispatch.Flight, conn *reach.Conn, m *payload) (stop func() bool, err error) {
@@ -181,12 +218,20 @@
 	if host == nil {
 		return nil, nil, errStale // its backend is gone
 	}
+	waits := ctx
+	if f.Trip.Connect > 0 { // a state waits, for which no descriptor may be free in time
+		bounded, done := context.WithTimeout(ctx, c.connectLimit(f))
+		defer done()
+		waits = bounded
+	}
 	select {
 	case c.slots <- struct{}{}:
-	case <-ctx.Done():
+	case <-waits.Done():
 		return nil, nil, errStale
 	}
-	if conn, stop, err = c.connect(ctx, f, host, m); err != nil {
+	within, done := context.WithTimeout(waits, c.connectLimit(f))
+	defer done()
+	if conn, stop, err = c.connect(ctx, within, f, host, m); err != nil {
 		<-c.slots
 	}
 	return conn, stop, err
@@ -200,12 +245,24 @@
 		return brain.Result{Outcome: brain.Cancelled}
 	case errors.Is(err, errCutOff):
 		return brain.Result{Outcome: brain.TimedOut}
-	case errors.Is(err, errStale):
+	case errors.Is(err, errStale), errors.Is(err, reach.ErrLocal):
 		return brain.Result{Outcome: brain.Moot}
 	}
 	return brain.Result{Outcome: brain.Unreached}
 }
 
+// errNotArrived ends an attempt whose request the far machine does not acknowledge.
+var errNotArrived = errors.New("the request is not acknowledged")
+
+// checkArrival calls an attempt off whose request, though written whole, has not arrived: the state that it is to take goes on waiting
+// meanwhile. Whether it may yet run only the backend knows.
+func (c *transport) checkArrival(f *dispatch.Flight, conn *reach.Conn) {
+	if system.Unacknowledged(conn.Conn) > 0 {
+		c.Unarrived.Add(1)
+		f.Off(errNotArrived)
+	}
+}
+
 // fly is one trip. Its connection is closed before its end is told.
 func (c *transport) fly(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (r brain.Result) {
 	conn, stop, err := c.open(ctx, f, host, m)
@@ -214,6 +271,9 @@
 	}
 	load := ""
 	c.pass(f, 1, "")
+	if limit := f.Trip.Connect; limit > 0 {
+		defer time.AfterFunc(arrivalTimes*limit, func() { c.checkArrival(f, conn) }).Stop()
+	}
 	defer func() {
 		c.pass(f, -1, load)
 		stop()
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -23,6 +23,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sloetrestle/internal/addresses"
+	"sloetrestle/internal/system"
 )
 
 // Boxes are all the boxes that a dispatcher may connect to.
@@ -32,7 +33,8 @@
 	Since func() time.Duration
 	Life  context.Context
 	Group *errgroup.Group
-	Bare  bool // the far side knows no proof: a connection counts once it is up, takes one request, and none is made unasked
+	Dial  func(ctx context.Context, network, address string) (net.Conn, error) // nil: the operating system's
+	Bare  bool                                                                 // the far side knows no proof: a connection counts once it is up, takes one request, and none is made unasked
 
 	mu     sync.Mutex
 	hosts  map[string]*Host
@@ -91,6 +93,7 @@
 // Why no connection was to be had, or no answer came.
 var (
 	ErrUnreached = errors.New("no address of the box connects and answers")
+	ErrLocal     = errors.New("this machine can't connect just now, which says nothing of the box")
 	ErrNotSent   = errors.New("not a byte of the request went out")
 	errHead      = fmt.Errorf("the head of an answer is longer than %d bytes", headMost)
 )
@@ -218,7 +221,7 @@
 		select {
 		case <-changed:
 		case <-limit.C:
-			return nil, ErrUnreached
+			return nil, fmt.Errorf("%w: as many connections to it are being made as may be", ErrLocal)
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -277,6 +280,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.all.Limit)
 	defer cancel()
 	won, ended := make(chan *Conn, 1), make(chan struct{}, 16)
+	var local error // of the last try, if this machine could not begin it; the host's lock guards it
 	finish := func(c *Conn) (*Conn, error) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -288,6 +292,9 @@
 			default:
 				h.open--
 				h.notify()
+				if local != nil {
+					return nil, fmt.Errorf("%w: %w", ErrLocal, local)
+				}
 				return nil, ErrUnreached
 			}
 		}
@@ -305,9 +312,13 @@
 		if a != nil {
 			h.all.Group.Go(func() error {
 				began := h.all.Since()
-				conn, read, res := connect(ctx, spec, h.Name, h.all.Bare)
+				conn, read, res, err := h.connect(ctx, spec)
 				h.mu.Lock()
 				defer h.mu.Unlock()
+				local = nil
+				if res == addresses.NotTried {
+					local = err
+				}
 				now := h.all.Since()
 				first := race.Did(now, a, res, now-began)
 				switch {
@@ -362,32 +373,40 @@
 }
 
 // connect opens a connection and has it proved: the far side must read a request and answer with the box's name.
-func connect(ctx context.Context, spec addresses.Spec, name string, bare bool) (net.Conn, *reader, addresses.Result) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, spec.Network, spec.At)
+func (h *Host) connect(ctx context.Context, spec addresses.Spec) (net.Conn, *reader, addresses.Result, error) {
+	dial := h.all.Dial
+	if dial == nil {
+		dial = system.Real().Dial
+	}
+	conn, err := dial(ctx, spec.Network, spec.At)
 	if err != nil {
-		switch {
-		case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ENOENT), errors.Is(err, syscall.ECONNRESET):
-			return nil, nil, addresses.Refused
-		case ctx.Err() != nil, errors.Is(err, syscall.ETIMEDOUT):
-			return nil, nil, addresses.Silent
-		}
-		return nil, nil, addresses.Refused
+		return nil, nil, refusal(ctx, err), err
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	read := newReader(conn)
 	res := addresses.Proven
-	if !bare {
-		res = prove(conn, read, name)
+	if !h.all.Bare {
+		res = prove(conn, read, h.Name)
 	}
 	if !stop() && res != addresses.OtherOwner {
 		res = addresses.Silent
 	}
 	if res != addresses.Proven {
 		conn.Close()
-		return nil, nil, res
+		return nil, nil, res, nil
+	}
+	return conn, read, res, nil
+}
+
+// refusal is what an error of connecting says of the address.
+func refusal(ctx context.Context, err error) addresses.Result {
+	switch {
+	case system.Local(err):
+		return addresses.NotTried
+	case ctx.Err() != nil, errors.Is(err, syscall.ETIMEDOUT), errors.Is(err, syscall.EHOSTUNREACH):
+		return addresses.Silent
 	}
-	return conn, read, res
+	return addresses.Refused
 }
 
 func prove(conn net.Conn, read *reader, name string) addresses.Result {
@@ -672,7 +691,7 @@
 		ctx, cancel := context.WithTimeout(b.Life, b.Limit)
 		defer cancel()
 		began := b.Since()
-		conn, read, res := connect(ctx, spec, h.Name, h.all.Bare)
+		conn, read, res, _ := h.connect(ctx, spec)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.racing--
