Failing tests: a step of the wall clock makes a backend in slow start look warm

Follower.Take (internal/endpoints) subtracts boot_ms from time.Now().UnixMilli(). To have them fail, the follower takes its wall clock from internal/system.

--- /dev/null
+++ b/internal/endpoints/clock_test.go
@@ -0,0 +1,84 @@
+package endpoints
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"sloetrestle/internal/boxlist"
+)
+
+// steppedClock is a follower whose wall clock steps, and which takes lists by hand.
+type steppedClock struct {
+	follower *Follower
+	ages     map[string]time.Duration // of backends' starts, as told
+	mono     time.Duration
+	truth    time.Time
+	step     time.Duration
+}
+
+func newSteppedClock(atStart time.Duration) *steppedClock {
+	c := &steppedClock{ages: map[string]time.Duration{}, truth: time.Unix(1_800_000_000, 0), step: atStart}
+	c.follower = &Follower{
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Since: func() time.Duration { return c.mono },
+		Wall: func() time.Time { return c.truth.Add(c.step) },
+		Listed: func(lines []boxlist.Box, _ bool) {
+			for _, b := range lines {
+				c.ages[b.Name] = time.Duration(b.UpMs) * time.Millisecond
+			}
+		},
+	}
+	return c
+}
+
+func (c *steppedClock) pass(span time.Duration) { c.mono, c.truth = c.mono+span, c.truth.Add(span) }
+
+// list has discovery tell of one backend that has been up for so long.
+func (c *steppedClock) list(t *testing.T, rev int, name string, up time.Duration) {
+	t.Helper()
+	raw := fmt.Appendf(nil, `{"rev":%d,"all":%t,"targets":[{"uid":%q,"endpoint":"10.0.0.1:1","state":"in_service","capacity_hint":1,"boot_ms":%d}]}`,
+		rev, rev == 1, name, c.truth.Add(-up).UnixMilli())
+	if err := c.follower.Take(raw); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// How long a backend has been up is a span of real time, whatever the wall clock does: taken for older than it is, a backend in slow
+// start gets what only a warm one bears; taken for younger, a warm one gets next to nothing.
+func TestAStepOfTheWallClockAgesNoBackend(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, -5 * time.Second, 5 * time.Second, time.Hour} {
+		c := newSteppedClock(0)
+		c.list(t, 1, "first", time.Minute)
+		c.pass(10 * time.Second)
+		c.step = step
+		c.list(t, 2, "fresh", time.Second)
+		c.list(t, 3, "warm", 30*time.Minute)
+		for name, want := range map[string]time.Duration{"first": time.Minute, "fresh": time.Second, "warm": 30 * time.Minute} {
+			if got := c.ages[name]; got != want {
+				t.Errorf("after a step of %v, %s is taken to be up for %v, not %v", step, name, got, want)
+			}
+		}
+	}
+}
+
+// A process that begins with a wrong wall clock has no other one. A start that it is told of while it follows discovery is a fresh one
+// all the same, and a start in the future shows a clock that is behind.
+func TestAWrongWallClockAtTheStartWarmsNoFreshBackend(t *testing.T) {
+	c := newSteppedClock(time.Hour)
+	c.list(t, 1, "first", time.Minute)
+	c.pass(10 * time.Second)
+	c.list(t, 2, "other", time.Second)
+	c.pass(time.Second)
+	c.list(t, 3, "fresh", time.Second)
+	if got := c.ages["fresh"]; got > 2*time.Second {
+		t.Errorf("an hour ahead, a backend that started a second ago is taken to be up for %v", got)
+	}
+	c = newSteppedClock(-time.Hour)
+	c.list(t, 1, "fresh", time.Second)
+	c.list(t, 2, "warm", 20*time.Minute)
+	if fresh, warm := c.ages["fresh"], c.ages["warm"]; fresh > time.Second || warm < 19*time.Minute {
+		t.Errorf("an hour behind, one that started a second ago is taken to be up for %v, and one of 20 minutes for %v", fresh, warm)
+	}
+}
--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -104,7 +104,7 @@
 	before := goleak.IgnoreCurrent()
 	began := time.Now()
 	f := &following{}
-	f.Follower = &Follower{Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Since: func() time.Duration { return time.Since(began) }, Listed: func(lines []boxlist.Box, whole bool) {
+	f.Follower = &Follower{Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Since: func() time.Duration { return time.Since(began) }, Wall: time.Now, Listed: func(lines []boxlist.Box, whole bool) {
 		f.mu.Lock()
 		f.lines = append(f.lines, lines...)
 		f.mu.Unlock()
--- a/internal/endpoints/follow.go
+++ b/internal/endpoints/follow.go
@@ -33,6 +33,7 @@
 type Follower struct {
 	Log    *slog.Logger
 	Since  func() time.Duration
+	Wall   func() time.Time // by which discovery tells when backends started
 	Listed func(lines []boxlist.Box, whole bool) // told in order
 
 	table Table
@@ -55,7 +56,7 @@
 
 // Take reads a push that came by another way, such as the one that a dispatcher is started with.
 func (f *Follower) Take(raw []byte) error {
-	lines, whole, refused, err := f.table.Take(f.Since(), time.Now().UnixMilli(), raw)
+	lines, whole, refused, err := f.table.Take(f.Since(), f.Wall().UnixMilli(), raw)
 	if err != nil {
 		return err
 	}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -98,7 +98,7 @@
 		return nil, err
 	}
 	n.transport.loop = n.loop
-	n.follower = &endpoints.Follower{Log: log, Since: since, Listed: func(lines []boxlist.Box, whole bool) {
+	n.follower = &endpoints.Follower{Log: log, Since: since, Wall: sys.Wall, Listed: func(lines []boxlist.Box, whole bool) {
 		n.loop.Post(func() { n.loop.Listed(lines, whole) })
 	}}
 	if len(p.Known) > 0 {
