Starts of backends are judged by a wall clock read once and the monotonic one since

Root cause (incident): Follower.Take read the wall clock for each list and took boot_ms from it.

A start in the future shows a clock that is behind by as much. A start that is first told of while discovery is followed, and seems over a minute older than the time since the list was last confirmed, shows one that was ahead from the beginning: the backend counts as started since. What stays: a process that begins with a clock ahead takes backends of its first list for older than they are; nothing tells it otherwise.

--- a/internal/endpoints/follow.go
+++ b/internal/endpoints/follow.go
@@ -33,7 +33,7 @@
 type Follower struct {
 	Log    *slog.Logger
 	Since  func() time.Duration
-	Wall   func() time.Time // by which discovery tells when backends started
+	Wall   func() time.Time                      // by which discovery tells when backends started
 	Listed func(lines []boxlist.Box, whole bool) // told in order
 
 	table Table
@@ -56,7 +56,7 @@
 
 // Take reads a push that came by another way, such as the one that a dispatcher is started with.
 func (f *Follower) Take(raw []byte) error {
-	lines, whole, refused, err := f.table.Take(f.Since(), f.Wall().UnixMilli(), raw)
+	lines, whole, refused, err := f.table.Take(f.Since(), f.table.clock.now(f.Since(), f.Wall), raw)
 	if err != nil {
 		return err
 	}
@@ -161,6 +161,7 @@
 		}
 		f.whole, got = false, true
 		f.heard.Store(true)
+		f.table.clock.settled = true
 		if resp.Close {
 			return got, errors.New("discovery closes after the list")
 		}
@@ -169,7 +170,7 @@
 	if err != nil {
 		return got, err
 	}
-	pushes := &pushes{conn: conn, from: resp.Body, left: pushMost}
+	pushes := &pushes{conn: conn, from: resp.Body, left: pushMost, alive: func() { f.table.clock.checked = f.Since() }}
 	for decoder := json.NewDecoder(pushes); ; {
 		var raw json.RawMessage
 		if err := decoder.Decode(&raw); err != nil {
@@ -199,6 +200,7 @@
 	from  io.Reader
 	left  int       // bytes that the present push may still have
 	begun time.Time // when it did; zero: nothing but empty lines came
+	alive func()    // called when an empty line has come: nothing changed until now
 }
 
 func (p *pushes) Read(into []byte) (int, error) {
@@ -222,5 +224,7 @@
 	}
 	if !p.begun.IsZero() {
 		p.left -= len(raw)
+	} else if len(raw) > 0 {
+		p.alive()
 	}
 }
--- a/internal/endpoints/table.go
+++ b/internal/endpoints/table.go
@@ -47,6 +47,7 @@
 	Rev   int64
 	heard bool
 	older time.Duration // since when discovery only has older lists; 0: it has not
+	clock startClock
 	moved time.Duration // when it got another address, and has said nothing newer since; 0: it did not
 }
 
@@ -80,8 +81,15 @@
 		t.older, t.moved = 0, 0
 		t.Rev, t.heard = p.Rev, true
 	}
+	unix = t.clock.sees(p.Targets, unix)
 	for _, g := range p.Targets {
-		b, err := g.box(unix)
+		b, err := g.box()
+		if err == nil && g.BootMs > 0 {
+			b.UpMs = t.clock.age(g, now, unix).Milliseconds()
+		}
+		if b.Standing == boxlist.Gone {
+			t.clock.forget(g.UID)
+		}
 		if err != nil {
 			refused = append(refused, err.Error())
 			continue
@@ -90,15 +98,15 @@
 			lines = append(lines, b)
 		}
 	}
+	if !older {
+		t.clock.checked = now
+	}
 	return lines, p.All && !older, refused, nil
 }
 
-func (g target) box(unix int64) (b boxlist.Box, err error) {
+func (g target) box() (b boxlist.Box, err error) {
 	b = boxlist.Box{Name: g.UID, Kind: g.Kind, Zone: g.Zone, Rack: strconv.FormatInt(g.Rack, 10), Standing: standings[g.State], Units: g.Units,
 		Start: uint64(max(g.BootMs, 0)), UpMs: -1}
-	if g.BootMs > 0 {
-		b.UpMs = max(unix-g.BootMs, 0)
-	}
 	if strings.ContainsAny(b.Name, " \r\n\t") {
 		return b, fmt.Errorf("target %.40q: no name of a box", g.UID)
 	}
