Discovery that is slow is followed, a half-written configuration is read once it is whole

Found by reading, each shown by a test that fails before: - Discovery that takes 2 s to answer was given up after 1.5 s, each time: no list was ever read again ('a is never draining', 10 s), while what it has counts as told after 6 s. Tries overlap now: a further one begins each 1.5 s, those that were begun have 4.5 s, the first that is answered goes on. - A configuration that could not be read when its SIGHUP came was left out for good, and discovery's move with it. It is read again for 5 s, also while the dispatcher stops. - serve's kept list aged by the wall clock over a restart; it does by the machine's uptime now, where that is the same boot.

--- a/internal/boxlist/boxlist_test.go
+++ b/internal/boxlist/boxlist_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"sloetrestle/internal/system"
+
 	"sloetrestle/internal/addresses"
 )
 
@@ -162,3 +164,38 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// The time that a list was kept for is not taken from the wall clock: a file that says to be from an hour ago, or from before the
+// machine's present boot, makes no box older.
+func TestAKeptListDoesNotAgeByTheWallClock(t *testing.T) {
+	boot, up := system.Uptime()
+	hourAgo := time.Now().Add(-time.Hour).UnixMilli()
+	for name, c := range map[string]struct {
+		boot  string
+		saved time.Duration
+		want  time.Duration
+	}{
+		"kept a second ago":           {boot, up - time.Second, 3 * time.Second},
+		"kept in another boot":        {"other", up - time.Second, 2 * time.Second},
+		"kept by an older version":    {"", 0, 2 * time.Second},
+		"kept in the future, it says": {boot, up + time.Hour, 2 * time.Second},
+	} {
+		var got time.Duration
+		f := &Follower{Name: "d", Keep: t.TempDir(), Listed: func(lines []Box, _ bool) { got = time.Duration(lines[0].UpMs) * time.Millisecond }}
+		box := line("a", Ready)
+		box.UpMs = 2000
+		raw, err := json.Marshal(kept{hourAgo, c.boot, c.saved.Milliseconds(), Push{Version: 1, Whole: true, Boxes: []Box{box}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(f.file(), raw, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		if err := f.Restore(); err != nil {
+			t.Fatal(err)
+		}
+		if got < c.want || got > c.want+500*time.Millisecond {
+			t.Errorf("%s: a box that had been up for 2 s is taken to be up for %v", name, got)
+		}
+	}
+}
--- a/internal/boxlist/follow.go
+++ b/internal/boxlist/follow.go
@@ -13,6 +13,8 @@
 	"path/filepath"
 	"sync/atomic"
 	"time"
+
+	"sloetrestle/internal/system"
 )
 
 const (
@@ -32,14 +34,17 @@
 	Listed  func(lines []Box, whole bool)
 
 	table Table
-	heard atomic.Int64 // when the list was last heard, as time since the epoch
+	heard atomic.Pointer[time.Time] // when the list was last heard
 	gaps  atomic.Int64
 }
 
 // Age is how long ago the list was last heard; false: not at all since the start.
 func (f *Follower) Age() (time.Duration, bool) {
 	at := f.heard.Load()
-	return time.Since(time.Unix(0, at)), at != 0
+	if at == nil {
+		return 0, false
+	}
+	return time.Since(*at), true
 }
 
 // Gaps counts how often the whole list had to be asked for.
@@ -47,8 +52,20 @@
 
 // kept is the file of the last list.
 type kept struct {
-	SavedUnixMs int64 `json:"saved_unix_ms"`
-	Push        Push  `json:"push"`
+	SavedUnixMs int64  `json:"saved_unix_ms"` // for those who read the file
+	Boot        string `json:"boot,omitempty"`
+	SavedUpMs   int64  `json:"saved_up_ms,omitempty"` // for how long the machine had been up in that boot
+	Push        Push   `json:"push"`
+}
+
+// away is how long ago the list was kept. The wall clock may have stepped since, so it does not count; where nothing else tells, it is
+// nought: a box that is taken for younger than it is gets less, one taken for older may get more than it bears.
+func (k kept) away() time.Duration {
+	boot, up := system.Uptime()
+	if boot == "" || boot != k.Boot {
+		return 0
+	}
+	return max(up-time.Duration(k.SavedUpMs)*time.Millisecond, 0)
 }
 
 func (f *Follower) file() string { return filepath.Join(f.Keep, "boxlist-"+f.Name+".json") }
@@ -70,7 +87,7 @@
 		return fmt.Errorf("%s: the kept list can't be read: %w", f.file(), err)
 	}
 	k.Push.Whole = true
-	away := max(time.Now().UnixMilli()-k.SavedUnixMs, 0)
+	away := k.away().Milliseconds()
 	for i := range k.Push.Boxes {
 		if k.Push.Boxes[i].UpMs >= 0 {
 			k.Push.Boxes[i].UpMs += away
@@ -91,7 +108,8 @@
 	if f.Keep == "" {
 		return nil
 	}
-	raw, err := json.Marshal(kept{time.Now().UnixMilli(), Push{Version: f.table.Version, Whole: true, Boxes: f.table.Whole()}})
+	boot, up := system.Uptime()
+	raw, err := json.Marshal(kept{time.Now().UnixMilli(), boot, up.Milliseconds(), Push{Version: f.table.Version, Whole: true, Boxes: f.table.Whole()}})
 	if err != nil {
 		return err
 	}
@@ -158,7 +176,8 @@
 			return got, err
 		}
 		got = true
-		f.heard.Store(time.Now().UnixNano())
+		now := time.Now()
+		f.heard.Store(&now)
 		if refused != nil {
 			f.Log.Warn("lines of the box list refused", "error", refused)
 		}
--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -240,6 +240,16 @@
 			await(t, func() bool { return len(agent.Targets()) > 2 })
 			agent.SetStop(0)
 		}},
+		"slow for good, and reset right before the change": {silent, func(agents []*hosts.Agent, _ *following, drain func()) {
+			agents[0].SetSlow(2 * time.Second)
+			agents[0].Cut()
+			drain()
+		}},
+		"moved to a slow one": {moved, func(agents []*hosts.Agent, f *following, drain func()) {
+			agents[1].SetSlow(2 * time.Second)
+			f.Move(agents[1].At)
+			drain()
+		}},
 		"reset right before the change": {time.Second, func(agents []*hosts.Agent, _ *following, drain func()) {
 			agent := agents[0]
 			agent.Cut()
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -431,7 +431,8 @@
 	asked   []string
 	mute    bool // it takes connections and says nothing
 	indent  bool
-	stop    int // bytes of its next answers to a watch, after which it says no more; 0: all of them
+	slow    time.Duration // before it answers
+	stop    int           // bytes of its next answers to a watch, after which it says no more; 0: all of them
 }
 
 // Agent opens another one.
@@ -464,6 +465,10 @@
 			return
 		}
 		s.mu.Lock()
+		slow := a.slow
+		s.mu.Unlock()
+		time.Sleep(slow)
+		s.mu.Lock()
 		a.asked = append(a.asked, r.RequestURI)
 		switch {
 		case a.mute:
@@ -517,6 +522,13 @@
 	a.stop = after
 }
 
+// SetSlow has it answer so much later.
+func (a *Agent) SetSlow(by time.Duration) {
+	a.site.mu.Lock()
+	defer a.site.mu.Unlock()
+	a.slow = by
+}
+
 // Say writes bytes to the watches as they are.
 func (a *Agent) Say(raw string) {
 	a.site.mu.Lock()
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -610,6 +610,40 @@
 }
 
 // A new configuration moves discovery; one that is torn or absent changes nothing. No question notices.
+// A configuration that is still being written when its signal comes is read once it is whole, also while the dispatcher stops.
+func TestAHalfWrittenConfigurationIsReadOnceItIsWhole(t *testing.T) {
+	for _, stopping := range []bool{false, true} {
+		t.Run(fmt.Sprintf("stopping %t", stopping), func(t *testing.T) {
+			h := enter(t, nil)
+			other := h.site.Agent()
+			p := h.node.place
+			p.Discovery = other.At
+			raw, err := json.Marshal(p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			file := t.TempDir() + "/config.json"
+			write := func(raw []byte) {
+				if err := os.WriteFile(file, raw, 0o600); err != nil {
+					t.Error(err)
+				}
+			}
+			write(raw[:len(raw)/2])
+			h.read = func() (Place, error) { return Load(file, os.Getenv) }
+			if stopping {
+				there := h.holdReads()
+				io.WriteString(h.client(), h.ask("trail-info"))
+				<-there
+				h.quit()
+			}
+			h.again <- syscall.SIGHUP
+			time.Sleep(100 * time.Millisecond)
+			write(raw)
+			h.until("discovery is followed at its new address", func() bool { return other.Watched() == 1 })
+		})
+	}
+}
+
 func TestTheConfigurationIsReadAnew(t *testing.T) {
 	h := enter(t, nil)
 	other := h.site.Agent()
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -98,7 +98,7 @@
 		return nil, err
 	}
 	n.transport.loop = n.loop
-	n.follower = &endpoints.Follower{Log: log, Since: since, Wall: sys.Wall, Listed: func(lines []boxlist.Box, whole bool) {
+	n.follower = &endpoints.Follower{Log: log, Since: since, Wall: sys.Wall, Dial: sys.Dial, Listed: func(lines []boxlist.Box, whole bool) {
 		n.loop.Post(func() { n.loop.Listed(lines, whole) })
 	}}
 	if len(p.Known) > 0 {
@@ -125,6 +125,7 @@
 	n.trips.Go(n.transport.boxes.Tend)
 	n.group.Go(func() error { return n.loop.Run(n.life) })
 	n.group.Go(func() error { return n.follower.Follow(n.life) })
+	n.group.Go(func() error { n.reload(n.life, again, read); return nil })
 	if n.peers.Conn != nil {
 		n.group.Go(func() error { return n.peers.Listen(n.life, n.loop) })
 	}
@@ -151,14 +152,6 @@
 			run = false
 		case err = <-failed:
 			run = false
-		case <-again:
-			next, err := read()
-			if err != nil {
-				n.log.Warn("the new configuration is left out", "error", err)
-				continue
-			}
-			n.log.Info("configuration read anew", "discovery", next.Discovery)
-			n.follower.Move(next.Discovery)
 		case <-tick.C:
 			n.tell()
 		}
