--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -7,10 +7,12 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -467,7 +469,9 @@
 		s.mu.Lock()
 		slow := a.slow
 		s.mu.Unlock()
-		time.Sleep(slow)
+		if slow > 0 && !waitWhileOpen(c, from, slow) {
+			return
+		}
 		s.mu.Lock()
 		a.asked = append(a.asked, r.RequestURI)
 		switch {
@@ -489,6 +493,14 @@
 	}
 }
 
+// waitWhileOpen waits for so long; false: the far side has closed before.
+func waitWhileOpen(c net.Conn, from *bufio.Reader, wait time.Duration) bool {
+	c.SetReadDeadline(time.Now().Add(wait))
+	defer c.SetReadDeadline(time.Time{})
+	_, err := from.Peek(1)
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // tell writes a change to the watches; the site is locked.
 func (a *Agent) tell(raw []byte) {
 	if a.mute {
