One file of the module decides what may be sent, repeated, rejected or held, with a typed reason

brain/policy.go: mayChoose and MaySend (the check right before the first byte) ask the same mayReach, mayRepeat and mayUseSlowStart; giveUp and the stop's Yield ask the same MayReject, which before was written out twice with different answers for requests that are deduplicated everywhere. New in the check before the first byte: a backend that was told to have started anew while the connection was made is held to its slow-start budget (TestEachReasonHasItsPermission fails there without it). 'attempt not sent' is logged with its reason.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -147,9 +147,7 @@
 	}
 	q.Over = true
 	d.letGo(q)
-	g := q.Grade
-	anywhere := g.Effect == Idempotent || g.Effect == Deduplicated && g.Reach == Everywhere
-	if !anywhere && q.MayHaveRun() != nil { // trying again might do harm
+	if MayReject(q) != Allowed {
 		d.door.Forfeit(q)
 		return
 	}
@@ -168,49 +166,7 @@
 	}
 }
 
-// barred is the gate of rules 1 to 4: every send passes it, and every choice of a host asks it first.
-func (d *Dispatcher) barred(q *Question, h *Host) bool {
-	now := d.door.Now()
-	if q.Over || q.Last || q.Out() != nil || now >= q.Expiry || h.Standing != Ready ||
-		len(q.Trips) >= int(d.facts.Num("policyLimits.maxAttempts", 1)) {
-		return true
-	}
-	if d.harmful(q, h, len(q.Trips)) {
-		return true
-	}
-	if !d.cold(h) {
-		return false
-	}
-	// With many dispatchers a part is less than one question: then it is a chance of one, drawn for each
-	// window. All draw alike and shift by their number: so the parts add up, and not only on average.
-	window, turn := d.facts.Span("rules.tipAfterUs"), max(h.Unmet, 0)
-	if h.Restart && h.Booted > turn {
-		turn = h.Booted
-	}
-	draw := float64(Mix(uint64((now-turn)/window), uint64(h.ID))>>11) / (1 << 53)
-	_, chance := math.Modf(draw + d.facts.Num("slotNo", 0)/d.facts.Num("siblings", 1))
-	one := d.weight(q, h, Whole)
-	return h.Sent.Sum(now)+one > d.coldBudget(h)+chance*one
-}
-
-// harmful tells whether a trip of that number to the host might have an effect a second time (rule 2).
-func (d *Dispatcher) harmful(q *Question, h *Host, number int) bool {
-	t, g := q.MayHaveRunBefore(number), q.Grade
-	if t == nil || h.Role == Reads || g.Effect == Idempotent {
-		return false
-	}
-	late := d.door.Now() >= t.Sent+g.Window-10*time.Millisecond
-	return g.Effect == Unrepeatable || late || !g.Reach.Joins(h, t.Host)
-}
-
-// Stands tells, right before a trip's first byte, whether it may still go out. While its connection was made
-// its client may have gone, its host may drain and the window for repeats may have closed (rules 1 to 3).
-func (d *Dispatcher) Stands(t *Trip) bool {
-	q := t.Question
-	open := !t.Ended && !q.Over && d.door.Now() < q.Expiry
-	return open && t.Host.Standing == Ready && !d.harmful(q, t.Host, t.Number)
-}
-
+// cold tells whether a backend is taken to be in slow start.
 func (d *Dispatcher) cold(h *Host) bool {
 	return d.started(h) || h.Unmet > 0 && d.door.Now() < h.Unmet+d.facts.Span("rules.rampTimeUs")
 }
@@ -279,7 +235,7 @@
 		return false
 	}
 	now := d.door.Now()
-	t := &Trip{Question: q, Host: h, Number: len(q.Trips), Sent: now, Stage: stage, Next: next}
+	t := &Trip{Question: q, Host: h, Number: len(q.Trips), Sent: now, Stage: stage, SlowStart: d.cold(h), Next: next}
 	kept := d.keeps(h, q)
 	t.Kept = kept / max(h.Hits.Or(1), 0.01)
 	if stage != ToWrite {
@@ -533,9 +489,8 @@
 }
 
 // write picks the writer once the read has ended: fewest own streams, least reported load, near the state.
-// After two thirds of the time that a state may wait for a connection, the rest is for its release (rule 5).
 func (d *Dispatcher) write(q *Question) bool {
-	if limit := d.facts.Span("familyInfo.pinLimitUs"); limit > 0 && d.door.Now()-q.Waits > limit*2/3 {
+	if d.mayHold(q) != Allowed {
 		return false
 	}
 	h := Least(d.able(q, (*Host).Answers), func(h *Host) float64 {
--- a/brain/facts_test.go
+++ b/brain/facts_test.go
@@ -98,20 +98,20 @@
 		t.Fatalf("%d trips", len(out.sent))
 	}
 	repeat := out.sent[1]
-	if !d.Stands(repeat) {
+	if d.MaySend(repeat) != Allowed {
 		t.Error("a repeat within the window does not stand")
 	}
 	out.now = out.sent[0].Sent + q.Grade.Window
-	if d.Stands(repeat) {
+	if d.MaySend(repeat) == Allowed {
 		t.Error("a repeat stands after the window")
 	}
 	out.now = out.sent[0].Sent + q.Grade.Window/2
 	repeat.Host.Standing = Draining
-	if d.Stands(repeat) {
+	if d.MaySend(repeat) == Allowed {
 		t.Error("a trip to a host that drains stands")
 	}
 	repeat.Host.Standing, q.Over = Ready, true
-	if d.Stands(repeat) {
+	if d.MaySend(repeat) == Allowed {
 		t.Error("a trip stands after its question is over")
 	}
 }
--- /dev/null
+++ b/brain/policy.go
@@ -0,0 +1,148 @@
+package brain
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// What the rules allow now: the only place that decides whether an attempt may be sent, a request run again or rejected, a backend in
+// slow start given work, or a state kept waiting. The choice of a backend and the check right before an attempt's first byte ask the
+// same functions.
+
+// Permission is whether something is allowed, and if not, why.
+type Permission int
+
+const (
+	Allowed            Permission = iota
+	AttemptEnded                  // the attempt is over already
+	RequestOver                   // the request has its final answer, or its client has gone
+	NoFurtherAttempt              // the dispatcher allows none, as it stops or damps retries
+	OtherAttemptOut               // another attempt of the request is out
+	DeadlinePassed                // the client's time is up
+	BackendNotReady               // the backend drains or is gone
+	AttemptsSpent                 // the request has had as many attempts as it may have
+	MayHaveRun                    // the request may have run, and may not run twice
+	RepeatWindowClosed            // the request may have run, and the time in which repeats are dropped is over
+	OtherGroup                    // the request may have run at a backend that does not share what it knows of repeats with this one
+	SlowStartSpent                // the backend is in slow start and has had this dispatcher's part of what it bears
+	StateDue                      // the state has waited for as long as leaves time to release it
+)
+
+// String is how logs and counters name it.
+func (v Permission) String() string {
+	names := [...]string{
+		"allowed", "attempt ended", "request over", "no further attempt", "other attempt out", "deadline passed", "backend not ready", "attempts spent",
+		"may have run", "repeat window closed", "other group", "slow start spent", "state due",
+	}
+	if v < 0 || int(v) >= len(names) {
+		return fmt.Sprintf("permission %d", int(v))
+	}
+	return names[v]
+}
+
+// repeatSlack is how long before the end of its window a repeat is sent at the latest.
+const repeatSlack = 10 * time.Millisecond
+
+// mayChoose tells whether a further attempt of the request may be made at the backend.
+func (d *Dispatcher) mayChoose(q *Question, h *Host) Permission {
+	switch {
+	case q.Over:
+		return RequestOver
+	case q.Last:
+		return NoFurtherAttempt
+	case q.Out() != nil:
+		return OtherAttemptOut
+	case len(q.Trips) >= int(d.facts.Num("policyLimits.maxAttempts", 1)):
+		return AttemptsSpent
+	}
+	if v := d.mayReach(q, h, len(q.Trips)); v != Allowed {
+		return v
+	}
+	work := d.weight(q, h, Whole)
+	return d.mayUseSlowStart(h, work, h.Sent.Sum(d.door.Now())+work)
+}
+
+// barred tells whether no attempt of the request may be made at the backend.
+func (d *Dispatcher) barred(q *Question, h *Host) bool { return d.mayChoose(q, h) != Allowed }
+
+// MaySend tells, right before an attempt's first byte, whether it may still go out. While its connection was made its client may have
+// gone, its backend may drain or have started anew, and the window for repeats may have closed (rules 1 to 4).
+func (d *Dispatcher) MaySend(t *Trip) Permission {
+	q, h := t.Question, t.Host
+	switch {
+	case t.Ended:
+		return AttemptEnded
+	case q.Over:
+		return RequestOver
+	}
+	if v := d.mayReach(q, h, t.Number); v != Allowed || t.SlowStart {
+		return v
+	}
+	return d.mayUseSlowStart(h, d.weight(q, h, Whole), h.Sent.Sum(d.door.Now()))
+}
+
+// mayReach tells whether the attempt of that number may reach the backend now.
+func (d *Dispatcher) mayReach(q *Question, h *Host, number int) Permission {
+	switch {
+	case d.door.Now() >= q.Expiry:
+		return DeadlinePassed
+	case h.Standing != Ready:
+		return BackendNotReady
+	}
+	return d.mayRepeat(q, h, number)
+}
+
+// mayRepeat tells whether the attempt of that number at the backend has no effect a second time (rule 2).
+func (d *Dispatcher) mayRepeat(q *Question, h *Host, number int) Permission {
+	t, g := q.MayHaveRunBefore(number), q.Grade
+	switch {
+	case t == nil || h.Role == Reads || g.Effect == Idempotent:
+		return Allowed
+	case g.Effect == Unrepeatable:
+		return MayHaveRun
+	case d.door.Now() >= t.Sent+g.Window-repeatSlack:
+		return RepeatWindowClosed
+	case !g.Reach.Joins(h, t.Host):
+		return OtherGroup
+	}
+	return Allowed
+}
+
+// MayReject tells whether a request may be answered with the promise that trying again is harmless (rule 2).
+func MayReject(q *Question) Permission {
+	g := q.Grade
+	anywhere := g.Effect == Idempotent || g.Effect == Deduplicated && g.Reach == Everywhere
+	if !anywhere && q.MayHaveRun() != nil {
+		return MayHaveRun
+	}
+	return Allowed
+}
+
+// mayUseSlowStart tells whether a backend may have so much work in a window, a request's own included, of which one is the work of
+// one (rule 4). With many dispatchers a part is less than one request: then it is a chance of one, drawn for each window. All draw
+// alike and shift by their number: so the parts add up, and not only on average.
+func (d *Dispatcher) mayUseSlowStart(h *Host, one, sent float64) Permission {
+	if !d.cold(h) {
+		return Allowed
+	}
+	now, window, turn := d.door.Now(), d.facts.Span("rules.tipAfterUs"), max(h.Unmet, 0)
+	if h.Restart && h.Booted > turn {
+		turn = h.Booted
+	}
+	draw := float64(Mix(uint64((now-turn)/window), uint64(h.ID))>>11) / (1 << 53)
+	_, chance := math.Modf(draw + d.facts.Num("slotNo", 0)/d.facts.Num("siblings", 1))
+	if sent > d.coldBudget(h)+chance*one {
+		return SlowStartSpent
+	}
+	return Allowed
+}
+
+// mayHold tells whether a state may go on waiting for a backend. After two thirds of the time that it may wait, the rest is for its
+// release (rule 5).
+func (d *Dispatcher) mayHold(q *Question) Permission {
+	if limit := d.facts.Span("familyInfo.pinLimitUs"); limit > 0 && d.door.Now()-q.Waits > limit*2/3 {
+		return StateDue
+	}
+	return Allowed
+}
--- /dev/null
+++ b/brain/policy_test.go
@@ -0,0 +1,97 @@
+package brain
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// Each reason why an attempt may not be made, or not be sent any more, has its own permission; the choice and the check before the first
+// byte agree wherever both look.
+func TestEachReasonHasItsPermission(t *testing.T) {
+	for name, c := range map[string]struct {
+		change         func(d *Dispatcher, q *Question, h *Host)
+		choice, before Permission
+	}{
+		"nothing speaks against it": {func(*Dispatcher, *Question, *Host) {}, Allowed, Allowed},
+		"the request is over":       {func(_ *Dispatcher, q *Question, _ *Host) { q.Over = true }, RequestOver, RequestOver},
+		"the stop has begun":        {func(_ *Dispatcher, q *Question, _ *Host) { q.Last = true }, NoFurtherAttempt, Allowed},
+		"its time is up":            {func(d *Dispatcher, q *Question, _ *Host) { q.Expiry = d.door.Now() }, DeadlinePassed, DeadlinePassed},
+		"the backend drains":        {func(_ *Dispatcher, _ *Question, h *Host) { h.Standing = Draining }, BackendNotReady, BackendNotReady},
+		"it may have run, and must not run twice": {func(d *Dispatcher, q *Question, h *Host) {
+			q.Grade.Effect = Unrepeatable
+			went(q, h, Broken, d.door.Now())
+		}, MayHaveRun, MayHaveRun},
+		"it may have run, too long ago": {func(d *Dispatcher, q *Question, h *Host) {
+			q.Grade.Effect, q.Grade.Window = Deduplicated, time.Second
+			went(q, h, Broken, d.door.Now()-time.Second)
+		}, RepeatWindowClosed, RepeatWindowClosed},
+		"it may have run elsewhere": {func(d *Dispatcher, q *Question, h *Host) {
+			q.Grade.Effect, q.Grade.Window, q.Grade.Reach = Deduplicated, time.Minute, SameRack
+			went(q, &Host{Role: Writes, Rack: h.Rack + 1}, Broken, d.door.Now())
+		}, OtherGroup, OtherGroup},
+		"the backend started anew meanwhile": {func(d *Dispatcher, _ *Question, h *Host) {
+			h.Restart, h.Booted = true, d.door.Now()
+			h.Sent.Add(d.door.Now(), 1e9)
+		}, SlowStartSpent, SlowStartSpent},
+	} {
+		d, _ := begin(t)
+		h, q := d.hosts[2], ask(d)
+		c.change(d, q, h)
+		if got := d.mayChoose(q, h); got != c.choice {
+			t.Errorf("%s: the choice is %v, wanted %v", name, got, c.choice)
+		}
+		trip := &Trip{Question: q, Host: h, Number: len(q.Trips), Sent: d.door.Now()}
+		if got := d.MaySend(trip); got != c.before {
+			t.Errorf("%s: before the first byte it is %v, wanted %v", name, got, c.before)
+		}
+	}
+}
+
+// An attempt that was counted against the slow-start budget when it was chosen is not held to it a second time.
+func TestAnAttemptIsHeldToSlowStartOnce(t *testing.T) {
+	d, _ := begin(t)
+	h := d.hosts[2]
+	h.Restart, h.Booted = true, d.door.Now()
+	h.Sent.Add(d.door.Now(), 1e9)
+	if got := d.MaySend(&Trip{Question: ask(d), Host: h, SlowStart: true}); got != Allowed {
+		t.Errorf("%v", got)
+	}
+}
+
+// A request may be rejected, with the promise that trying again is harmless, only where that holds.
+func TestARejectionKeepsItsPromise(t *testing.T) {
+	for name, c := range map[string]struct {
+		effect  Effect
+		reach   Reach
+		outcome Outcome
+		want    Permission
+	}{
+		"idempotent, may have run":                  {Idempotent, Everywhere, Broken, Allowed},
+		"deduplicated everywhere, may have run":     {Deduplicated, Everywhere, TimedOut, Allowed},
+		"deduplicated in a zone, may have run":      {Deduplicated, SameZone, TimedOut, MayHaveRun},
+		"non-idempotent, may have run":              {Unrepeatable, Everywhere, Cancelled, MayHaveRun},
+		"non-idempotent, a rejection by a backend":  {Unrepeatable, Everywhere, Full, Allowed},
+		"non-idempotent, never reached its backend": {Unrepeatable, Everywhere, Unreached, Allowed},
+		"non-idempotent, not sent":                  {Unrepeatable, Everywhere, Moot, Allowed},
+	} {
+		d, _ := begin(t)
+		q := ask(d)
+		q.Grade.Effect, q.Grade.Reach = c.effect, c.reach
+		went(q, d.hosts[2], c.outcome, d.door.Now())
+		if got := MayReject(q); got != c.want {
+			t.Errorf("%s: %v, wanted %v", name, got, c.want)
+		}
+	}
+}
+
+func TestEachPermissionHasAName(t *testing.T) {
+	for v := Allowed; v <= StateDue; v++ {
+		if strings.HasPrefix(v.String(), "permission") {
+			t.Errorf("%d has none", v)
+		}
+	}
+	if !strings.HasPrefix((StateDue + 1).String(), "permission") {
+		t.Error("a name stands for no permission")
+	}
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -301,18 +301,19 @@
 
 // Trip is one send of a question to a host. Next takes its result on.
 type Trip struct {
-	Question *Question
-	Host     *Host
-	Number   int
-	Sent     time.Duration
-	Began    time.Duration
-	Left     float64 // tokens expected to be read
-	Kept     float64 // tokens expected to be kept
-	Stage    Stage
-	Connect  time.Duration // for its connection, if less than what any has; 0: no less
-	Ended    bool
-	Outcome  Outcome
-	Next     func(Result)
+	Question  *Question
+	Host      *Host
+	Number    int
+	Sent      time.Duration
+	Began     time.Duration
+	Left      float64 // tokens expected to be read
+	Kept      float64 // tokens expected to be kept
+	Stage     Stage
+	Connect   time.Duration // for its connection, if less than what any has; 0: no less
+	SlowStart bool          // its host was in slow start when it was chosen: the work counts there
+	Ended     bool
+	Outcome   Outcome
+	Next      func(Result)
 }
 
 // Weigh adds to the host what the trip takes there, or takes it away again, and tells the change in streams.
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -64,9 +64,19 @@
 	p.begin(q)
 }
 
-// Stands tells whether a trip that was chosen may still go out.
-func (p *Policy) Stands(t *brain.Trip) bool {
-	return !t.Ended && !t.Question.Over && p.door.Now() < t.Question.Expiry && t.Host.Standing == brain.Ready
+// MaySend tells whether a trip that was chosen may still go out.
+func (p *Policy) MaySend(t *brain.Trip) brain.Permission {
+	switch {
+	case t.Ended:
+		return brain.AttemptEnded
+	case t.Question.Over:
+		return brain.RequestOver
+	case p.door.Now() >= t.Question.Expiry:
+		return brain.DeadlinePassed
+	case t.Host.Standing != brain.Ready:
+		return brain.BackendNotReady
+	}
+	return brain.Allowed
 }
 
 // begin takes the first step: apart, in place, or at a mixed host, as the policy has it.
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -163,7 +163,7 @@
 	Ended(t *brain.Trip, r brain.Result)
 	Left(q *brain.Question)
 	Heard(n brain.News)
-	Stands(t *brain.Trip) bool
+	MaySend(t *brain.Trip) brain.Permission
 }
 
 // Host puts another module in the place of the loop's, before anything has happened.
@@ -496,10 +496,16 @@
 // Final gives the one final answer.
 func (a *Asked) Final() <-chan kserve.Final { return a.final }
 
-// Wanted tells, when a connection for a trip is there, whether the trip may still go out: while it was waited for, the box may
+// MaySend tells, when a connection for a trip is there, whether the trip may still go out: while it was waited for, the box may
 // have been told to drain, the question may have ended, and a repeat may have come too late.
-func (l *Loop) Wanted(f *Flight) bool {
-	return !f.late && !f.Asked.left && !f.Asked.answered && l.module.Stands(f.Trip)
+func (l *Loop) MaySend(f *Flight) brain.Permission {
+	switch {
+	case f.late:
+		return brain.DeadlinePassed
+	case f.Asked.left, f.Asked.answered:
+		return brain.RequestOver
+	}
+	return l.module.MaySend(f.Trip)
 }
 
 // CallOff ends all trips that are out, and tells how many are: their clients have gone or have their answers.
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -238,7 +238,7 @@
 			f.late = true
 			f.Off(ErrLate)
 		default:
-			if q.Grade.Effect == brain.Idempotent || q.MayHaveRun() == nil {
+			if brain.MayReject(q) == brain.Allowed {
 				l.answer(a, kserve.Final{Final: kserve.Declined, Error: "this dispatcher is stopping", Harmless: true, AfterMs: 1})
 			} else {
 				l.Forfeit(q)
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -191,9 +191,10 @@
 // put sends a request over a new connection, if it may still go out. Nothing but the loop can tell: a drain, the client's going or
 // the end of the window for repeats may have come while the connection was made.
 func (c *transport) put(ctx context.Context, f *dispatch.Flight, conn *reach.Conn, m *payload) (stop func() bool, err error) {
-	wanted := false
-	if !c.loop.Call(ctx, func() { wanted = c.loop.Wanted(f) }) || !wanted {
+	may := brain.RequestOver
+	if !c.loop.Call(ctx, func() { may = c.loop.MaySend(f) }) || may != brain.Allowed {
 		c.Stale.Add(1)
+		c.log.Debug("attempt not sent", "id", m.id, "backend", f.Box.Name, "number", f.Trip.Number, "why", may)
 		return nil, errStale
 	}
 	return write(ctx, conn, m.head(f.Until-c.since()), m.body)
