A monitor counts broken rules at run time; closes, rejections and unsent attempts are logged with reasons

Each check has a test that makes it count and one next to it that does not.

The answer for a request that a loop may have taken as it ended was a 503, a promise of no effect; it is a 502 now.

--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -333,4 +333,7 @@
 	Why      string `json:"why"`
 }
 
+// OutcomeName is how logs and counters name an outcome.
+func OutcomeName(o brain.Outcome) string { return outcomeWords[o] }
+
 var outcomeWords = [...]string{"answered", "read", "failed", "full", "timed_out", "unreached", "broken", "cancelled", "moot"}
--- /dev/null
+++ b/internal/monitor/monitor.go
@@ -0,0 +1,318 @@
+// Package monitor checks the rules at run time: it is told of each event as it happens on the wire (an attempt's first and last byte and
+// its end, answers, clients that go, what discovery tells, states that are held and released), counts violations by rule and logs each
+// with the last events of its request. It never changes what is done, and takes nothing from what the program believes. Begin with
+// Monitor.
+package monitor
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Rule is one that an event can break.
+type Rule int
+
+const (
+	Lost      Rule = iota // an attempt for a client that has gone, an answer too many, or a request closed without one
+	Duplicate             // two attempts out, a second run, or a rejection after one that may have run
+	Drain                 // an attempt to a backend that drains or is gone
+	Held                  // a state that waits too long
+	Deadline              // an attempt is told more time than its client has left
+	rules
+)
+
+// String is how logs and counters name it.
+func (r Rule) String() string {
+	return [...]string{"lost", "duplicate", "drain", "held", "deadline"}[r]
+}
+
+// Terms are the bounds of the rules.
+type Terms struct {
+	Gone       time.Duration // from a client's close, in which an attempt may still begin
+	DrainGrace time.Duration // from a change of a backend, in which an attempt may still begin
+	Hold       time.Duration // for which a state may wait with no attempt out; 0: not checked
+	Told       time.Duration // by which a told deadline may be over what the client has left
+}
+
+// Class is what a request's class says of running it again.
+type Class int
+
+const (
+	Idempotent   Class = iota
+	Deduplicated       // repeats are dropped within a group and a window, which the module knows
+	NonIdempotent
+)
+
+// End is what an attempt's end proves.
+type End int
+
+const (
+	NeverRan End = iota
+	MayHaveRun
+	StateKept // a prefill that ended well: its state waits
+)
+
+const (
+	eventsMost   = 2048            // in the ring
+	requestsMost = 8192            // that are remembered
+	forgetAfter  = 5 * time.Second // from a request's end, if nothing is held for it
+)
+
+// event is one line of the ring.
+type event struct {
+	at   time.Duration
+	id   string
+	text string
+}
+
+// request is what is known of one.
+type request struct {
+	class    Class
+	until    time.Duration // when its client's time is up
+	out      int           // attempts that are out
+	mayRun   bool          // an attempt that has an effect may have run
+	answered bool
+	gone     time.Duration // since when its client has gone; 0: it has not
+	held     bool
+	waits    time.Duration // since when a state waits with no attempt out
+	over     time.Duration // since when it is
+}
+
+// Monitor counts violations.
+type Monitor struct {
+	Terms Terms
+	Since func() time.Duration
+	Log   *slog.Logger
+
+	mu       sync.Mutex
+	requests map[string]*request
+	changed  map[string]time.Duration // since when a backend drains or is gone
+	ring     [eventsMost]event
+	next     int
+	counts   [rules]int64
+	swept    time.Duration
+}
+
+// New makes a monitor.
+func New(terms Terms, since func() time.Duration, log *slog.Logger) *Monitor {
+	return &Monitor{Terms: terms, Since: since, Log: log, requests: map[string]*request{}, changed: map[string]time.Duration{}}
+}
+
+// Counts is how often each rule was broken, as text.
+func (m *Monitor) Counts() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var parts []string
+	for rule, n := range m.counts {
+		if n > 0 {
+			parts = append(parts, fmt.Sprintf("%v:%d", Rule(rule), n))
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
+// Count is how often a rule was broken.
+func (m *Monitor) Count(rule Rule) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.counts[rule]
+}
+
+// note puts an event into the ring. The lock is held.
+func (m *Monitor) note(id, text string) time.Duration {
+	now := m.Since()
+	m.ring[m.next%eventsMost] = event{now, id, text}
+	m.next++
+	if now-m.swept >= forgetAfter {
+		m.forget(now)
+	}
+	return now
+}
+
+// broke counts a violation and logs it with the request's last events. The lock is held.
+func (m *Monitor) broke(rule Rule, id, why string) {
+	m.counts[rule]++
+	var events []string
+	for i := max(m.next-eventsMost, 0); i < m.next; i++ {
+		if e := m.ring[i%eventsMost]; e.id == id {
+			events = append(events, fmt.Sprintf("%.3f %s", e.at.Seconds(), e.text))
+		}
+	}
+	m.Log.Error("rule broken", "rule", rule, "id", id, "why", why, "events", strings.Join(events, "; "))
+}
+
+// forget drops requests that are over. The lock is held.
+func (m *Monitor) forget(now time.Duration) {
+	m.swept = now
+	for id, r := range m.requests {
+		if r.over > 0 && now-r.over >= forgetAfter && !r.held && r.out == 0 {
+			delete(m.requests, id)
+		}
+	}
+}
+
+// known is a request that was taken. The lock is held.
+func (m *Monitor) known(id string) *request { return m.requests[id] }
+
+// Taken is told of a request and of the time that its client has left.
+func (m *Monitor) Taken(id string, class Class, left time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.note(id, fmt.Sprintf("taken with %v left", left))
+	if len(m.requests) < requestsMost {
+		m.requests[id] = &request{class: class, until: now + left}
+	}
+}
+
+// ClientGone is told that a request's client has closed.
+func (m *Monitor) ClientGone(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.note(id, "client gone")
+	if r := m.known(id); r != nil && r.gone == 0 {
+		r.gone = now
+		m.finished(r, now)
+	}
+}
+
+// finished takes note that nobody waits for a request any more. The lock is held.
+func (m *Monitor) finished(r *request, now time.Duration) {
+	if r.over == 0 {
+		r.over = max(now, 1)
+	}
+}
+
+// Changed is told what discovery says of a backend: whether it may be sent requests.
+func (m *Monitor) Changed(backend string, ready bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, known := m.changed[backend]
+	switch {
+	case ready && known:
+		delete(m.changed, backend)
+	case !ready && !known:
+		m.changed[backend] = m.note("", backend+" drains or is gone")
+	}
+}
+
+// AttemptBegins is told right before an attempt's first byte. effect: it is not at a prefill backend; told is the deadline that it states.
+func (m *Monitor) AttemptBegins(id, backend string, number int, effect bool, told time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.note(id, fmt.Sprintf("attempt %d begins at %s, told %v", number, backend, told))
+	if since, drains := m.changed[backend]; drains && now-since > m.Terms.DrainGrace {
+		m.broke(Drain, id, fmt.Sprintf("%s drains or is gone since %v", backend, now-since))
+	}
+	r := m.known(id)
+	if r == nil {
+		return
+	}
+	if r.gone > 0 && now-r.gone > m.Terms.Gone {
+		m.broke(Lost, id, fmt.Sprintf("its client has gone since %v", now-r.gone))
+	}
+	if r.answered {
+		m.broke(Lost, id, "it has its answer")
+	}
+	if r.out > 0 {
+		m.broke(Duplicate, id, "another attempt is out")
+	}
+	if effect && r.mayRun && r.class == NonIdempotent {
+		m.broke(Duplicate, id, "an earlier attempt may have run")
+	}
+	if left := r.until - now; told > left+m.Terms.Told {
+		m.broke(Deadline, id, fmt.Sprintf("its client has %v left", left))
+	}
+	r.out++
+}
+
+// AttemptSent is told that an attempt's last byte was written: the state that it takes does not wait any more.
+func (m *Monitor) AttemptSent(id string, number int, effect bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.note(id, fmt.Sprintf("attempt %d sent", number))
+	r := m.known(id)
+	if r == nil {
+		return
+	}
+	m.checkHeld(id, r, now)
+	r.waits = 0
+	r.mayRun = r.mayRun || effect
+}
+
+// AttemptEnds is told of the end of an attempt that had begun, and what it proves.
+func (m *Monitor) AttemptEnds(id string, number int, effect bool, end End, how string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.note(id, fmt.Sprintf("attempt %d ends, %s", number, how))
+	r := m.known(id)
+	if r == nil {
+		return
+	}
+	r.out = max(r.out-1, 0)
+	if effect {
+		r.mayRun = end == MayHaveRun
+	}
+	if end == StateKept {
+		r.held = true
+	}
+	if r.held && r.out == 0 && r.waits == 0 {
+		r.waits = max(now, 1)
+	}
+}
+
+// checkHeld looks whether a state has waited too long. The lock is held.
+func (m *Monitor) checkHeld(id string, r *request, now time.Duration) {
+	if r.held && r.waits > 0 && m.Terms.Hold > 0 && now-r.waits > m.Terms.Hold {
+		m.broke(Held, id, fmt.Sprintf("a state waited for %v", now-r.waits))
+	}
+}
+
+// Released is told that a backend has released, or another has taken, what was held for a request.
+func (m *Monitor) Released(id, how string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.note(id, how)
+	if r := m.known(id); r != nil {
+		m.checkHeld(id, r, now)
+		r.held, r.waits = false, 0
+	}
+}
+
+// Answered is told of the final answer that was written. rejection: it promises that trying again is harmless.
+func (m *Monitor) Answered(id string, status int, rejection bool, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	text := fmt.Sprintf("answered %d", status)
+	if err != nil {
+		text += ", not written: " + err.Error()
+	}
+	now := m.note(id, text)
+	r := m.known(id)
+	if r == nil {
+		return
+	}
+	if r.answered {
+		m.broke(Lost, id, "it has an answer already")
+	}
+	if rejection && r.class == NonIdempotent && (r.mayRun || r.out > 0) {
+		m.broke(Duplicate, id, "it was rejected after an attempt that may have run")
+	}
+	r.answered = true
+	m.finished(r, now)
+}
+
+// Closed is told that a request's handler has ended. A client that is still there has to have had its answer.
+func (m *Monitor) Closed(id, why string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.note(id, "closed: "+why)
+	if r := m.known(id); r != nil {
+		if !r.answered && r.gone == 0 {
+			m.broke(Lost, id, "its connection is closed without an answer")
+		}
+		m.finished(r, now)
+	}
+}
--- /dev/null
+++ b/internal/monitor/monitor_test.go
@@ -0,0 +1,204 @@
+package monitor
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+// watched is a monitor with a clock of its own and its log.
+type watched struct {
+	*Monitor
+	now time.Duration
+	log bytes.Buffer
+}
+
+func watch() *watched {
+	w := &watched{now: time.Second}
+	terms := Terms{Gone: 100 * time.Millisecond, DrainGrace: 250 * time.Millisecond, Hold: 800 * time.Millisecond, Told: 150 * time.Millisecond}
+	w.Monitor = New(terms, func() time.Duration { return w.now }, slog.New(slog.NewTextHandler(&w.log, nil)))
+	return w
+}
+
+// taken is one with a request of four seconds that is out at w1.
+func taken(class Class) *watched {
+	w := watch()
+	w.Taken("q1", class, 4*time.Second)
+	w.AttemptBegins("q1", "w1", 0, true, 4*time.Second)
+	w.AttemptSent("q1", 0, true)
+	return w
+}
+
+func (w *watched) ended(end End) *watched {
+	w.AttemptEnds("q1", 0, true, end, "ended")
+	return w
+}
+
+// Each way to break a rule is counted, and what is next to it is not.
+func TestEachBrokenRuleIsCounted(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		rule   Rule
+		breaks bool
+		do     func() *watched
+	}{
+		"an attempt long after its client went": {Lost, true, func() *watched {
+			w := taken(Idempotent).ended(NeverRan)
+			w.ClientGone("q1")
+			w.now += 101 * ms
+			w.AttemptBegins("q1", "w1", 1, true, time.Second)
+			return w
+		}},
+		"an attempt as its client goes": {Lost, false, func() *watched {
+			w := taken(Idempotent).ended(NeverRan)
+			w.ClientGone("q1")
+			w.now += 99 * ms
+			w.AttemptBegins("q1", "w1", 1, true, time.Second)
+			return w
+		}},
+		"an attempt after the answer": {Lost, true, func() *watched {
+			w := taken(Idempotent).ended(NeverRan)
+			w.Answered("q1", 502, false, nil)
+			w.AttemptBegins("q1", "w1", 1, true, time.Second)
+			return w
+		}},
+		"two answers": {Lost, true, func() *watched {
+			w := taken(Idempotent).ended(NeverRan)
+			w.Answered("q1", 502, false, nil)
+			w.Answered("q1", 502, false, nil)
+			return w
+		}},
+		"no answer": {Lost, true, func() *watched {
+			w := taken(Idempotent).ended(NeverRan)
+			w.Closed("q1", "returned")
+			return w
+		}},
+		"no answer, but nobody waits for one": {Lost, false, func() *watched {
+			w := taken(Idempotent).ended(NeverRan)
+			w.ClientGone("q1")
+			w.Closed("q1", "returned")
+			return w
+		}},
+		"two attempts out": {Duplicate, true, func() *watched {
+			w := taken(Idempotent)
+			w.AttemptBegins("q1", "w2", 1, true, time.Second)
+			return w
+		}},
+		"a second run": {Duplicate, true, func() *watched {
+			w := taken(NonIdempotent).ended(MayHaveRun)
+			w.AttemptBegins("q1", "w2", 1, true, time.Second)
+			return w
+		}},
+		"a second run of what is idempotent": {Duplicate, false, func() *watched {
+			w := taken(Idempotent).ended(MayHaveRun)
+			w.AttemptBegins("q1", "w2", 1, true, time.Second)
+			return w
+		}},
+		"a rejection after one that may have run": {Duplicate, true, func() *watched {
+			w := taken(NonIdempotent).ended(MayHaveRun)
+			w.Answered("q1", 503, true, nil)
+			return w
+		}},
+		"a rejection with one out": {Duplicate, true, func() *watched {
+			w := taken(NonIdempotent)
+			w.Answered("q1", 503, true, nil)
+			return w
+		}},
+		"a rejection after one that never ran": {Duplicate, false, func() *watched {
+			w := taken(NonIdempotent).ended(NeverRan)
+			w.Answered("q1", 503, true, nil)
+			return w
+		}},
+		"an attempt to one that drains": {Drain, true, func() *watched {
+			w := watch()
+			w.Changed("w1", false)
+			w.now += 251 * ms
+			w.AttemptBegins("q1", "w1", 0, true, time.Second)
+			return w
+		}},
+		"an attempt to one that has come back": {Drain, false, func() *watched {
+			w := watch()
+			w.Changed("w1", false)
+			w.now += time.Second
+			w.Changed("w1", true)
+			w.AttemptBegins("q1", "w1", 0, true, time.Second)
+			return w
+		}},
+		"a state that waits": {Held, true, func() *watched {
+			w := taken(Idempotent).ended(StateKept)
+			w.now += 801 * ms
+			w.Released("q1", "released")
+			return w
+		}},
+		"a state that waits for a send": {Held, true, func() *watched {
+			w := taken(Idempotent).ended(StateKept)
+			w.now += 801 * ms
+			w.AttemptBegins("q1", "w2", 1, true, time.Second)
+			w.AttemptSent("q1", 1, true)
+			return w
+		}},
+		"a state that is taken in time": {Held, false, func() *watched {
+			w := taken(Idempotent).ended(StateKept)
+			w.now += 799 * ms
+			w.AttemptBegins("q1", "w2", 1, true, time.Second)
+			w.AttemptSent("q1", 1, true)
+			w.now += time.Minute
+			w.Released("q1", "taken")
+			return w
+		}},
+		"too much time told": {Deadline, true, func() *watched {
+			w := watch()
+			w.Taken("q1", Idempotent, time.Second)
+			w.now += 500 * ms
+			w.AttemptBegins("q1", "w1", 0, true, 651*ms)
+			return w
+		}},
+		"as much time told as is left": {Deadline, false, func() *watched {
+			w := watch()
+			w.Taken("q1", Idempotent, time.Second)
+			w.now += 500 * ms
+			w.AttemptBegins("q1", "w1", 0, true, 649*ms)
+			return w
+		}},
+	} {
+		w := c.do()
+		if broken := w.Count(c.rule) > 0; broken != c.breaks {
+			t.Errorf("%s: %v counted is %t", name, c.rule, broken)
+		}
+		if c.breaks && (!strings.Contains(w.log.String(), "rule="+c.rule.String()) || !strings.Contains(w.log.String(), "begins at")) {
+			t.Errorf("%s: the log has not the request's events: %s", name, w.log.String())
+		}
+		if !c.breaks && w.Counts() != "" {
+			t.Errorf("%s: %s", name, w.Counts())
+		}
+	}
+}
+
+// What is over is forgotten, so that a monitor does not grow.
+func TestWhatIsOverIsForgotten(t *testing.T) {
+	w := watch()
+	for i := range 3 * requestsMost {
+		id := strings.Repeat("q", i%7+1) + string(rune('a'+i%26)) + time.Duration(i).String()
+		w.Taken(id, Idempotent, time.Second)
+		w.Answered(id, 503, true, nil)
+		w.now += time.Millisecond
+	}
+	if n := len(w.requests); n > requestsMost {
+		t.Errorf("%d requests are known", n)
+	}
+}
+
+func BenchmarkOneRequest(b *testing.B) {
+	w := watch()
+	for b.Loop() {
+		w.Taken("q1", NonIdempotent, time.Second)
+		w.AttemptBegins("q1", "w1", 0, true, time.Second)
+		w.AttemptSent("q1", 0, true)
+		w.AttemptEnds("q1", 0, true, MayHaveRun, "answered")
+		w.Answered("q1", 200, false, nil)
+		w.Closed("q1", "served")
+		w.now += time.Millisecond
+	}
+}
--- a/internal/platform/accept_test.go
+++ b/internal/platform/accept_test.go
@@ -61,7 +61,7 @@
 			t.Errorf("%v: %v", errno, err)
 		}
 		l.Close()
-		l.closeSilent(0)
+		l.closeSilent()
 	}
 }
 
@@ -105,5 +105,5 @@
 	if _, err := l.Accept(); err != http.ErrServerClosed {
 		t.Errorf("%s: then %v", name, err)
 	}
-	l.closeSilent(0)
+	l.closeSilent()
 }
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -33,6 +34,10 @@
 // connState is what a client's connection is doing.
 type connState int
 
+func (s connState) String() string {
+	return [...]string{"new", "idle", "reading", "answering", "closing"}[s]
+}
+
 const (
 	connNew       connState = iota // accepted, nothing has come
 	connIdle                       // between two requests, no byte of the next one was read
@@ -68,6 +73,9 @@
 	lingering bool
 	wasIdle   bool // it was closed between two requests: what comes now is left unread
 	closed    bool
+	cause     closeCause // of its close
+	closedIn  connState  // in which it was closed
+	writeErr  error      // of an answer that could not be written
 }
 
 // newClientConn wraps an accepted connection.
@@ -256,10 +264,11 @@
 }
 
 // closeIdle closes a connection of which no byte of a request has been read, and tells whether it was one.
-func (c *clientConn) closeIdle() bool {
+func (c *clientConn) closeIdle(cause closeCause) bool {
 	c.mu.Lock()
-	idle := c.state == connNew || c.state == connIdle
+	idle := unread(c.state)
 	if idle {
+		c.cause, c.closedIn = cause, c.state
 		c.enter(connClosing)
 		c.wasIdle = true
 	}
@@ -270,6 +279,18 @@
 	return idle
 }
 
+// Write writes part of an answer, and keeps the error: whoever wrote it can't act on it, but a client without its answer has to be
+// told apart from one that left.
+func (c *clientConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		c.writeErr = err
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
 // Close ends sending; the socket is closed soon after.
 func (c *clientConn) Close() error {
 	c.linger()
@@ -324,7 +345,10 @@
 		return false
 	}
 	// Between two requests what still comes is left unread, whoever closes: a request that was read has to be answered.
-	c.wasIdle = c.wasIdle || c.state == connNew || c.state == connIdle
+	c.wasIdle = c.wasIdle || unread(c.state)
+	if c.state != connClosing {
+		c.closedIn = c.state
+	}
 	c.lingering = true
 	c.enter(connClosing)
 	c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
@@ -358,6 +382,13 @@
 	}
 }
 
+// logClose logs why and how the connection was closed.
+func (c *clientConn) logClose(log *slog.Logger) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	log.Debug("connection closed", "client", c.RemoteAddr(), "cause", c.cause, "state", c.closedIn, "unanswered_bytes", len(c.pending), "write_error", c.writeErr)
+}
+
 // connKey is under which a request's context has its connection.
 type connKey struct{}
 
--- a/internal/platform/conn_test.go
+++ b/internal/platform/conn_test.go
@@ -51,7 +51,7 @@
 // then the connection is not closed.
 func TestAnIdleConnectionIsClosedOrReadNotBoth(t *testing.T) {
 	client, conn, closed := pair(t)
-	if !conn.closeIdle() {
+	if !conn.closeIdle(closedByServer) {
 		t.Fatal("a connection on which nothing came is not closed")
 	}
 	io.WriteString(client, "POST / HTTP/1.1\r\n\r\n")
@@ -68,7 +68,7 @@
 	if n, err := conn.Read(make([]byte, 100)); n != 1 || err != nil {
 		t.Fatalf("%d, %v", n, err)
 	}
-	if conn.closeIdle() {
+	if conn.closeIdle(closedByServer) {
 		t.Error("a connection is closed of whose request a byte was read")
 	}
 }
@@ -88,7 +88,7 @@
 		t.Fatalf("%q, %v", head[:n], err)
 	}
 	conn.answered()
-	if conn.closeIdle() {
+	if conn.closeIdle(closedByServer) {
 		t.Error("it is closed over a request that has been read")
 	}
 	if n, err = conn.Read(head); err != nil || string(head[:n]) != "POST /next" {
@@ -225,7 +225,7 @@
 	if _, err := l.Accept(); err != http.ErrServerClosed {
 		t.Errorf("then %v", err)
 	}
-	l.closeSilent(0)
+	l.closeSilent()
 }
 
 // A connection that became busy after it was looked at is not closed for room; the next one is.
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -1,9 +1,11 @@
 package platform
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"sync"
@@ -14,6 +16,7 @@
 	"sloetrestle/internal/chat"
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/monitor"
 )
 
 const (
@@ -45,14 +48,18 @@
 	held       atomic.Int64
 
 	ids     *idRegister
+	monitor *monitor.Monitor
+	classes []monitor.Class // by the number of a request's class
+	log     *slog.Logger
 	mu      sync.Mutex
 	refused map[string]int64
 }
 
-func newFrontend(loop *dispatch.Loop, facts brain.Facts, bodies int64) *frontend {
+func newFrontend(loop *dispatch.Loop, facts brain.Facts, bodies int64, observed *monitor.Monitor, log *slog.Logger) *frontend {
 	f := &frontend{
 		loop: loop, grades: map[string]int{}, tenants: map[string]int{}, ids: newIDRegister(longestDeadline(facts) + idsSpan), refused: map[string]int64{},
 		cut: make(chan struct{}), after: facts.Span("policyLimits.maxRetryAfterUs"), open: int64(facts.Num("policyLimits.maxOpen", 1e4)), bodies: bodies,
+		monitor: observed, classes: monitorClasses(facts), log: log,
 	}
 	for i, name := range facts.Names("requestClasses") {
 		f.grades[name] = i
@@ -97,16 +104,11 @@
 		f.refuse(w, r, errKnownID) // before any answer that would invite a retry
 		return
 	}
-	if f.over.Load() {
-		f.full(w, r, "stopped")
-		return
-	}
-	if f.asked.Add(1) > f.open {
-		f.asked.Add(-1)
-		f.full(w, r, "questions")
+	defer f.asked.Add(-1)
+	if why := mayTake(f.over.Load(), f.asked.Add(1), f.open); why != taken {
+		f.full(w, r, why)
 		return
 	}
-	defer f.asked.Add(-1)
 	f.question(w, r, ask, grade, channel, came)
 }
 
@@ -124,16 +126,17 @@
 // refuse answers what is no question, and ends the connection: what else waits on it may be no request either.
 func (f *frontend) refuse(w http.ResponseWriter, r *http.Request, no *chat.Refusal) {
 	f.count(no.Why)
+	f.log.Debug("request not taken", "id", r.Header.Get("X-Request-Id"), "status", no.Status, "why", no.Why, "client", r.RemoteAddr)
 	w.Header().Set("Connection", "close")
 	// What the server reads of a body that nobody wants is bounded in time.
 	http.NewResponseController(w).SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 	http.Error(w, no.Why, no.Status)
 }
 
-func (f *frontend) full(w http.ResponseWriter, r *http.Request, why string) {
-	f.count("full " + why)
+func (f *frontend) full(w http.ResponseWriter, r *http.Request, why rejection) {
+	f.count("full " + string(why))
 	w.Header().Set("Retry-After", seconds(f.after))
-	f.refuse(w, r, &chat.Refusal{Status: http.StatusServiceUnavailable, Why: why})
+	f.refuse(w, r, &chat.Refusal{Status: http.StatusServiceUnavailable, Why: string(why)})
 }
 
 func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
@@ -149,15 +152,15 @@
 		f.refuse(w, r, errKnownID)
 		return
 	}
-	taken := false
-	defer func() { f.ids.release(ask.ID, taken) }()
+	submitted := false
+	defer func() { f.ids.release(ask.ID, submitted) }()
 	took := int64(0)
 	giveBack := func() { f.held.Add(-took); took = 0 }
 	defer giveBack()
 	body, err := f.body(r, w, &took)
 	switch {
 	case errors.Is(err, errNoRoom):
-		f.full(w, r, "bodies")
+		f.full(w, r, tooMuchBytes)
 		return
 	case errors.Is(err, errTooLong):
 		f.refuse(w, r, &chat.Refusal{Status: http.StatusRequestEntityTooLarge, Why: "body"})
@@ -179,14 +182,19 @@
 		Ask:   kserve.Ask{ID: ask.ID, Session: ask.Session, Shared: ask.Shared, Tokens: ask.Tokens, Prefix: ask.Prefix, Most: ask.Most, Again: ask.Again},
 		Grade: ask.Grade, Channel: ask.Channel, Matter: m,
 	}
-	taken = true
+	submitted = true
+	f.monitor.Taken(ask.ID, f.classes[grade], ask.Left-time.Since(came))
+	defer f.monitor.Closed(ask.ID, "its handler ends")
+	defer context.AfterFunc(r.Context(), func() { f.monitor.ClientGone(ask.ID) })()
 	if !f.loop.Call(r.Context(), func() {
 		f.loop.Arrive(a, grade, channel, ask.Left-time.Since(came))
 	}) {
 		if r.Context().Err() == nil {
-			f.full(w, r, "stopped")
+			// It may have been taken by a loop that ended right then, so nothing is promised.
+			f.answer(w, ask.ID, kserve.Final{Final: kserve.Forfeited, Error: string(stoppedNow)})
 			return
 		}
+		f.monitor.ClientGone(ask.ID)
 		f.loop.Post(func() { // it may have been taken all the same
 			if a.Question != nil {
 				f.loop.Left(a)
@@ -197,10 +205,11 @@
 	trip, end, there := a.Start(r.Context())
 	switch {
 	case !there:
+		f.monitor.ClientGone(ask.ID)
 		f.loop.Post(func() { f.loop.Left(a) })
 		return
 	case trip == nil:
-		f.answer(w, end)
+		f.answer(w, ask.ID, end)
 		return
 	}
 	m.body, body = nil, nil
@@ -248,14 +257,16 @@
 }
 
 // answer gives a final answer of which nothing was streamed.
-func (f *frontend) answer(w http.ResponseWriter, end kserve.Final) {
+func (f *frontend) answer(w http.ResponseWriter, id string, end kserve.Final) {
 	if end.Final != kserve.Declined {
+		f.monitor.Answered(id, http.StatusBadGateway, false, nil)
 		http.Error(w, end.Error, http.StatusBadGateway)
 		return
 	}
 	if end.AfterMs > 0 {
 		w.Header().Set("Retry-After", seconds(time.Duration(end.AfterMs)*time.Millisecond))
 	}
+	f.monitor.Answered(id, http.StatusServiceUnavailable, true, nil)
 	http.Error(w, end.Error, http.StatusServiceUnavailable)
 }
 
--- a/internal/platform/limiter.go
+++ b/internal/platform/limiter.go
@@ -198,7 +198,7 @@
 			continue
 		}
 		open++
-		if state == connNew && since > silentFor || state == connIdle && since > idleFor {
+		if mayClose(closedForRoom, state, since) {
 			victim.consider(c, state, since)
 		}
 	}
@@ -209,7 +209,7 @@
 	if open < l.most {
 		return true
 	}
-	if victim.conn == nil || !victim.conn.closeIdle() {
+	if victim.conn == nil || !victim.conn.closeIdle(closedForRoom) {
 		return false
 	}
 	l.Pushed.Add(1)
@@ -241,6 +241,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, c)
+	c.logClose(l.log)
 }
 
 // moved is told by net/http of a connection's state.
@@ -254,7 +255,7 @@
 	draining := l.draining
 	l.mu.Unlock()
 	if draining {
-		c.closeIdle()
+		c.closeIdle(closedByStop)
 	}
 }
 
@@ -264,28 +265,25 @@
 	l.mu.Lock()
 	l.draining = true
 	l.mu.Unlock()
-	l.closeEach(func(state connState, _ time.Duration) bool { return state == connIdle })
+	l.closeEach(closedByStop)
 }
 
-// closeSilent closes connections on which nothing came for so long, and those between two requests.
-func (l *limiter) closeSilent(after time.Duration) {
-	l.closeEach(func(state connState, since time.Duration) bool {
-		return state == connIdle || state == connNew && since >= after
-	})
-}
+// closeSilent closes connections on which nothing came for long, and those between two requests.
+func (l *limiter) closeSilent() { l.closeEach(closedAsSilent) }
 
-func (l *limiter) closeEach(which func(state connState, since time.Duration) bool) {
+// closeEach closes the connections that may be closed for that cause.
+func (l *limiter) closeEach(cause closeCause) {
 	l.mu.Lock()
 	now := time.Now()
 	var chosen []*clientConn
 	for c := range l.conns {
-		if which(c.status(now)) {
+		if state, since := c.status(now); mayClose(cause, state, since) {
 			chosen = append(chosen, c)
 		}
 	}
 	l.mu.Unlock()
 	for _, c := range chosen {
-		c.closeIdle()
+		c.closeIdle(cause)
 	}
 }
 
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -88,6 +88,9 @@
 		for _, f := range h.site.Faults {
 			t.Error("rule broken: " + f)
 		}
+		if broken := h.node.monitor.Counts(); broken != "" {
+			t.Error("rules broken, as the monitor counts: " + broken)
+		}
 		h.site.Close()
 		goleak.VerifyNone(t, before)
 	})
--- /dev/null
+++ b/internal/platform/observe.go
@@ -0,0 +1,81 @@
+package platform
+
+import (
+	"sloetrestle/brain"
+	"sloetrestle/internal/boxlist"
+	"sloetrestle/internal/dispatch"
+	"sloetrestle/internal/monitor"
+	"time"
+)
+
+// The terms of the rules that the settings do not state.
+const (
+	goneSlack      = 100 * time.Millisecond // in which an attempt may still begin once its client has closed
+	toldSlack      = 150 * time.Millisecond // by which a told deadline may be over what the client has left
+	holdSlack      = 300 * time.Millisecond // that a state may wait beyond its limit
+	drainGraceElse = 250 * time.Millisecond // for attempts to a backend that drains, where the settings state none
+)
+
+// monitorTerms are the rules' bounds by the settings.
+func monitorTerms(facts brain.Facts) monitor.Terms {
+	terms := monitor.Terms{Gone: goneSlack, Told: toldSlack, DrainGrace: facts.Span("rules.drainGraceUs")}
+	if terms.DrainGrace == 0 {
+		terms.DrainGrace = drainGraceElse
+	}
+	if limit := facts.Span("familyInfo.pinLimitUs"); limit > 0 {
+		terms.Hold = limit + holdSlack
+	}
+	return terms
+}
+
+// monitorClasses are the requests' classes by their numbers, as far as running again matters.
+func monitorClasses(facts brain.Facts) (classes []monitor.Class) {
+	grades, err := facts.Grades()
+	if err != nil {
+		return nil // the loop, which needs them, says so
+	}
+	for _, g := range grades {
+		classes = append(classes, map[brain.Effect]monitor.Class{
+			brain.Idempotent: monitor.Idempotent, brain.Deduplicated: monitor.Deduplicated, brain.Unrepeatable: monitor.NonIdempotent,
+		}[g.Effect])
+	}
+	return classes
+}
+
+// hasEffect tells whether an attempt has one that must not come twice: at a prefill backend it has none, however it ends.
+func hasEffect(f *dispatch.Flight) bool { return f.Trip.Stage != brain.ToRead }
+
+// proves is what the end of an attempt proves.
+func proves(o brain.Outcome) monitor.End {
+	switch {
+	case o == brain.Read:
+		return monitor.StateKept
+	case o.NeverRan():
+		return monitor.NeverRan
+	}
+	return monitor.MayHaveRun
+}
+
+// listedObserver tells the monitor what lists say of backends: those that a whole list leaves out are gone.
+type listedObserver struct {
+	monitor *monitor.Monitor
+	known   map[string]bool
+}
+
+func (o *listedObserver) listed(lines []boxlist.Box, whole bool) {
+	named := map[string]bool{}
+	for _, line := range lines {
+		named[line.Name] = true
+		o.known[line.Name] = true
+		o.monitor.Changed(line.Name, line.Standing == boxlist.Ready)
+	}
+	if !whole {
+		return
+	}
+	for name := range o.known {
+		if !named[name] {
+			o.monitor.Changed(name, false)
+			delete(o.known, name)
+		}
+	}
+}
--- a/internal/platform/releases.go
+++ b/internal/platform/releases.go
@@ -41,10 +41,11 @@
 		began := time.Now()
 		if c.releaseAny(targets, call) {
 			c.Calls.Add(1)
+			c.monitor.Released(m.id, "released")
 		} else {
 			c.Unheard.Add(1)
 		}
-		c.log.Debug("release over", "id", m.id, "box", b.Name, "took", time.Since(began))
+		c.log.Debug("release over", "id", m.id, "box", b.Name, "took", time.Since(began), "asked", len(targets))
 		return nil
 	})
 }
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -18,6 +18,7 @@
 	"sloetrestle/internal/chat"
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/endpoints"
+	"sloetrestle/internal/monitor"
 	"sloetrestle/internal/reach"
 	"sloetrestle/internal/system"
 )
@@ -46,6 +47,7 @@
 	served    chan struct{}   // closed when no further connection is accepted
 	peers     *dispatch.Peers // none that listens where the configuration has no address
 	follower  *endpoints.Follower
+	monitor   *monitor.Monitor
 }
 
 // Run serves until the context ends; then it answers what it has and returns. again says when the configuration is to be read anew.
@@ -66,11 +68,12 @@
 	since := func() time.Duration { return time.Since(began) }
 	n := &node{place: p, facts: facts, log: log, served: make(chan struct{})}
 	n.life, n.end = context.WithCancel(ctx)
+	n.monitor = monitor.New(monitorTerms(facts), since, log)
 	boxes := &reach.Boxes{
 		Limit: max(facts.Span("policyLimits.dialTimeoutUs"), 10*time.Millisecond), Most: room.boxes, Since: since, Life: n.life, Group: &n.trips, Dial: sys.Dial, Bare: true,
 	}
 	n.transport = &transport{
-		fields: facts.Names("report.fields"), boxes: boxes, life: n.life, group: &n.trips, log: log, passed: map[string]*passed{},
+		fields: facts.Names("report.fields"), boxes: boxes, life: n.life, group: &n.trips, log: log, monitor: n.monitor, passed: map[string]*passed{},
 		hosts: map[*dispatch.Box]*reach.Host{}, releaser: releaser{calls: make(chan struct{}, room.releases)}, since: since,
 		slots: make(chan struct{}, room.boxes),
 	}
@@ -98,7 +101,9 @@
 		return nil, err
 	}
 	n.transport.loop = n.loop
+	observer := &listedObserver{n.monitor, map[string]bool{}}
 	n.follower = &endpoints.Follower{Log: log, Since: since, Wall: sys.Wall, Dial: sys.Dial, Listed: func(lines []boxlist.Box, whole bool) {
+		observer.listed(lines, whole)
 		n.loop.Post(func() { n.loop.Listed(lines, whole) })
 	}}
 	if len(p.Known) > 0 {
@@ -108,7 +113,7 @@
 	}
 	n.follower.Move(p.Discovery)
 	n.limiter = newLimiter(listener, int(float64(room.clients)/(1+closingShare)), log)
-	n.frontend = newFrontend(n.loop, facts, room.bodies)
+	n.frontend = newFrontend(n.loop, facts, room.bodies, n.monitor, log)
 	n.frontend.crowded = n.limiter.Crowded
 	n.frontend.fleetKnown = func() bool {
 		if !n.follower.Heard() && since() < firstListWait {
@@ -172,7 +177,7 @@
 			"prefills", fmt.Sprint(t.Prefills), "began", t.Began, "in_time", t.InTime, "held_ms", t.Held.Milliseconds(), "first_ms", t.First.Milliseconds(),
 			"believes", fmt.Sprintf("%+v", n.loop.Believes()), "open", f.asked.Load(), "bodies", f.held.Load(), "clients", g.count(), "pushed", g.Pushed.Load(), "waited", g.Waited.Load(), "accept_failed", g.Failed.Load(), "shut", g.Shut.Load(), "refused", f.state(),
 			"released", c.Calls.Load(), "unheard", c.Unheard.Load(), "stale", c.Stale.Load(), "local", c.Local.Load(), "unarrived", c.Unarrived.Load(), "spoilt", c.Spoilt.Load(), "strange", c.Strange.Load(),
-			"watch_lost", n.follower.Lost(), "strangers", n.peers.Dropped.Load(), "heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine())
+			"watch_lost", n.follower.Lost(), "strangers", n.peers.Dropped.Load(), "broken", n.monitor.Counts(), "heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine())
 		n.compare()
 	})
 }
--- a/internal/platform/shutdown.go
+++ b/internal/platform/shutdown.go
@@ -78,9 +78,9 @@
 	time.Sleep(times.accept)
 	n.limiter.acceptLast()
 	<-n.served
-	for n.limiter.count() > 0 {
+	for !mayEnd(n.limiter.count()) {
 		time.Sleep(stopStep)
-		n.limiter.closeSilent(silentMost)
+		n.limiter.closeSilent()
 	}
 	web.Close()
 	n.releaseAll()
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -18,6 +18,7 @@
 	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/chat"
 	"sloetrestle/internal/dispatch"
+	"sloetrestle/internal/monitor"
 	"sloetrestle/internal/reach"
 	"sloetrestle/internal/system"
 )
@@ -42,17 +43,18 @@
 
 // transport takes attempts to backends.
 type transport struct {
-	fields []string // of load reports
-	boxes  *reach.Boxes
-	loop   *dispatch.Loop
-	life   context.Context
-	group  *errgroup.Group
-	tell   func(peer int, n brain.News)
-	hosts  map[*dispatch.Box]*reach.Host // the loop's
-	order  []*reach.Host                 // the same, by when they came
-	log    *slog.Logger
-	mu     sync.Mutex
-	passed map[string]*passed // by box: what went over its connections
+	fields  []string // of load reports
+	boxes   *reach.Boxes
+	loop    *dispatch.Loop
+	life    context.Context
+	group   *errgroup.Group
+	tell    func(peer int, n brain.News)
+	hosts   map[*dispatch.Box]*reach.Host // the loop's
+	order   []*reach.Host                 // the same, by when they came
+	log     *slog.Logger
+	monitor *monitor.Monitor
+	mu      sync.Mutex
+	passed  map[string]*passed // by box: what went over its connections
 
 	slots chan struct{}        // one for each attempt that has or makes a connection
 	since func() time.Duration // the loop's clock
@@ -197,7 +199,18 @@
 		c.log.Debug("attempt not sent", "id", m.id, "backend", f.Box.Name, "number", f.Trip.Number, "why", may)
 		return nil, errStale
 	}
-	return write(ctx, conn, m.head(f.Until-c.since()), m.body)
+	told := f.Until - c.since()
+	c.monitor.AttemptBegins(m.id, f.Box.Name, f.Trip.Number, hasEffect(f), told)
+	stop, err = write(ctx, conn, m.head(told), m.body)
+	switch {
+	case err == nil:
+		c.monitor.AttemptSent(m.id, f.Trip.Number, hasEffect(f))
+	case errors.Is(err, errCutOff):
+		c.monitor.AttemptEnds(m.id, f.Trip.Number, hasEffect(f), monitor.MayHaveRun, err.Error())
+	default:
+		c.monitor.AttemptEnds(m.id, f.Trip.Number, hasEffect(f), monitor.NeverRan, err.Error())
+	}
+	return stop, err
 }
 
 // write sends a request, and has its connection closed when it is called off.
@@ -280,6 +293,7 @@
 		stop()
 		conn.Drop()
 		<-c.slots
+		c.monitor.AttemptEnds(m.id, f.Trip.Number, hasEffect(f), proves(r.Outcome), dispatch.OutcomeName(r.Outcome))
 	}()
 	broken := func() brain.Result {
 		switch cause := context.Cause(ctx); {
@@ -343,6 +357,7 @@
 		}
 		if !begun {
 			begun = true
+			c.monitor.Released(m.id, "its answer begins")
 			c.loop.Post(func() { c.loop.Began(f) })
 		}
 		conn.SetReadDeadline(time.Now().Add(stallTime))
