--- a/cmd/sloetrestle/main.go
+++ b/cmd/sloetrestle/main.go
@@ -82,7 +82,7 @@
 Exit codes: 0 fine; 1 a rule was broken or something failed; 2 wrong use.`,
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	c.AddCommand(serve(), platformCommand(), demo(), dayCommand(), check(), state(), boxes(), measureCommand(), experimentCommand(), loadCommand(), box(), bill(), budgetCommand(), ledgerCommand(), version())
+	c.AddCommand(serve(), platformCommand(), soakCommand(), soakDispatcherCommand(), demo(), dayCommand(), check(), state(), boxes(), measureCommand(), experimentCommand(), loadCommand(), box(), bill(), budgetCommand(), ledgerCommand(), version())
 	return c
 }
 
--- a/cmd/sloetrestle/platform.go
+++ b/cmd/sloetrestle/platform.go
@@ -11,10 +11,13 @@
 	"sloetrestle/internal/system"
 )
 
-func platformCommand() *cobra.Command {
+func platformCommand() *cobra.Command { return platformWith("platform", realSystem) }
+
+// platformWith is the command by a name, on a system.
+func platformWith(name string, open func() (system.System, error)) *cobra.Command {
 	var level string
 	c := &cobra.Command{
-		Use:   "platform",
+		Use:   name,
 		Short: "Run one dispatcher as the users' platform starts it",
 		Long: `Platform runs one dispatcher behind the platform's front, by the file that BALANCER_CONFIG names. On SIGHUP it reads
 the file anew; on SIGTERM it answers what it has and exits with 0. The log goes to standard error.`,
@@ -33,7 +36,11 @@
 		if err != nil {
 			return err
 		}
-		return platform.Run(cmd.Context(), place, system.Real(), reload, read, log)
+		sys, err := open()
+		if err != nil {
+			return err
+		}
+		return platform.Run(cmd.Context(), place, sys, reload, read, log)
 	})
 	return c
 }
--- /dev/null
+++ b/internal/soak/backend.go
@@ -0,0 +1,328 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"sloetrestle/internal/hosts"
+)
+
+// backend is an emulated engine: it does either phase of a request by the platform's protocol, and goes wrong as the schedule has it.
+type backend struct {
+	uid     string
+	prefill bool
+	farm    *farm
+	at      []string // where each dispatcher reaches it
+	listens []net.Listener
+
+	mu     sync.Mutex
+	wrong  map[Kind]activeFault
+	state  string // as discovery has it
+	booted time.Duration
+	bootMs int64
+}
+
+// activeFault is a fault while it lasts.
+type activeFault struct {
+	until time.Duration
+	draw  uint64
+}
+
+// farm is all backends, and what they hold.
+type farm struct {
+	record   *record
+	backends []*backend
+
+	mu   sync.Mutex
+	held map[string]bool // requests whose state waits somewhere
+	done sync.WaitGroup
+}
+
+const (
+	prefillWork = 15 * time.Millisecond
+	decodeWork  = 10 * time.Millisecond
+	tokenTime   = 5 * time.Millisecond
+	tokensLeast = 3
+	tokensMost  = 20
+	slowFactor  = 12
+)
+
+// addBackend opens a backend with an address for each dispatcher.
+func (f *farm) addBackend(uid string, prefill bool, dispatchers int) error {
+	b := &backend{uid: uid, prefill: prefill, farm: f, wrong: map[Kind]activeFault{}, state: "in_service"}
+	for d := range dispatchers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		b.at, b.listens = append(b.at, l.Addr().String()), append(b.listens, l)
+		f.done.Go(func() { acceptAll(l, &f.done, func(c net.Conn) { b.serve(c.(*net.TCPConn), d) }) })
+	}
+	f.backends = append(f.backends, b)
+	return nil
+}
+
+// acceptAll serves connections until the listener closes.
+func acceptAll(l net.Listener, done *sync.WaitGroup, serve func(net.Conn)) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		done.Go(func() {
+			defer c.Close()
+			serve(c)
+		})
+	}
+}
+
+// goesWrong has a kind of fault last until a time.
+func (b *backend) goesWrong(kind Kind, until time.Duration, draw uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wrong[kind] = activeFault{until, draw}
+}
+
+// wrongNow tells whether a kind of fault lasts, and its draw.
+func (b *backend) wrongNow(kind Kind) (uint64, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, ok := b.wrong[kind]
+	return w.draw, ok && b.farm.record.now() < w.until
+}
+
+// restart has the backend be a new process in slow start.
+func (b *backend) restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.booted, b.bootMs = b.farm.record.now(), time.Now().UnixMilli()
+}
+
+// exchange is one connection of a dispatcher.
+type exchange struct {
+	*backend
+	conn    *net.TCPConn
+	attempt *attempt
+	gone    chan struct{} // closed when the dispatcher has closed
+	in      *io.PipeReader
+}
+
+// serve takes the one request of a connection.
+func (b *backend) serve(conn *net.TCPConn, dispatcher int) {
+	e := &exchange{backend: b, conn: conn, gone: make(chan struct{}), attempt: &attempt{dispatcher: dispatcher, backend: b.uid, prefill: b.prefill}}
+	in, out := io.Pipe()
+	e.in = in
+	b.farm.done.Go(func() { e.receive(out) })
+	defer func() { conn.Close(); in.Close(); <-e.gone }()
+	r, err := http.ReadRequest(bufio.NewReader(in))
+	if err != nil {
+		e.await(0)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		e.await(0)
+		return
+	}
+	if r.Method == http.MethodDelete {
+		e.release(strings.TrimPrefix(r.URL.Path, "/v1/holds/"))
+		return
+	}
+	ms, _ := strconv.Atoi(r.Header.Get("X-Timeout-Ms"))
+	b.farm.record.with(func() {
+		e.attempt.id, e.attempt.arrived = r.Header.Get("X-Request-Id"), b.farm.record.now()
+		e.attempt.told = time.Duration(ms) * time.Millisecond
+	})
+	e.answer()
+	e.await(0)
+}
+
+// receive hands on what the dispatcher sends, until the connection falls silent: what comes then arrives nowhere, but is still seen.
+func (e *exchange) receive(out *io.PipeWriter) {
+	defer close(e.gone)
+	defer out.Close()
+	record, silent, buffer := e.farm.record, false, make([]byte, 16<<10)
+	for {
+		n, err := e.conn.Read(buffer)
+		now := record.now()
+		if n > 0 {
+			record.with(func() {
+				if e.attempt.first == 0 && buffer[0] == 'P' {
+					e.attempt.first = now
+					record.attempts = append(record.attempts, e.attempt)
+				}
+			})
+		}
+		if draw, resets := e.wrongNow(BackendResets); n > 0 && resets && draw%3 == 0 {
+			e.reset() // before the request's last byte
+		}
+		if _, wrong := e.wrongNow(BackendSilent); wrong {
+			silent = true
+		}
+		if n > 0 && !silent {
+			out.Write(buffer[:n])
+		}
+		if err != nil {
+			record.with(func() { e.attempt.closed = now })
+			return
+		}
+	}
+}
+
+// reset resets the connection.
+func (e *exchange) reset() {
+	e.conn.SetLinger(0)
+	e.conn.Close()
+}
+
+// await waits for so long, 0: for ever; false: the dispatcher has closed before.
+func (e *exchange) await(wait time.Duration) bool {
+	if wait == 0 {
+		<-e.gone
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-e.gone:
+		return false
+	}
+}
+
+// release lets go of what is held for a request, at whatever backend.
+func (e *exchange) release(id string) {
+	if _, hangs := e.wrongNow(BackendHangs); hangs {
+		e.await(0)
+		return
+	}
+	e.farm.drop(id)
+	io.WriteString(e.conn, "HTTP/1.1 204 No Content\r\n\r\n")
+	e.await(0)
+}
+
+// hold and drop take note of what waits for a request.
+func (f *farm) hold(id string) {
+	f.mu.Lock()
+	f.held[id] = true
+	f.mu.Unlock()
+	f.record.with(func() { f.record.holds = append(f.record.holds, holdEvent{id, f.record.now(), true}) })
+}
+
+func (f *farm) drop(id string) (was bool) {
+	f.mu.Lock()
+	was = f.held[id]
+	delete(f.held, id)
+	f.mu.Unlock()
+	f.record.with(func() { f.record.holds = append(f.record.holds, holdEvent{id, f.record.now(), false}) })
+	return was
+}
+
+func (f *farm) holds(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held[id]
+}
+
+// say writes an answer as it is; last: the attempt is over with it.
+func (e *exchange) say(raw string, last bool) bool {
+	if last {
+		e.farm.record.with(func() { e.attempt.answered = e.farm.record.now() })
+	}
+	if _, wrong := e.wrongNow(BackendSilent); wrong {
+		return true // it goes nowhere
+	}
+	_, err := io.WriteString(e.conn, raw)
+	return err == nil
+}
+
+// answer does the work that was asked for, or goes wrong.
+func (e *exchange) answer() {
+	if _, full := e.wrongNow(BackendFull); full {
+		e.farm.record.with(func() { e.attempt.neverRan = true })
+		e.say(hosts.Refuse(503, true), true)
+		return
+	}
+	if _, fails := e.wrongNow(BackendFails); fails {
+		e.say(hosts.Refuse(500, false), true)
+		return
+	}
+	draw, hangs := e.wrongNow(BackendHangs)
+	if hangs && draw%3 == 0 {
+		e.await(0) // before its work
+		return
+	}
+	if draw, resets := e.wrongNow(BackendResets); resets && draw%3 == 1 {
+		e.reset() // right behind the request
+		return
+	}
+	work := prefillWork
+	if !e.prefill {
+		work = decodeWork
+	}
+	if _, slow := e.wrongNow(BackendSlow); slow {
+		work *= slowFactor
+	}
+	if !e.await(work) {
+		return
+	}
+	if e.prefill {
+		e.farm.hold(e.attempt.id)
+		if hangs {
+			e.await(0) // behind its work
+			return
+		}
+		e.say("HTTP/1.1 202 Accepted\r\nX-Server-Load: util=0.5,queue=2,x0=0.25\r\nContent-Length: 21\r\n\r\n{\"cached_tokens\":100}", true)
+		return
+	}
+	if !e.farm.holds(e.attempt.id) {
+		e.farm.record.with(func() { e.attempt.neverRan = true })
+		e.say(hosts.Refuse(410, true), true)
+		return
+	}
+	e.stream(hangs)
+}
+
+// stream writes an answer, event by event.
+func (e *exchange) stream(hangs bool) {
+	e.farm.drop(e.attempt.id)
+	draw, spoils := e.wrongNow(BackendSpoils)
+	if spoils && draw%3 == 0 {
+		e.say("noise\x00\x01 and no head", true)
+		return
+	}
+	if !e.say(hosts.Opening, false) {
+		return
+	}
+	tokens := tokensLeast + len(e.attempt.id)*7%(tokensMost-tokensLeast)
+	for i := range tokens {
+		if !e.say(hosts.Chunk(hosts.Event(fmt.Sprint("t", i))), false) || !e.await(tokenTime) {
+			return
+		}
+		if hangs && i == 1 {
+			e.await(0)
+			return
+		}
+		if draw, resets := e.wrongNow(BackendResets); resets && draw%3 == 2 {
+			e.reset()
+			return
+		}
+		if spoils && draw%3 == 1 {
+			e.say("zz\r\nno chunk", true)
+			return
+		}
+	}
+	e.farm.record.with(func() { e.attempt.finished = true })
+	end := hosts.Chunk(hosts.Usage+hosts.Done) + hosts.Last
+	if spoils {
+		end += hosts.Opening + hosts.Chunk(hosts.Event("again")) // a second answer right behind
+	}
+	e.say(end, true)
+}
--- /dev/null
+++ b/internal/soak/client.go
@@ -0,0 +1,234 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// The classes of hosts.Settings, with deadlines that a stop waits for.
+var classes = []class{{"trail-info", false, 3 * time.Second}, {"hut-booking", true, 2 * time.Second}}
+
+// manner is how a client goes about a request.
+type manner int
+
+const (
+	plain   manner = iota
+	leaves         // it closes before the answer is whole
+	inPiece        // it sends in pieces
+	hurried        // it gives very little time
+	slowly         // it reads slowly
+	rests          // it rests on its connection before it sends, longer than connections may rest
+	manners        //
+)
+
+const (
+	thinkMost   = 250 * time.Millisecond // between two requests of a client
+	hurriedLeft = 60 * time.Millisecond
+	giveUp      = 6 * time.Second // for an answer, after which a client that waits calls it lost
+	badLimit    = 3 * time.Second // in which a bad client is owed an error or a close
+)
+
+// clients ask the dispatchers.
+type clients struct {
+	run    *run
+	record *record
+	ids    chan string
+}
+
+// usual is a client that keeps to the protocol, request after request.
+func (c *clients) usual(ctx context.Context, rng *rand.Rand) {
+	var conn *clientConn
+	for ctx.Err() == nil {
+		if !sleep(ctx, time.Duration(rng.Float64()*float64(thinkMost))) {
+			break
+		}
+		how := plain
+		if rng.IntN(3) == 0 {
+			how = manner(rng.IntN(int(manners)))
+		}
+		conn = c.ask(ctx, rng, conn, how)
+	}
+	conn.close()
+}
+
+// clientConn is a client's connection to a dispatcher.
+type clientConn struct {
+	net.Conn
+	from       *bufio.Reader
+	dispatcher int
+}
+
+func (c *clientConn) close() {
+	if c != nil {
+		c.Conn.Close()
+	}
+}
+
+// connect connects to a dispatcher that the front deals out; nil: there is none.
+func (c *clients) connect(ctx context.Context, rng *rand.Rand) *clientConn {
+	for ctx.Err() == nil {
+		d := c.run.front(rng)
+		if d == nil {
+			sleep(ctx, 20*time.Millisecond)
+			continue
+		}
+		conn, err := net.DialTimeout("tcp", d.listen, time.Second)
+		if err == nil {
+			return &clientConn{conn, bufio.NewReader(conn), d.number}
+		}
+		sleep(ctx, 20*time.Millisecond)
+	}
+	return nil
+}
+
+// ask has one request served, and returns the connection if it can be used again. A connection that ends without a byte of an answer has
+// the request sent once more on a new one.
+func (c *clients) ask(ctx context.Context, rng *rand.Rand, conn *clientConn, how manner) *clientConn {
+	q := &request{id: <-c.ids, class: classes[rng.IntN(len(classes))], usual: true}
+	q.left = q.class.deadline
+	if how == hurried {
+		q.left = hurriedLeft
+	}
+	c.record.with(func() {
+		c.record.requests = append(c.record.requests, q)
+		c.record.byID[q.id] = q
+	})
+	for try := 0; try < 2; try++ {
+		if conn == nil {
+			if conn = c.connect(ctx, rng); conn == nil {
+				break
+			}
+		}
+		if how == rests && try == 0 {
+			sleep(ctx, time.Duration(rng.Float64()*float64(2500*time.Millisecond)))
+		}
+		again, next := c.exchange(ctx, rng, conn, q, how)
+		if conn = next; !again {
+			return conn
+		}
+	}
+	c.record.with(func() { q.refused = c.record.now() })
+	return conn
+}
+
+// exchange sends a request and reads its answer. again: the connection ended without a byte of it.
+func (c *clients) exchange(ctx context.Context, rng *rand.Rand, conn *clientConn, q *request, how manner) (again bool, next *clientConn) {
+	raw := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Tenant-Id: web-app\r\n"+
+		"X-Route-Key: s%d\r\nX-Timeout-Ms: %d\r\nX-Attrs: prefix=p%d,prompt_len=400,prefix_len=100,max_out=50\r\nContent-Length: 12\r\n\r\n{\"model\":\"\"}",
+		q.id, q.class.name, rng.IntN(200), q.left.Milliseconds(), rng.IntN(20))
+	if err := send(conn, raw, how == inPiece); err != nil {
+		conn.close()
+		return true, nil
+	}
+	c.record.with(func() { q.sends, q.to = append(q.sends, c.record.now()), append(q.to, conn.dispatcher) })
+	if how == leaves {
+		sleep(ctx, time.Duration(rng.Float64()*float64(60*time.Millisecond)))
+		c.record.with(func() { q.gone = c.record.now() })
+		conn.close()
+		return false, nil
+	}
+	conn.SetReadDeadline(time.Now().Add(giveUp))
+	resp, err := http.ReadResponse(conn.from, nil)
+	if err != nil {
+		conn.close()
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			c.record.with(func() { q.gone = c.record.now() })
+			return false, nil
+		}
+		return true, nil
+	}
+	var body io.Reader = resp.Body
+	if how == slowly {
+		body = slowReader{body}
+	}
+	_, err = io.Copy(io.Discard, body)
+	c.record.with(func() { q.status, q.ended, q.whole = resp.StatusCode, c.record.now(), err == nil })
+	if err != nil || resp.Close {
+		conn.close()
+		return false, nil
+	}
+	return false, conn
+}
+
+// send writes a request, whole or in pieces.
+func send(conn net.Conn, raw string, pieces bool) error {
+	step := len(raw)
+	if pieces {
+		step = max(len(raw)/5, 1)
+	}
+	for at := 0; at < len(raw); at += step {
+		if at > 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if _, err := io.WriteString(conn, raw[at:min(at+step, len(raw))]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// slowReader reads a little at a time.
+type slowReader struct{ from io.Reader }
+
+func (s slowReader) Read(into []byte) (int, error) {
+	time.Sleep(2 * time.Millisecond)
+	return s.from.Read(into[:min(len(into), 200)])
+}
+
+// bad is a client that stops in the middle of a request and stays, or sends what is none. It is owed an error or a close.
+func (c *clients) bad(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		conn := c.connect(ctx, rng)
+		if conn == nil {
+			return
+		}
+		raw := "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 12\r\nX-Request-ID: b\r\n\r\n{\"model\":\"\"}"
+		cut := rng.IntN(len(raw) - 1)
+		began := c.record.now()
+		io.WriteString(conn, raw[:cut])
+		conn.SetReadDeadline(time.Now().Add(badLimit + time.Second))
+		_, err := io.Copy(io.Discard, conn)
+		took := c.record.now() - began
+		conn.close()
+		c.run.badDone(conn.dispatcher, began, took, err)
+		if !sleep(ctx, time.Duration(rng.Float64()*float64(time.Second))) {
+			return
+		}
+	}
+}
+
+// sleep waits; false: the context ended before.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// newIDs hands out ids of requests that tell the run.
+func newIDs(ctx context.Context, seed uint64) chan string {
+	ids := make(chan string)
+	go func() {
+		for n := 0; ; n++ {
+			select {
+			case ids <- strings.ToLower(fmt.Sprintf("%x-%06x", seed, n)):
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ids
+}
--- /dev/null
+++ b/internal/soak/discovery.go
@@ -0,0 +1,247 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"sloetrestle/internal/hosts"
+)
+
+// discovery tells each dispatcher of the backends, through an agent of its own.
+type discovery struct {
+	record *record
+	farm   *farm
+	done   sync.WaitGroup
+
+	mu     sync.Mutex
+	rev    int64
+	agents []*agent
+}
+
+// agent is one dispatcher's discovery, at either of two addresses.
+type agent struct {
+	*discovery
+	dispatcher int
+	listens    [2]net.Listener
+
+	// The discovery's lock guards these.
+	current int // the address that is followed
+	silent  time.Duration
+	slow    time.Duration
+	quiet   []span // while it could not be reached, or answered late
+	watches map[net.Conn]int
+	conns   map[net.Conn]int
+}
+
+const (
+	beatTime  = 2 * time.Second
+	slowTime  = 2 * time.Second
+	oldCloses = 1500 * time.Millisecond // after a move, connections to the old address
+)
+
+// target is a line of the list.
+type target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Kind     string  `json:"model"`
+	Rack     int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Units    float64 `json:"capacity_hint"`
+	Boot     int64   `json:"boot_ms"`
+}
+
+// addAgent opens a dispatcher's discovery.
+func (d *discovery) addAgent(dispatcher int) error {
+	a := &agent{discovery: d, dispatcher: dispatcher, watches: map[net.Conn]int{}, conns: map[net.Conn]int{}}
+	for i := range a.listens {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		a.listens[i] = l
+		d.done.Go(func() { acceptAll(l, &d.done, func(c net.Conn) { a.serve(c, i) }) })
+	}
+	d.agents = append(d.agents, a)
+	return nil
+}
+
+// address is where the agent is followed now.
+func (a *agent) address() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.listens[a.current].Addr().String()
+}
+
+// list is what discovery has; the lock is held.
+func (a *agent) list() []byte {
+	targets := []target{}
+	for i, b := range a.farm.backends {
+		b.mu.Lock()
+		kind := hosts.Writer
+		if b.prefill {
+			kind = hosts.Reader
+		}
+		targets = append(targets, target{b.uid, b.at[a.dispatcher], "hall-1", kind, i % 2, b.state, 1, b.bootMs})
+		b.mu.Unlock()
+	}
+	raw, err := json.Marshal(map[string]any{"rev": a.rev, "all": true, "targets": targets})
+	if err != nil {
+		panic(err) // plain fields
+	}
+	return raw
+}
+
+// serve answers what a dispatcher asks.
+func (a *agent) serve(c net.Conn, address int) {
+	a.mu.Lock()
+	a.conns[c] = address
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		delete(a.conns, c)
+		delete(a.watches, c)
+		a.mu.Unlock()
+	}()
+	for from := bufio.NewReader(c); ; {
+		r, err := http.ReadRequest(from)
+		if err != nil {
+			return
+		}
+		if a.slowNow() {
+			time.Sleep(slowTime)
+		}
+		if !a.answer(c, address, r.URL.Query().Get("stream") != "") {
+			return
+		}
+	}
+}
+
+func (a *agent) slowNow() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.record.now() < a.slow
+}
+
+// answer answers with the list, whole or as a watch's first push. While it is silent it answers nothing, and never will on this
+// connection.
+func (a *agent) answer(c net.Conn, address int, watch bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if address != a.current {
+		return false
+	}
+	if a.record.now() < a.silent {
+		return true
+	}
+	raw := string(a.list())
+	if !watch {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(raw), raw)
+		return true
+	}
+	io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+hosts.Chunk(raw+"\n"))
+	a.watches[c] = address
+	return true
+}
+
+// beat has watches hear that nothing changed.
+func (d *discovery) beat() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range d.agents {
+		a.push(hosts.Chunk("\n"))
+	}
+}
+
+// push writes to the watches, and tells whether there was one to hear it; the lock is held.
+func (a *agent) push(raw string) (heard bool) {
+	if a.record.now() < a.silent {
+		return false
+	}
+	for c := range a.watches {
+		if _, err := io.WriteString(c, raw); err == nil {
+			heard = true
+		}
+	}
+	return heard
+}
+
+// change changes what discovery says of a backend, and tells the watches.
+func (d *discovery) change(b *backend, state string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b.mu.Lock()
+	b.state = state
+	b.mu.Unlock()
+	d.rev++
+	for _, a := range d.agents {
+		now, written := d.record.now(), time.Duration(0)
+		if a.push(hosts.Chunk(string(a.list()) + "\n")) {
+			written = now
+		}
+		d.record.with(func() {
+			d.record.listings = append(d.record.listings, listing{b.uid, a.dispatcher, state == "in_service", now, written})
+		})
+	}
+}
+
+// silence has the agent say nothing until a time; its watches are dead from then on.
+func (a *agent) silence(until time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.silent = max(a.silent, until)
+	clear(a.watches)
+	a.quiet = append(a.quiet, span{a.record.now(), until})
+}
+
+// slowDown has the agent answer late until a time.
+func (a *agent) slowDown(until time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.slow = max(a.slow, until)
+	a.quiet = append(a.quiet, span{a.record.now(), until})
+}
+
+// reset cuts the agent's connections.
+func (a *agent) reset() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.conns {
+		c.Close()
+	}
+}
+
+// move has the other address be the one; the old one closes its connections after a while.
+func (a *agent) move() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	old := a.current
+	a.current = 1 - old
+	time.AfterFunc(oldCloses, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for c, address := range a.conns {
+			if address != a.current {
+				c.Close()
+			}
+		}
+	})
+	return a.listens[a.current].Addr().String()
+}
+
+// close ends it.
+func (d *discovery) close() {
+	for _, a := range d.agents {
+		for _, l := range a.listens {
+			l.Close()
+		}
+		a.reset()
+	}
+	d.done.Wait()
+}
--- /dev/null
+++ b/internal/soak/dispatcher.go
@@ -0,0 +1,284 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"sloetrestle/internal/hosts"
+)
+
+// dispatcher is one dispatcher, process after process.
+type dispatcher struct {
+	run     *run
+	number  int
+	listen  string
+	peer    string
+	file    string
+	control net.Listener
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	life   *life
+	shims  net.Conn // of the present process
+	ready  bool
+	lives  int
+	exited chan struct{}
+}
+
+const (
+	readyMost = 10 * time.Second
+	frontLag  = 300 * time.Millisecond                                     // for which the front still opens connections to one that stops
+	killAfter = 3*time.Second + 700*time.Millisecond + 50*time.Millisecond // from SIGTERM to SIGKILL
+	awayTime  = 200 * time.Millisecond                                     // between two processes
+)
+
+// freeAddress is an address that nobody listens at.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// configure writes the configuration, whole or only the first half of it.
+func (d *dispatcher) configure(discovery string, half bool) error {
+	var settings map[string]any
+	if err := json.Unmarshal([]byte(hosts.Settings), &settings); err != nil {
+		return err
+	}
+	settings["siblings"], settings["slotNo"] = float64(d.run.options.Processes), float64(d.number)
+	settings["policyLimits"].(map[string]any)["peers"] = true
+	for i, c := range classes {
+		settings["requestClasses"].([]any)[i].(map[string]any)["giveUpUs"] = float64(c.deadline.Microseconds())
+	}
+	var peers []string
+	for _, o := range d.run.dispatchers {
+		peers = append(peers, o.peer)
+	}
+	agent := d.run.discovery.agents[d.number]
+	agent.mu.Lock()
+	known := json.RawMessage(agent.list())
+	agent.mu.Unlock()
+	raw, err := json.Marshal(map[string]any{
+		"name": fmt.Sprintf("n%d", d.number), "listen": d.listen, "discovery": discovery, "seed": fmt.Sprintf("%x", d.run.options.Seed+uint64(d.number)),
+		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 512}, "peer_listen": d.peer, "peers": peers, "known": known, "settings": settings,
+	})
+	if err != nil {
+		return err
+	}
+	if half {
+		raw = raw[:len(raw)/2]
+	}
+	return os.WriteFile(d.file, raw, 0o600)
+}
+
+// start starts a process and waits until it is ready.
+func (d *dispatcher) start(ctx context.Context) error {
+	o, record := d.run.options, d.run.record
+	log, err := os.Create(filepath.Join(d.run.dir, fmt.Sprintf("n%d-%d.log", d.number, d.lives)))
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(o.Command[0], o.Command[1:]...)
+	cmd.Env = append(append(os.Environ(), o.Env...), "BALANCER_CONFIG="+d.file, ControlVariable+"="+d.control.Addr().String())
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	l := &life{dispatcher: d.number, began: record.now()}
+	if err := cmd.Start(); err != nil {
+		log.Close()
+		return err
+	}
+	exited := make(chan struct{})
+	d.mu.Lock()
+	d.cmd, d.life, d.exited, d.ready = cmd, l, exited, false
+	d.lives++
+	d.mu.Unlock()
+	record.with(func() { record.lives = append(record.lives, l) })
+	d.run.group.Go(func() error {
+		defer log.Close()
+		defer close(exited)
+		err := cmd.Wait()
+		d.mu.Lock()
+		d.ready = false
+		d.mu.Unlock()
+		record.with(func() {
+			l.ended = record.now()
+			if err != nil && !l.killed || l.told == 0 && !l.killed {
+				l.crashed = fmt.Sprintf("it ended by itself: %v", err)
+			}
+		})
+		return nil
+	})
+	d.run.group.Go(func() error { d.takeShims(); return nil })
+	return d.awaitReady(ctx, l, exited)
+}
+
+// takeShims takes the connection of the process's shims.
+func (d *dispatcher) takeShims() {
+	d.control.(*net.TCPListener).SetDeadline(time.Now().Add(readyMost))
+	c, err := d.control.Accept()
+	if err != nil {
+		return
+	}
+	d.mu.Lock()
+	if d.shims != nil {
+		d.shims.Close()
+	}
+	d.shims = c
+	d.mu.Unlock()
+}
+
+// order tells the shims of the present process.
+func (d *dispatcher) order(o Order) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if raw, err := json.Marshal(o); err == nil && d.shims != nil {
+		d.shims.Write(append(raw, '\n'))
+	}
+}
+
+func (d *dispatcher) awaitReady(ctx context.Context, l *life, exited <-chan struct{}) error {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := time.Now().Add(2 * readyMost); time.Now().Before(end); {
+		select {
+		case <-exited:
+			return nil
+		default:
+		}
+		if resp, err := client.Get("http://" + d.listen + "/ready"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				d.run.record.with(func() { l.ready = d.run.record.now() })
+				d.mu.Lock()
+				d.ready = d.life == l
+				d.mu.Unlock()
+				return nil
+			}
+		}
+		if !sleep(ctx, 20*time.Millisecond) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// signal sends a signal to the present process.
+func (d *dispatcher) signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd != nil {
+		d.cmd.Process.Signal(s)
+	}
+}
+
+// terminate has a process end as the platform does at a planned restart, and starts the next one.
+func (d *dispatcher) terminate(ctx context.Context, twice bool) {
+	d.mu.Lock()
+	l, exited := d.life, d.exited
+	d.mu.Unlock()
+	if l.told > 0 || !d.up() {
+		return // it ends already
+	}
+	d.run.record.with(func() { l.told = d.run.record.now() })
+	d.signal(syscall.SIGTERM)
+	if twice {
+		sleep(ctx, 100*time.Millisecond)
+		d.signal(syscall.SIGTERM)
+	}
+	sleep(context.WithoutCancel(ctx), frontLag)
+	d.mu.Lock()
+	d.ready = false
+	d.mu.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(killAfter - frontLag):
+		d.kill(l, exited)
+	}
+	if sleep(ctx, awayTime) {
+		d.start(ctx)
+	}
+}
+
+// up tells whether the front deals connections to it.
+func (d *dispatcher) up() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ready
+}
+
+// kill ends a process outright.
+func (d *dispatcher) kill(l *life, exited <-chan struct{}) {
+	d.run.record.with(func() { l.killed = true })
+	d.signal(syscall.SIGKILL)
+	<-exited
+}
+
+// crash kills the present process and starts the next one.
+func (d *dispatcher) crash(ctx context.Context) {
+	d.mu.Lock()
+	l, exited, ready := d.life, d.exited, d.ready
+	d.mu.Unlock()
+	if !ready || l.told > 0 {
+		return
+	}
+	d.kill(l, exited)
+	if sleep(ctx, awayTime) {
+		d.start(ctx)
+	}
+}
+
+// stop has the process stand still for a while.
+func (d *dispatcher) stop(ctx context.Context, length time.Duration) {
+	if !d.up() {
+		return
+	}
+	d.mu.Lock()
+	l := d.life
+	d.mu.Unlock()
+	from := d.run.record.now()
+	d.signal(syscall.SIGSTOP)
+	sleep(context.WithoutCancel(ctx), length)
+	d.signal(syscall.SIGCONT)
+	d.run.record.with(func() { l.stops = append(l.stops, span{from, d.run.record.now()}) })
+}
+
+// reload moves discovery and tells the process.
+func (d *dispatcher) reload(ctx context.Context, f Fault) {
+	if !d.up() {
+		return
+	}
+	agent := d.run.discovery.agents[d.number]
+	moves := 1
+	if f.Kind == ReloadTwice {
+		moves = 2
+	}
+	for range moves {
+		to := agent.move()
+		d.mu.Lock()
+		l := d.life
+		d.mu.Unlock()
+		from := d.run.record.now()
+		if f.Kind == ReloadTorn {
+			d.configure(to, true)
+			d.signal(syscall.SIGHUP)
+			sleep(ctx, f.Length)
+		}
+		d.configure(to, false)
+		if f.Kind != ReloadTorn {
+			d.signal(syscall.SIGHUP)
+		}
+		d.run.record.with(func() { l.moves = append(l.moves, span{from, d.run.record.now()}) })
+		sleep(ctx, f.Length)
+	}
+}
--- /dev/null
+++ b/internal/soak/record.go
@@ -0,0 +1,141 @@
+package soak
+
+import (
+	"sync"
+	"time"
+)
+
+// record is what the far ends saw, on one monotonic clock. The dispatchers' own word is no part of it.
+type record struct {
+	began time.Time
+
+	mu       sync.Mutex
+	requests []*request
+	byID     map[string]*request
+	attempts []*attempt
+	holds    []holdEvent
+	listings []listing
+	lives    []*life
+	faults   []Fault
+}
+
+func newRecord() *record { return &record{began: time.Now(), byID: map[string]*request{}} }
+
+// now is the time since the run began, never 0.
+func (r *record) now() time.Duration { return max(time.Since(r.began), 1) }
+
+// class is a class of requests.
+type class struct {
+	name     string
+	once     bool // it may not run twice
+	deadline time.Duration
+}
+
+// request is one request of a client.
+type request struct {
+	id      string
+	class   class
+	usual   bool            // a client that keeps to the protocol sent it, and waits for its end
+	sends   []time.Duration // when its last byte was written; more than one: its connection was closed before an answer
+	to      []int           // the dispatchers that it was sent to
+	left    time.Duration   // that its client gave it
+	gone    time.Duration   // when its client closed, if it did before the answer's end
+	status  int
+	ended   time.Duration // when its answer had ended
+	whole   bool          // in good order
+	refused time.Duration // when nobody would take it any more
+}
+
+// attempt is one request that came to a backend, or the beginning of one.
+type attempt struct {
+	id         string
+	dispatcher int
+	backend    string
+	prefill    bool
+	first      time.Duration // its first byte
+	arrived    time.Duration // its last byte had come to the backend; 0: it never did
+	closed     time.Duration // its dispatcher had closed the connection
+	answered   time.Duration // the last byte of its answer was written
+	neverRan   bool          // the answer says so, and it did not
+	told       time.Duration // the deadline that it states
+	finished   bool          // the backend wrote all of its answer
+	slowStart  bool          // it came to a backend in slow start
+}
+
+// end is when the attempt was not out any more; 0: it still is.
+func (a *attempt) end() time.Duration {
+	switch {
+	case a.closed == 0:
+		return a.answered
+	case a.answered == 0:
+		return a.closed
+	}
+	return min(a.closed, a.answered)
+}
+
+// holdEvent is a change of what is held for a request.
+type holdEvent struct {
+	id   string
+	at   time.Duration
+	held bool // false: it was taken or released
+}
+
+// listing is a state of a backend as discovery had it for one dispatcher.
+type listing struct {
+	backend    string
+	dispatcher int
+	ready      bool
+	at         time.Duration // when discovery had it
+	written    time.Duration // when it was written to the dispatcher; 0: it was not
+}
+
+// life is one process of a dispatcher.
+type life struct {
+	dispatcher int
+	began      time.Duration
+	ready      time.Duration
+	told       time.Duration // to stop, by SIGTERM
+	ended      time.Duration
+	killed     bool
+	crashed    string
+	stops      []span // while it was stopped by a signal
+	moves      []span // a SIGHUP with a new address of discovery
+}
+
+// span is a stretch of time.
+type span struct{ from, to time.Duration }
+
+func (s span) overlaps(from, to time.Duration) bool { return s.from <= to && from <= s.to }
+
+// with runs something with the record to itself.
+func (r *record) with(do func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	do()
+}
+
+// lifeAt is the process of a dispatcher at a time; nil: there was none.
+func (r *record) lifeAt(dispatcher int, at time.Duration) *life {
+	for i := len(r.lives) - 1; i >= 0; i-- {
+		l := r.lives[i]
+		if l.dispatcher == dispatcher && l.began <= at && (l.ended == 0 || at <= l.ended) {
+			return l
+		}
+	}
+	return nil
+}
+
+// heldUp is for how long the dispatcher was stopped by signals around a time: whatever it did then it did so much late.
+func (r *record) heldUp(dispatcher int, from, to time.Duration) (sum time.Duration) {
+	for _, l := range r.lives {
+		if l.dispatcher != dispatcher {
+			continue
+		}
+		for _, s := range l.stops {
+			if s.overlaps(from, to) {
+				sum += s.to - s.from
+			}
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,351 @@
+// Package soak plays real dispatcher processes through faults that a seed draws and that overlap: signals, reloads, shims of the
+// system calls and the wall clock, backends, links and discovery that misbehave, clients that do. An oracle holds the far ends' record,
+// never the dispatchers' word, to the rules and terms. The same seed has the same schedule; Shrink drops what a failing one does not
+// need. Begin with Run.
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// ControlVariable names the environment variable that has a process of a soak find whoever drives its shims.
+const ControlVariable = "SLOETRESTLE_SOAK_CONTROL"
+
+// Options say what is played.
+type Options struct {
+	Seed      uint64
+	Processes int
+	Length    time.Duration
+	Every     time.Duration // between two faults, on the mean
+	Clients   int           // usual ones for each process
+	Command   []string      // that runs a dispatcher with Shims
+	Env       []string
+	Dir       string  // for the record; empty: none is kept
+	Faults    []Fault // in place of the schedule that the seed draws
+}
+
+const (
+	settleTime  = 4 * time.Second // at a run's end, without a new fault
+	aftermath   = time.Second     // for which a fault that has ended still acts
+	prefills    = 2               // backends
+	decodes     = 3
+	badClients  = 2
+	startMost   = 30 * time.Second
+	clientsMost = 8 * time.Second // for clients to end
+)
+
+// run is one that is being played.
+type run struct {
+	options     Options
+	record      *record
+	farm        *farm
+	discovery   *discovery
+	dispatchers []*dispatcher
+	dir         string
+	group       errgroup.Group
+
+	mu  sync.Mutex
+	bad []Violation // of bad clients
+	saw int         // bad clients that had their end
+}
+
+// Result is what came of a run.
+type Result struct {
+	Verdict
+	Seed     uint64
+	Faults   []Fault
+	Requests int
+	Attempts int
+	Statuses map[int]int
+	Resent   int
+}
+
+// Run plays one seed and judges it.
+func Run(ctx context.Context, o Options) (Result, error) {
+	r := &run{options: o, record: newRecord(), dir: o.Dir}
+	if o.Faults == nil {
+		o.Faults = Schedule(o)
+	}
+	if r.dir == "" {
+		dir, err := os.MkdirTemp("", "sloetrestle-soak-")
+		if err != nil {
+			return Result{}, err
+		}
+		defer os.RemoveAll(dir)
+		r.dir = dir
+	}
+	if err := r.keepSchedule(o.Faults); err != nil {
+		return Result{}, err
+	}
+	if err := r.open(); err != nil {
+		return Result{}, err
+	}
+	defer r.close()
+	if err := r.startAll(ctx); err != nil {
+		return Result{}, err
+	}
+	r.play(ctx, o.Faults)
+	return r.result(o.Faults), nil
+}
+
+// keepSchedule writes the schedule beside the record.
+func (r *run) keepSchedule(faults []Fault) error {
+	raw, err := json.MarshalIndent(faults, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(r.dir, "schedule.json"), raw, 0o644)
+}
+
+// open opens backends, discovery and the places of the dispatchers.
+func (r *run) open() error {
+	r.farm = &farm{record: r.record, held: map[string]bool{}}
+	r.discovery = &discovery{record: r.record, farm: r.farm, rev: 1}
+	for i := range prefills + decodes {
+		name := fmt.Sprintf("r%d", i)
+		if i >= prefills {
+			name = fmt.Sprintf("w%d", i-prefills)
+		}
+		if err := r.farm.addBackend(name, i < prefills, r.options.Processes); err != nil {
+			return err
+		}
+	}
+	for i := range r.options.Processes {
+		if err := r.discovery.addAgent(i); err != nil {
+			return err
+		}
+		d := &dispatcher{run: r, number: i, file: filepath.Join(r.dir, fmt.Sprintf("n%d.json", i))}
+		var err error
+		if d.listen, err = freeAddress(); err != nil {
+			return err
+		}
+		if d.peer, err = freeAddress(); err != nil {
+			return err
+		}
+		if d.control, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			return err
+		}
+		r.dispatchers = append(r.dispatchers, d)
+	}
+	return nil
+}
+
+// startAll starts the dispatchers and waits until they are ready.
+func (r *run) startAll(ctx context.Context) error {
+	var starting errgroup.Group
+	for _, d := range r.dispatchers {
+		if err := d.configure(r.discovery.agents[d.number].address(), false); err != nil {
+			return err
+		}
+		starting.Go(func() error { return d.start(ctx) })
+	}
+	return starting.Wait()
+}
+
+// play has clients ask and faults happen.
+func (r *run) play(ctx context.Context, faults []Fault) {
+	ctx, end := context.WithTimeout(ctx, r.options.Length)
+	defer end()
+	asking := &clients{run: r, record: r.record, ids: newIDs(ctx, r.options.Seed)}
+	var running sync.WaitGroup
+	for i := range r.options.Processes * r.options.Clients {
+		running.Go(func() { asking.usual(ctx, rand.New(rand.NewPCG(r.options.Seed, uint64(i)))) })
+	}
+	for i := range badClients {
+		running.Go(func() { asking.bad(ctx, rand.New(rand.NewPCG(r.options.Seed, 1<<32+uint64(i)))) })
+	}
+	running.Go(func() {
+		for sleep(ctx, beatTime) {
+			r.discovery.beat()
+		}
+	})
+	began := time.Now()
+	for _, f := range faults {
+		if !sleep(ctx, f.At-time.Since(began)) {
+			break
+		}
+		running.Go(func() { r.cause(ctx, f) })
+	}
+	<-ctx.Done()
+	running.Wait()
+}
+
+// front deals out a dispatcher that takes new connections.
+func (r *run) front(rng *rand.Rand) *dispatcher {
+	var up []*dispatcher
+	for _, d := range r.dispatchers {
+		if d.up() {
+			up = append(up, d)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[rng.IntN(len(up))]
+}
+
+// Errors that the shims have calls fail with.
+var (
+	acceptErrors = []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS, syscall.EPROTO, syscall.ENETUNREACH, syscall.EINTR}
+	dialErrors   = []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.EHOSTUNREACH}
+	wallSteps    = []time.Duration{-time.Hour, -7 * time.Second, 7 * time.Second, time.Hour}
+)
+
+// cause has a fault happen.
+func (r *run) cause(ctx context.Context, f Fault) {
+	d := r.dispatchers[f.Target%len(r.dispatchers)]
+	b := r.farm.backends[f.Target%len(r.farm.backends)]
+	agent := r.discovery.agents[d.number]
+	until := r.record.now() + f.Length
+	switch f.Kind {
+	case Terminate, TerminateTwice:
+		d.terminate(ctx, f.Kind == TerminateTwice)
+	case KillProcess:
+		d.crash(ctx)
+	case Stop:
+		d.stop(ctx, f.Length)
+	case Reload, ReloadTorn, ReloadTwice:
+		d.reload(ctx, f)
+	case WallStep:
+		d.order(Order{WallStep: wallSteps[f.Draw%uint64(len(wallSteps))]})
+	case AcceptFails:
+		d.order(Order{Accept: acceptErrors[f.Draw%uint64(len(acceptErrors))], For: f.Length})
+	case DialFails:
+		d.order(Order{Dial: dialErrors[f.Draw%uint64(len(dialErrors))], For: f.Length})
+	case ShortReads:
+		d.order(Order{ShortReads: true, For: f.Length})
+	case BackendRestarts:
+		b.restart()
+		r.discovery.change(b, "in_service")
+	case Drain:
+		r.discovery.change(b, "terminating")
+		if sleep(ctx, f.Length) {
+			r.discovery.change(b, "in_service")
+		}
+	case DiscoverySilent:
+		agent.silence(until)
+	case DiscoverySlow:
+		agent.slowDown(until)
+	case DiscoveryResets:
+		agent.reset()
+	default:
+		b.goesWrong(f.Kind, until, f.Draw)
+	}
+}
+
+// badDone takes note of a bad client's end.
+func (r *run) badDone(dispatcher int, began, took time.Duration, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.saw++
+	if took > badLimit+slack+r.heldUp(dispatcher, began, began+took) {
+		r.bad = append(r.bad, Violation{ruleBad, began + took, fmt.Sprintf("a client that stopped in a request to n%d had its end after %v: %v", dispatcher, took, err)})
+	}
+}
+
+func (r *run) heldUp(dispatcher int, from, to time.Duration) (held time.Duration) {
+	r.record.with(func() { held = r.record.heldUp(dispatcher, from, to) })
+	return held
+}
+
+// result judges what was recorded, with the processes still up.
+func (r *run) result(faults []Fault) Result {
+	res := Result{Seed: r.options.Seed, Faults: faults, Statuses: map[int]int{}}
+	r.record.mu.Lock()
+	res.Verdict = judge(r.record, func(dispatcher int) []span { return r.discovery.agents[dispatcher].quiet })
+	res.Requests, res.Attempts = len(r.record.requests), len(r.record.attempts)
+	for _, q := range r.record.requests {
+		res.Statuses[q.status]++
+		if len(q.sends) > 1 {
+			res.Resent++
+		}
+	}
+	r.record.mu.Unlock()
+	r.mu.Lock()
+	res.Violations = append(res.Violations, r.bad...)
+	res.Chances[ruleBad] = r.saw
+	r.mu.Unlock()
+	return res
+}
+
+// close ends all of it.
+func (r *run) close() {
+	for _, d := range r.dispatchers {
+		r.record.with(func() {
+			if d.life != nil {
+				d.life.killed = true
+			}
+		})
+		d.signal(syscall.SIGKILL)
+		d.control.Close()
+	}
+	r.group.Wait()
+	r.discovery.close()
+	for _, b := range r.farm.backends {
+		for _, l := range b.listens {
+			l.Close()
+		}
+	}
+	r.farm.done.Wait()
+}
+
+// Table prints what came of a run.
+func (res Result) Table(w io.Writer) {
+	fmt.Fprintf(w, "seed %d: %d requests, %d attempts, %d faults, %d sent again on a new connection, answers %v\n",
+		res.Seed, res.Requests, res.Attempts, len(res.Faults), res.Resent, res.Statuses)
+	kinds := map[Kind]int{}
+	for _, f := range res.Faults {
+		kinds[f.Kind]++
+	}
+	fmt.Fprint(w, "faults:")
+	for _, k := range slices.Sorted(maps.Keys(kinds)) {
+		fmt.Fprintf(w, " %s %d", k, kinds[k])
+	}
+	fmt.Fprintf(w, "\npairs that overlapped: %d kinds\n", len(Overlaps(res.Faults)))
+	broken := map[string]int{}
+	for _, v := range res.Violations {
+		broken[v.Rule]++
+	}
+	for _, rule := range Rules {
+		note := ""
+		if res.Chances[rule] < fewChances {
+			note = "  (few chances)"
+		}
+		fmt.Fprintf(w, "  %-14s %6d chances, broken %d%s\n", rule, res.Chances[rule], broken[rule], note)
+	}
+	for _, v := range res.Violations {
+		fmt.Fprintf(w, "BROKEN %s at %.3f s: %s\n", v.Rule, v.At.Seconds(), v.Text)
+	}
+}
+
+// fewChances is below how many chances a rule's line says that they were few.
+const fewChances = 20
+
+// Shrink drops faults from a schedule as long as fails says that the rest still fails, and returns the shortest that was found.
+func Shrink(faults []Fault, fails func([]Fault) bool) []Fault {
+	for size := max(len(faults)/2, 1); size >= 1; size /= 2 {
+		for at := 0; at < len(faults); {
+			rest := slices.Concat(faults[:at], faults[min(at+size, len(faults)):])
+			if len(rest) < len(faults) && fails(rest) {
+				faults = rest
+			} else {
+				at += size
+			}
+		}
+	}
+	return faults
+}
