--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,9 +10,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sloetrestle/internal/hosts"
+	"sloetrestle/internal/standin"
 )
 
 // backend is an emulated engine: it does either phase of a request by the platform's protocol, and goes wrong as the schedule has it.
@@ -19,14 +22,16 @@
 	uid     string
 	prefill bool
 	farm    *farm
-	at      []string // where each dispatcher reaches it
-	listens []net.Listener
+	at      []string   // where each dispatcher reaches it
+	cut     sync.Mutex // held while it is cut off
 
-	mu     sync.Mutex
-	wrong  map[Kind]activeFault
-	state  string // as discovery has it
-	booted time.Duration
-	bootMs int64
+	mu      sync.Mutex
+	listens []net.Listener
+	closed  bool
+	wrong   map[Kind]activeFault
+	state   string // as discovery has it
+	booted  time.Duration
+	bootMs  int64
 }
 
 // activeFault is a fault while it lasts.
@@ -63,12 +68,75 @@
 			return err
 		}
 		b.at, b.listens = append(b.at, l.Addr().String()), append(b.listens, l)
-		f.done.Go(func() { acceptAll(l, &f.done, func(c net.Conn) { b.serve(c.(*net.TCPConn), d) }) })
+		b.accept(l, d)
 	}
 	f.backends = append(f.backends, b)
 	return nil
 }
 
+// accept has a listener's connections served.
+func (b *backend) accept(l net.Listener, dispatcher int) {
+	done := &b.farm.done
+	done.Go(func() { acceptAll(l, done, func(c net.Conn) { b.serve(c.(*net.TCPConn), dispatcher) }) })
+}
+
+// cutOff has the backend be cut off for a while: connections that stand fall silent, and new ones neither come up nor are refused.
+func (b *backend) cutOff(ctx context.Context, length time.Duration, draw uint64) {
+	b.cut.Lock()
+	defer b.cut.Unlock()
+	var filling sync.WaitGroup
+	var stuck [][]net.Conn
+	for range b.listens {
+		stuck = append(stuck, nil)
+	}
+	for d := range b.listens {
+		filling.Go(func() {
+			if l := b.reopen(d); l != nil {
+				stuck[d], _ = standin.Fill(l)
+			}
+		})
+	}
+	filling.Wait()
+	b.goesWrong(BackendSilent, b.farm.record.now()+length, draw)
+	sleep(ctx, length)
+	for d := range b.listens {
+		for _, c := range stuck[d] {
+			c.Close()
+		}
+		if l := b.reopen(d); l != nil {
+			b.accept(l, d)
+		}
+	}
+}
+
+// reopen listens anew at a dispatcher's address, and serves nothing yet; nil: the run is over.
+func (b *backend) reopen(dispatcher int) net.Listener {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return nil
+	}
+	b.listens[dispatcher].Close()
+	for range 50 {
+		if l, err := net.Listen("tcp", b.at[dispatcher]); err == nil {
+			b.listens[dispatcher] = l
+			return l
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil
+}
+
+// close ends listening for good.
+func (b *backend) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	for _, l := range b.listens {
+		l.Close()
+	}
+}
+
 // acceptAll serves connections until the listener closes.
 func acceptAll(l net.Listener, done *sync.WaitGroup, serve func(net.Conn)) {
 	for {
@@ -110,6 +178,7 @@
 	*backend
 	conn    *net.TCPConn
 	attempt *attempt
+	dead    atomic.Bool   // the connection has fallen silent, both ways and for good
 	gone    chan struct{} // closed when the dispatcher has closed
 	in      *io.PipeReader
 }
@@ -147,7 +216,7 @@
 func (e *exchange) receive(out *io.PipeWriter) {
 	defer close(e.gone)
 	defer out.Close()
-	record, silent, buffer := e.farm.record, false, make([]byte, 16<<10)
+	record, buffer := e.farm.record, make([]byte, 16<<10)
 	for {
 		n, err := e.conn.Read(buffer)
 		now := record.now()
@@ -162,10 +231,7 @@
 		if draw, resets := e.wrongNow(BackendResets); n > 0 && resets && draw%3 == 0 {
 			e.reset() // before the request's last byte
 		}
-		if _, wrong := e.wrongNow(BackendSilent); wrong {
-			silent = true
-		}
-		if n > 0 && !silent {
+		if n > 0 && !e.silent() {
 			out.Write(buffer[:n])
 		}
 		if err != nil {
@@ -175,6 +241,14 @@
 	}
 }
 
+// silent tells whether the connection has fallen silent.
+func (e *exchange) silent() bool {
+	if _, wrong := e.wrongNow(BackendSilent); wrong {
+		e.dead.Store(true)
+	}
+	return e.dead.Load()
+}
+
 // reset resets the connection.
 func (e *exchange) reset() {
 	e.conn.SetLinger(0)
@@ -233,12 +307,12 @@
 
 // say writes an answer as it is; last: the attempt is over with it.
 func (e *exchange) say(raw string, last bool) bool {
+	if e.silent() {
+		return true // it goes nowhere
+	}
 	if last {
 		e.farm.record.with(func() { e.attempt.answered = e.farm.record.now() })
 	}
-	if _, wrong := e.wrongNow(BackendSilent); wrong {
-		return true // it goes nowhere
-	}
 	_, err := io.WriteString(e.conn, raw)
 	return err == nil
 }
@@ -319,7 +393,7 @@
 			return
 		}
 	}
-	e.farm.record.with(func() { e.attempt.finished = true })
+	e.farm.record.with(func() { e.attempt.finished = !e.silent() })
 	end := hosts.Chunk(hosts.Usage+hosts.Done) + hosts.Last
 	if spoils {
 		end += hosts.Opening + hosts.Chunk(hosts.Event("again")) // a second answer right behind
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -236,6 +236,8 @@
 		if sleep(ctx, f.Length) {
 			r.discovery.change(b, "in_service")
 		}
+	case BackendSilent:
+		b.cutOff(ctx, f.Length, f.Draw)
 	case DiscoverySilent:
 		agent.silence(until)
 	case DiscoverySlow:
@@ -296,9 +298,7 @@
 	r.group.Wait()
 	r.discovery.close()
 	for _, b := range r.farm.backends {
-		for _, l := range b.listens {
-			l.Close()
-		}
+		b.close()
 	}
 	r.farm.done.Wait()
 }
