--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -49,17 +49,18 @@
 
 	ids     *idRegister
 	monitor *monitor.Monitor
+	pulse   *pulse
 	classes []monitor.Class // by the number of a request's class
 	log     *slog.Logger
 	mu      sync.Mutex
 	refused map[string]int64
 }
 
-func newFrontend(loop *dispatch.Loop, facts brain.Facts, bodies int64, observed *monitor.Monitor, log *slog.Logger) *frontend {
+func newFrontend(loop *dispatch.Loop, facts brain.Facts, bodies int64, observed *monitor.Monitor, beating *pulse, log *slog.Logger) *frontend {
 	f := &frontend{
 		loop: loop, grades: map[string]int{}, tenants: map[string]int{}, ids: newIDRegister(longestDeadline(facts) + idsSpan), refused: map[string]int64{},
 		cut: make(chan struct{}), after: facts.Span("policyLimits.maxRetryAfterUs"), open: int64(facts.Num("policyLimits.maxOpen", 1e4)), bodies: bodies,
-		monitor: observed, classes: monitorClasses(facts), log: log,
+		monitor: observed, pulse: beating, classes: monitorClasses(facts), log: log,
 	}
 	for i, name := range facts.Names("requestClasses") {
 		f.grades[name] = i
@@ -82,7 +83,7 @@
 		}
 		return
 	}
-	came := conn.requestCame(time.Now())
+	came := conn.requestCame(f.pulse.came(time.Now()))
 	ask, no := chat.Read(r)
 	if conn.ambiguous() {
 		no = &chat.Refusal{Status: http.StatusBadRequest, Why: "length twice"}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -48,6 +48,7 @@
 	peers     *dispatch.Peers // none that listens where the configuration has no address
 	follower  *endpoints.Follower
 	monitor   *monitor.Monitor
+	pulse     *pulse
 }
 
 // Run serves until the context ends; then it answers what it has and returns. again says when the configuration is to be read anew.
@@ -68,12 +69,13 @@
 	since := func() time.Duration { return time.Since(began) }
 	n := &node{place: p, facts: facts, log: log, served: make(chan struct{})}
 	n.life, n.end = context.WithCancel(ctx)
+	n.pulse = newPulse(time.Now())
 	n.monitor = monitor.New(monitorTerms(facts), since, log)
 	boxes := &reach.Boxes{
 		Limit: max(facts.Span("policyLimits.dialTimeoutUs"), 10*time.Millisecond), Most: room.boxes, Since: since, Life: n.life, Group: &n.trips, Dial: sys.Dial, Bare: true,
 	}
 	n.transport = &transport{
-		fields: facts.Names("report.fields"), boxes: boxes, life: n.life, group: &n.trips, log: log, monitor: n.monitor, passed: map[string]*passed{},
+		fields: facts.Names("report.fields"), boxes: boxes, life: n.life, group: &n.trips, log: log, monitor: n.monitor, pulse: n.pulse, passed: map[string]*passed{},
 		hosts: map[*dispatch.Box]*reach.Host{}, releaser: releaser{calls: make(chan struct{}, room.releases)}, since: since,
 		slots: make(chan struct{}, room.boxes),
 	}
@@ -113,7 +115,7 @@
 	}
 	n.follower.Move(p.Discovery)
 	n.limiter = newLimiter(listener, int(float64(room.clients)/(1+closingShare)), log)
-	n.frontend = newFrontend(n.loop, facts, room.bodies, n.monitor, log)
+	n.frontend = newFrontend(n.loop, facts, room.bodies, n.monitor, n.pulse, log)
 	n.frontend.crowded = n.limiter.Crowded
 	n.frontend.fleetKnown = func() bool {
 		if !n.follower.Heard() && since() < firstListWait {
@@ -139,6 +141,7 @@
 	n.trips.Go(n.transport.boxes.Tend)
 	n.group.Go(func() error { return n.loop.Run(n.life) })
 	n.group.Go(func() error { return n.follower.Follow(n.life) })
+	n.group.Go(func() error { n.pulse.run(n.life); return nil })
 	n.group.Go(func() error { n.reload(n.life, again, read); return nil })
 	if n.peers.Conn != nil {
 		n.group.Go(func() error { return n.peers.Listen(n.life, n.loop) })
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -53,6 +53,7 @@
 	order   []*reach.Host                 // the same, by when they came
 	log     *slog.Logger
 	monitor *monitor.Monitor
+	pulse   *pulse
 	mu      sync.Mutex
 	passed  map[string]*passed // by box: what went over its connections
 
@@ -193,8 +194,8 @@
 // put sends a request over a new connection, if it may still go out. Nothing but the loop can tell: a drain, the client's going or
 // the end of the window for repeats may have come while the connection was made.
 func (c *transport) put(ctx context.Context, f *dispatch.Flight, conn *reach.Conn, m *payload) (stop func() bool, err error) {
-	may := brain.RequestOver
-	if !c.loop.Call(ctx, func() { may = c.loop.MaySend(f) }) || may != brain.Allowed {
+	may := c.maySend(ctx, f)
+	if may != brain.Allowed {
 		c.Stale.Add(1)
 		c.log.Debug("attempt not sent", "id", m.id, "backend", f.Box.Name, "number", f.Trip.Number, "why", may)
 		return nil, errStale
@@ -213,6 +214,20 @@
 	return stop, err
 }
 
+// maySend asks the loop, again where the process stood still meanwhile: what came by then has to be read before the answer counts.
+func (c *transport) maySend(ctx context.Context, f *dispatch.Flight) brain.Permission {
+	for {
+		asked, may := time.Now(), brain.RequestOver
+		if !c.loop.Call(ctx, func() { may = c.loop.MaySend(f) }) {
+			return brain.RequestOver
+		}
+		if may != brain.Allowed || !c.pulse.stalledSince(asked, time.Now()) {
+			return may
+		}
+		sleep(ctx, dialWait)
+	}
+}
+
 // write sends a request, and has its connection closed when it is called off.
 func write(ctx context.Context, conn *reach.Conn, head, body []byte) (stop func() bool, err error) {
 	stop = context.AfterFunc(ctx, func() { conn.Conn.Close() })
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -41,14 +42,25 @@
 	awayTime  = 200 * time.Millisecond                                     // between two processes
 )
 
+// Ports of dispatchers are below those that the system gives to outgoing connections: one of these may else take a dispatcher's while
+// it restarts.
+const (
+	portLeast = 20_000
+	portMost  = 32_000
+	portTries = 200
+)
+
 // freeAddress is an address that nobody listens at.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+func freeAddress() (at string, err error) {
+	for range portTries {
+		at = fmt.Sprintf("127.0.0.1:%d", portLeast+rand.IntN(portMost-portLeast))
+		l, listening := net.Listen("tcp", at)
+		if err = listening; err == nil {
+			l.Close()
+			return at, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // configure writes the configuration, whole or only the first half of it.
--- a/internal/system/retry.go
+++ b/internal/system/retry.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// startTime bounds the repeats of Open.
-const startTime = 3 * time.Second
+// startTime bounds the repeats of Open. A process that ends for want of a socket has failed; one that waits may yet start.
+const startTime = 25 * time.Second
 
 // Open repeats a call that opens a socket until it goes well or startTime is over: a process that has just ended may still hold the
 // address, and descriptors may run short for a moment.
