--- a/internal/platform/accept_test.go
+++ b/internal/platform/accept_test.go
@@ -1,9 +1,11 @@
 package platform
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -107,3 +109,38 @@
 	}
 	l.closeSilent()
 }
+
+// A request whose connection waited while accept failed is as old as that: what its backend is told is at most what its client has left.
+func TestARequestThatWaitedForAcceptHasLessTime(t *testing.T) {
+	flaky := &failingListener{errno: syscall.ENFILE}
+	h := enter(t, func(h *house, _ *Place) {
+		h.system.Listen = func(address string) (system.Listener, error) {
+			l, err := system.Real().Listen(address)
+			flaky.Listener = l
+			return flaky, err
+		}
+	})
+	flaky.left.Store(10) // some 0.7 s with the waits between
+	h.client()           // ends the accept that waits
+	var waiting []*client
+	began := time.Now()
+	for range 3 {
+		c := h.client()
+		io.WriteString(c, h.ask("hut-booking"))
+		waiting = append(waiting, c)
+	}
+	for _, c := range waiting {
+		if got := c.said(); got.status != 200 {
+			t.Fatalf("%+v", got)
+		}
+	}
+	waited := time.Since(began)
+	for _, e := range h.site.Seen("", "POST") {
+		if left, _ := strconv.Atoi(e.Head.Get("X-Timeout-Ms")); time.Duration(left)*time.Millisecond > 3*time.Second-waited+300*time.Millisecond {
+			t.Errorf("%s is told %d ms for %s, which waited for some %v", e.Box.UID, left, e.ID, waited)
+		}
+	}
+	if waited < 400*time.Millisecond {
+		t.Errorf("they waited for %v: this shows nothing", waited)
+	}
+}
--- a/internal/platform/limiter.go
+++ b/internal/platform/limiter.go
@@ -24,6 +24,7 @@
 	drainLeast = time.Millisecond
 	drainMost  = 100 * time.Millisecond
 
+	backlogTime  = 200 * time.Millisecond // after accept failed, until connections from before are accepted
 	lastRounds   = 50                     // looks for completed connections at the end of accepting, if errors or stalls spoil them
 	lastRoomWait = 200 * time.Millisecond // at the end of accepting, for a place for a completed connection
 )
@@ -36,6 +37,9 @@
 	closingShare = 0.1
 )
 
+// timeSpan is a stretch of time.
+type timeSpan struct{ from, to time.Time }
+
 // limiter accepts clients' connections and bounds how many are open. Where as many are open as may be, the oldest that is silent or
 // idle makes room; where there is none, the next waits outside until one is.
 type limiter struct {
@@ -44,6 +48,7 @@
 	mu       sync.Mutex
 	conns    map[*clientConn]bool
 	draining bool         // connections without an open request are closed
+	failures timeSpan     // in which accept failed last; the accepting goroutine's
 	ending   time.Time    // when acceptLast was called; set before last is
 	last     atomic.Bool  // what is completed already is accepted, and no more
 	Pushed   atomic.Int64 // connections that made room
@@ -68,47 +73,52 @@
 func (l *limiter) Accept() (net.Conn, error) {
 	var retry system.Retry
 	for {
-		waiting := l.awaitRoom()
+		noRoom := l.awaitRoom()
+		called := time.Now()
 		raw, err := l.listener.Accept()
 		if err != nil && l.last.Load() {
 			raw, err = l.acceptCompleted()
 		}
 		switch {
 		case err == nil:
-			if c, err := l.admit(raw, waiting.began()); err == nil {
+			if c, err := l.admit(raw, l.completedAt(noRoom, called)); err == nil {
 				return c, nil
 			}
 			raw.Close()
 		case errors.Is(err, net.ErrClosed), errors.Is(err, http.ErrServerClosed):
 			return nil, err
 		default:
-			l.failed(err)
+			l.failed(called, err)
 			retry.Wait()
 		}
 	}
 }
 
-// roomWaiting is a wait for room for one more connection.
-type roomWaiting struct{ from, to time.Time }
-
-// began is since when a connection that is accepted now may have been complete: since the wait for room began, if it was there at its
-// end.
-func (w roomWaiting) began() time.Time {
+// completedAt is since when a connection that was accepted now may have been complete: for as long as there was no room, or accept
+// failed, if the call that returned it found it there.
+func (l *limiter) completedAt(noRoom, called time.Time) time.Time {
 	now := time.Now()
-	if w.to.Sub(w.from) < roomWait || now.Sub(w.to) > atOnce {
-		return now
+	switch {
+	case now.Sub(called) > atOnce:
+		return now // it was waited for
+	case now.Sub(l.failures.to) < backlogTime:
+		return l.failures.from
+	case !noRoom.IsZero():
+		return noRoom
 	}
-	return w.from
+	return now
 }
 
-// awaitRoom waits until one more connection may be open, or accepting ends.
-func (l *limiter) awaitRoom() roomWaiting {
-	began := time.Now()
+// awaitRoom waits until one more connection may be open, or accepting ends, and tells since when; zero: there was room at once.
+func (l *limiter) awaitRoom() (since time.Time) {
 	for !l.last.Load() && !l.makeRoom(time.Now()) {
+		if since.IsZero() {
+			since = time.Now()
+		}
 		l.Waited.Add(1)
 		time.Sleep(roomWait)
 	}
-	return roomWaiting{began, time.Now()}
+	return since
 }
 
 // acceptCompleted returns a connection that the system has completed; http.ErrServerClosed: there is none any more, and the listener is
@@ -129,7 +139,7 @@
 			return raw, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			l.failed(err)
+			l.failed(began, err)
 			retry.Wait()
 		} else if time.Since(began) < 2*wait {
 			break // it looked at once, and nothing came while it waited
@@ -167,7 +177,12 @@
 }
 
 // failed takes note of an error of accept that is passed over.
-func (l *limiter) failed(err error) {
+func (l *limiter) failed(called time.Time, err error) {
+	now := time.Now()
+	if now.Sub(l.failures.to) > backlogTime {
+		l.failures.from = called
+	}
+	l.failures.to = now
 	l.Failed.Add(1)
 	l.log.Warn("accept failed", "error", err)
 }
