--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -8,7 +8,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,10 +17,8 @@
 	"sloetrestle/brain"
 	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/agenda"
-	"sloetrestle/internal/boxlist"
 	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/news"
-	"sloetrestle/internal/reach"
 	"sloetrestle/internal/storm"
 )
 
@@ -39,21 +36,6 @@
 	Allows     func(addresses.Spec) bool // nil: all of them
 }
 
-// Box is one model host as the program knows it: the module's host and where it listens.
-type Box struct {
-	Name    string
-	At      []addresses.Spec // where it listens, as far as that is allowed
-	Host    *brain.Host
-	Start   uint64
-	Drained chan struct{} // closed when the list says that it is gone
-	reach   *reach.Host
-	place   [3]string     // kind, zone and rack, as listed
-	booted  time.Duration // when Start was, as first told
-	dated   bool          // it was told
-	gone    time.Duration // since when it is
-	out     int           // trips that are
-}
-
 // Asked is one question between its client and the module.
 type Asked struct {
 	Question *brain.Question
@@ -263,127 +245,6 @@
 	}
 }
 
-// HostID is a box's number, alike at all dispatchers.
-func HostID(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
-
-// Listed takes lines of the box list.
-func (l *Loop) Listed(lines []boxlist.Box, whole bool) {
-	var out []brain.Listing
-	named := map[string]bool{}
-	for _, line := range lines {
-		named[line.Name] = true
-		b, place := l.boxes[line.Name], [3]string{line.Kind, line.Zone, line.Rack}
-		if b != nil && b.place != place && line.Standing != boxlist.Gone {
-			// Another machine under the old name: what is known of that one says nothing of this.
-			l.retire(b)
-			out = append(out, brain.Listing{Host: b.Host, Standing: brain.Gone})
-			l.forgetBox(b)
-			b = nil
-		}
-		if b == nil {
-			if line.Standing == boxlist.Gone {
-				continue
-			}
-			id := HostID(line.Name)
-			kind := l.places.Kind(line.Kind)
-			if l.hosts[id] != nil || kind < 0 {
-				l.Log.Warn("box left out", "box", line.Name, "kind", line.Kind, "id", id, "why", "unknown kind, or another box has its number")
-				continue
-			}
-			b = &Box{Name: line.Name, Drained: make(chan struct{}), place: place}
-			b.Host = &brain.Host{ID: id, Kind: kind, Zone: max(l.places.Zone(line.Zone), 0), Rack: int(HostID(line.Rack))}
-			l.boxes[line.Name], l.byHost[b.Host], l.hosts[id] = b, b, b.Host
-		}
-		out = append(out, l.listing(b, line))
-	}
-	if whole {
-		for _, b := range l.boxes {
-			if !named[b.Name] {
-				l.retire(b)
-			}
-		}
-	}
-	l.module.Listed(out, whole)
-	for _, b := range l.boxes {
-		if b.Host.Standing == brain.Gone && b.out == 0 && l.now-b.gone >= goneKept {
-			l.forgetBox(b)
-		}
-	}
-}
-
-// goneKept is how long a box that is gone is still known: it may come back within its cold start, and what it was sent in
-// that counts.
-const goneKept = time.Minute
-
-// forgetBox drops a box; trips that are out there keep their own way to it.
-func (l *Loop) forgetBox(b *Box) {
-	delete(l.boxes, b.Name)
-	delete(l.hosts, b.Host.ID)
-	if b.out == 0 {
-		delete(l.byHost, b.Host)
-	}
-}
-
-// retire ends what is still tried at a box that is gone.
-func (l *Loop) retire(b *Box) {
-	select {
-	case <-b.Drained:
-	default:
-		close(b.Drained)
-		b.At, b.gone = nil, l.now
-		l.accountListed(b, true)
-		l.carrier.Reach(b, nil)
-	}
-}
-
-func (l *Loop) listing(b *Box, line boxlist.Box) brain.Listing {
-	standing := map[string]brain.Standing{boxlist.Ready: brain.Ready, boxlist.Draining: brain.Draining, boxlist.Gone: brain.Gone}[line.Standing]
-	if standing == brain.Gone {
-		l.retire(b)
-	} else {
-		l.accountListed(b, false)
-		select {
-		case <-b.Drained:
-			b.Drained = make(chan struct{}) // it came back under its name
-		default:
-		}
-		if at := l.allowed(line); !slices.Equal(at, b.At) {
-			b.At = at
-			l.carrier.Reach(b, at)
-		}
-	}
-	// A start has one time, however often the list repeats it with another age: the module would else see
-	// a new start each time, and forget what it knows of the box.
-	if b.Start != line.Start || !b.dated {
-		b.booted, b.dated = l.now-time.Duration(line.UpMs)*time.Millisecond, line.UpMs >= 0
-	}
-	b.Start = line.Start
-	return brain.Listing{Host: b.Host, Standing: standing, Units: max(line.Units, 0.01), Booted: b.booted, Restart: line.UpMs >= 0}
-}
-
-// allowed leaves out addresses that make no sense or lie outside of what the deployment allows, with a note.
-func (l *Loop) allowed(line boxlist.Box) []addresses.Spec {
-	var at []addresses.Spec
-	for _, s := range append(slices.Clone(line.Addresses), l.further[line.Name]...) {
-		if err := s.Check(); err != nil {
-			l.Log.Warn("address left out", "box", line.Name, "address", s, "why", err)
-		} else if !l.places.Allows(s) {
-			l.Log.Warn("address left out", "box", line.Name, "address", s, "why", "it is outside of dispatcher.allow")
-		} else {
-			at = append(at, s)
-		}
-	}
-	return at
-}
-
-// Further adds an address to what the list says of a box.
-func (l *Loop) Further(box string, at addresses.Spec) {
-	if l.further == nil {
-		l.further = map[string][]addresses.Spec{}
-	}
-	l.further[box] = append(l.further[box], at)
-}
-
 // Arrive takes a question, which has left for its answer.
 func (l *Loop) Arrive(a *Asked, grade, channel int, left time.Duration) {
 	l.lastID++
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -392,7 +392,8 @@
 	}
 }
 
-type target struct {
+// Target is a line of discovery's list.
+type Target struct {
 	UID      string  `json:"uid"`
 	Endpoint string  `json:"endpoint"`
 	Zone     string  `json:"az"`
@@ -405,9 +406,9 @@
 
 // list is what discovery says; the site is locked.
 func (s *Site) list(whole bool) []byte {
-	targets := []target{}
+	targets := []Target{}
 	for i, b := range s.boxes {
-		targets = append(targets, target{b.UID, b.At, "hall-1", b.Kind, i % 2, b.State, 1, 0})
+		targets = append(targets, Target{b.UID, b.At, "hall-1", b.Kind, i % 2, b.State, 1, 0})
 	}
 	raw, err := json.Marshal(map[string]any{"rev": s.rev, "all": whole, "targets": targets})
 	if err != nil {
--- a/internal/platform/accept_test.go
+++ b/internal/platform/accept_test.go
@@ -46,6 +46,20 @@
 	}
 }
 
+// enterFailing starts a dispatcher whose accept can fail.
+func enterFailing(t *testing.T, errno syscall.Errno) (*house, *failingListener) {
+	t.Helper()
+	flaky := &failingListener{errno: errno}
+	h := enter(t, func(h *house, _ *Place) {
+		h.system.Listen = func(address string) (system.Listener, error) {
+			l, err := system.Real().Listen(address)
+			flaky.Listener = l
+			return flaky, err
+		}
+	})
+	return h, flaky
+}
+
 // momentaryErrors are what accept(2) may fail with for a moment: descriptors or memory run short, a firewall says no, or an error of
 // the network that was pending on the new connection.
 var momentaryErrors = []syscall.Errno{
@@ -69,14 +83,7 @@
 
 // The same of the whole dispatcher, which is serving then.
 func TestADispatcherOutlivesAMomentWithoutMemory(t *testing.T) {
-	flaky := &failingListener{errno: syscall.ENOBUFS}
-	h := enter(t, func(h *house, _ *Place) {
-		h.system.Listen = func(address string) (system.Listener, error) {
-			l, err := system.Real().Listen(address)
-			flaky.Listener = l
-			return flaky, err
-		}
-	})
+	h, flaky := enterFailing(t, syscall.ENOBUFS)
 	flaky.left.Store(3)
 	h.client()
 	if got := h.says(h.ask("hut-booking")); got.status != 200 {
@@ -112,14 +119,7 @@
 
 // A request whose connection waited while accept failed is as old as that: what its backend is told is at most what its client has left.
 func TestARequestThatWaitedForAcceptHasLessTime(t *testing.T) {
-	flaky := &failingListener{errno: syscall.ENFILE}
-	h := enter(t, func(h *house, _ *Place) {
-		h.system.Listen = func(address string) (system.Listener, error) {
-			l, err := system.Real().Listen(address)
-			flaky.Listener = l
-			return flaky, err
-		}
-	})
+	h, flaky := enterFailing(t, syscall.ENFILE)
 	flaky.left.Store(10) // some 0.7 s with the waits between
 	h.client()           // ends the accept that waits
 	var waiting []*client
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -20,7 +19,6 @@
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/monitor"
 	"sloetrestle/internal/reach"
-	"sloetrestle/internal/system"
 )
 
 const (
@@ -122,176 +120,6 @@
 	})
 }
 
-var (
-	// errStale ends an attempt that was not sent, as it might not go out any more or had no descriptor.
-	errStale = errors.New("not sent")
-	// errCutOff ends an attempt that was called off while its request was being written.
-	errCutOff = errors.New("called off with part of the request sent")
-)
-
-// connect gets a connection for a trip, over which all of the request has gone out; until then it can't have run.
-func (c *transport) connect(ctx, within context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (*reach.Conn, func() bool, error) {
-	limit := c.connectLimit(f)
-	var local error // why this machine could not begin the last connection
-	for began, refused := time.Now(), 0; ; {
-		conn, err := host.Get(within)
-		if err != nil && local != nil && within.Err() != nil {
-			return nil, nil, local
-		}
-		if local = nil; errors.Is(err, reach.ErrLocal) {
-			// No descriptors or ports for a moment say nothing of the backend. Taken for its refusals, they had the module take a whole
-			// fleet for restarting.
-			c.Local.Add(1)
-			c.log.Warn("not connected", "backend", host.Name, "error", err)
-			local = err
-			sleep(within, dialWait)
-			continue
-		}
-		if err != nil {
-			// One that is refused or reset while it is made says little: a box that is really away refuses the next too. Told at
-			// once, a rash of resets had the module take a whole fleet for restarting.
-			refused++
-			if refused == dialTries || ctx.Err() != nil || time.Since(began) >= limit/2 {
-				return nil, nil, err
-			}
-			sleep(within, dialWait)
-			continue
-		}
-		if until, bounded := within.Deadline(); bounded && f.Trip.Connect > 0 {
-			conn.SetWriteDeadline(until) // a request that is not taken leaves a state waiting as no connection does
-		}
-		stop, err := c.put(ctx, f, conn, m)
-		if err == nil {
-			return conn, stop, nil
-		}
-		conn.Drop()
-		if errors.Is(err, errStale) || errors.Is(err, errCutOff) || within.Err() != nil {
-			return nil, nil, err
-		}
-	}
-}
-
-// connectLimit is how long a trip's connection may take.
-func (c *transport) connectLimit(f *dispatch.Flight) time.Duration {
-	if t := f.Trip.Connect; t > 0 {
-		return min(t, c.boxes.Limit)
-	}
-	return c.boxes.Limit
-}
-
-// sleep waits; false: the context ended before.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// put sends a request over a new connection, if it may still go out. Nothing but the loop can tell: a drain, the client's going or
-// the end of the window for repeats may have come while the connection was made.
-func (c *transport) put(ctx context.Context, f *dispatch.Flight, conn *reach.Conn, m *payload) (stop func() bool, err error) {
-	may := c.maySend(ctx, f)
-	if may != brain.Allowed {
-		c.Stale.Add(1)
-		c.log.Debug("attempt not sent", "id", m.id, "backend", f.Box.Name, "number", f.Trip.Number, "why", may)
-		return nil, errStale
-	}
-	told := f.Until - c.since()
-	c.monitor.AttemptBegins(m.id, f.Box.Name, f.Trip.Number, hasEffect(f), told)
-	stop, err = write(ctx, conn, m.head(told), m.body)
-	switch {
-	case err == nil:
-		c.monitor.AttemptSent(m.id, f.Trip.Number, hasEffect(f))
-	case errors.Is(err, errCutOff):
-		c.monitor.AttemptEnds(m.id, f.Trip.Number, hasEffect(f), monitor.MayHaveRun, err.Error())
-	default:
-		c.monitor.AttemptEnds(m.id, f.Trip.Number, hasEffect(f), monitor.NeverRan, err.Error())
-	}
-	return stop, err
-}
-
-// maySend asks the loop, again where the process stood still meanwhile: what came by then has to be read before the answer counts.
-func (c *transport) maySend(ctx context.Context, f *dispatch.Flight) brain.Permission {
-	for {
-		asked, may := time.Now(), brain.RequestOver
-		if !c.loop.Call(ctx, func() { may = c.loop.MaySend(f) }) {
-			return brain.RequestOver
-		}
-		if may != brain.Allowed || !c.pulse.stalledSince(asked, time.Now()) {
-			return may
-		}
-		sleep(ctx, dialWait)
-	}
-}
-
-// write sends a request, and has its connection closed when it is called off.
-func write(ctx context.Context, conn *reach.Conn, head, body []byte) (stop func() bool, err error) {
-	stop = context.AfterFunc(ctx, func() { conn.Conn.Close() })
-	whole, err := conn.Put(head, body)
-	if whole {
-		return stop, nil
-	}
-	stop()
-	if ctx.Err() != nil && conn.Sent() {
-		return nil, errCutOff
-	}
-	return nil, cmp.Or(err, io.ErrShortWrite)
-}
-
-// open gets a connection for a trip within the descriptors that attempts may have.
-func (c *transport) open(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (conn *reach.Conn, stop func() bool, err error) {
-	if host == nil {
-		return nil, nil, errStale // its backend is gone
-	}
-	waits := ctx
-	if f.Trip.Connect > 0 { // a state waits, for which no descriptor may be free in time
-		bounded, done := context.WithTimeout(ctx, c.connectLimit(f))
-		defer done()
-		waits = bounded
-	}
-	select {
-	case c.slots <- struct{}{}:
-	case <-waits.Done():
-		return nil, nil, errStale
-	}
-	within, done := context.WithTimeout(waits, c.connectLimit(f))
-	defer done()
-	if conn, stop, err = c.connect(ctx, within, f, host, m); err != nil {
-		<-c.slots
-	}
-	return conn, stop, err
-}
-
-// notSent is the result of an attempt of which no backend got the last byte. Where the dispatcher itself cut the request off, it does not
-// call the attempt harmless: what the backend had of it by then only the backend knows.
-func notSent(ctx context.Context, err error) brain.Result {
-	switch {
-	case errors.Is(context.Cause(ctx), dispatch.ErrLeft):
-		return brain.Result{Outcome: brain.Cancelled}
-	case errors.Is(err, errCutOff):
-		return brain.Result{Outcome: brain.TimedOut}
-	case errors.Is(err, errStale), errors.Is(err, reach.ErrLocal):
-		return brain.Result{Outcome: brain.Moot}
-	}
-	return brain.Result{Outcome: brain.Unreached}
-}
-
-// errNotArrived ends an attempt whose request the far machine does not acknowledge.
-var errNotArrived = errors.New("the request is not acknowledged")
-
-// checkArrival calls an attempt off whose request, though written whole, has not arrived: the state that it is to take goes on waiting
-// meanwhile. Whether it may yet run only the backend knows.
-func (c *transport) checkArrival(f *dispatch.Flight, conn *reach.Conn) {
-	if system.Unacknowledged(conn.Conn) > 0 {
-		c.Unarrived.Add(1)
-		f.Off(errNotArrived)
-	}
-}
-
 // fly is one trip. Its connection is closed before its end is told.
 func (c *transport) fly(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (r brain.Result) {
 	conn, stop, err := c.open(ctx, f, host, m)
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -15,6 +15,7 @@
 
 	"sloetrestle/internal/hosts"
 	"sloetrestle/internal/standin"
+	"sloetrestle/internal/system"
 )
 
 // backend is an emulated engine: it does either phase of a request by the platform's protocol, and goes wrong as the schedule has it.
@@ -98,7 +99,7 @@
 	}
 	filling.Wait()
 	b.goesWrong(BackendSilent, b.farm.record.now()+length, draw)
-	sleep(ctx, length)
+	system.Sleep(ctx, length)
 	for d := range b.listens {
 		for _, c := range stuck[d] {
 			c.Close()
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"sloetrestle/internal/system"
 )
 
 // The classes of hosts.Settings, with deadlines that a stop waits for.
@@ -47,7 +49,7 @@
 func (c *clients) usual(ctx context.Context, rng *rand.Rand) {
 	var conn *clientConn
 	for ctx.Err() == nil {
-		if !sleep(ctx, time.Duration(rng.Float64()*float64(thinkMost))) {
+		if !system.Sleep(ctx, time.Duration(rng.Float64()*float64(thinkMost))) {
 			break
 		}
 		how := plain
@@ -77,14 +79,14 @@
 	for ctx.Err() == nil {
 		d := c.run.front(rng)
 		if d == nil {
-			sleep(ctx, 20*time.Millisecond)
+			system.Sleep(ctx, 20*time.Millisecond)
 			continue
 		}
 		conn, err := net.DialTimeout("tcp", d.listen, time.Second)
 		if err == nil {
 			return &clientConn{conn, bufio.NewReader(conn), d.number}
 		}
-		sleep(ctx, 20*time.Millisecond)
+		system.Sleep(ctx, 20*time.Millisecond)
 	}
 	return nil
 }
@@ -108,7 +110,7 @@
 			}
 		}
 		if how == rests && try == 0 {
-			sleep(ctx, time.Duration(rng.Float64()*float64(2500*time.Millisecond)))
+			system.Sleep(ctx, time.Duration(rng.Float64()*float64(2500*time.Millisecond)))
 		}
 		again, next := c.exchange(ctx, rng, conn, q, how)
 		if conn = next; !again {
@@ -130,7 +132,7 @@
 	}
 	c.record.with(func() { q.sends, q.to = append(q.sends, c.record.now()), append(q.to, conn.dispatcher) })
 	if how == leaves {
-		sleep(ctx, time.Duration(rng.Float64()*float64(60*time.Millisecond)))
+		system.Sleep(ctx, time.Duration(rng.Float64()*float64(60*time.Millisecond)))
 		c.record.with(func() { q.gone = c.record.now() })
 		conn.close()
 		return false, nil
@@ -200,24 +202,12 @@
 		took := c.record.now() - began
 		conn.close()
 		c.run.badDone(conn.dispatcher, began, took, err)
-		if !sleep(ctx, time.Duration(rng.Float64()*float64(time.Second))) {
+		if !system.Sleep(ctx, time.Duration(rng.Float64()*float64(time.Second))) {
 			return
 		}
 	}
 }
 
-// sleep waits; false: the context ended before.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // newIDs hands out ids of requests that tell the run.
 func newIDs(ctx context.Context, seed uint64) chan string {
 	ids := make(chan string)
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -45,18 +45,6 @@
 	oldCloses = 1500 * time.Millisecond // after a move, connections to the old address
 )
 
-// target is a line of the list.
-type target struct {
-	UID      string  `json:"uid"`
-	Endpoint string  `json:"endpoint"`
-	Zone     string  `json:"az"`
-	Kind     string  `json:"model"`
-	Rack     int     `json:"pod_group"`
-	State    string  `json:"state"`
-	Units    float64 `json:"capacity_hint"`
-	Boot     int64   `json:"boot_ms"`
-}
-
 // addAgent opens a dispatcher's discovery.
 func (d *discovery) addAgent(dispatcher int) error {
 	a := &agent{discovery: d, dispatcher: dispatcher, watches: map[net.Conn]int{}, conns: map[net.Conn]int{}}
@@ -81,14 +69,16 @@
 
 // list is what discovery has; the lock is held.
 func (a *agent) list() []byte {
-	targets := []target{}
+	targets := []hosts.Target{}
 	for i, b := range a.farm.backends {
 		b.mu.Lock()
 		kind := hosts.Writer
 		if b.prefill {
 			kind = hosts.Reader
 		}
-		targets = append(targets, target{b.uid, b.at[a.dispatcher], "hall-1", kind, i % 2, b.state, 1, b.bootMs})
+		targets = append(targets, hosts.Target{
+			UID: b.uid, Endpoint: b.at[a.dispatcher], Zone: "hall-1", Kind: kind, Rack: i % 2, State: b.state, Units: 1, Boot: b.bootMs,
+		})
 		b.mu.Unlock()
 	}
 	raw, err := json.Marshal(map[string]any{"rev": a.rev, "all": true, "targets": targets})
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"sloetrestle/internal/hosts"
+	"sloetrestle/internal/system"
 )
 
 // dispatcher is one dispatcher, process after process.
@@ -50,13 +51,20 @@
 	portTries = 200
 )
 
-// freeAddress is an address that nobody listens at.
-func freeAddress() (at string, err error) {
+// addresses hands out addresses that nobody listens at, each once.
+type addresses struct{ given map[int]bool }
+
+func (a *addresses) free() (at string, err error) {
 	for range portTries {
-		at = fmt.Sprintf("127.0.0.1:%d", portLeast+rand.IntN(portMost-portLeast))
+		port := portLeast + rand.IntN(portMost-portLeast)
+		if a.given[port] {
+			continue
+		}
+		at = fmt.Sprintf("127.0.0.1:%d", port)
 		l, listening := net.Listen("tcp", at)
 		if err = listening; err == nil {
 			l.Close()
+			a.given[port] = true
 			return at, nil
 		}
 	}
@@ -178,7 +186,7 @@
 				return nil
 			}
 		}
-		if !sleep(ctx, 20*time.Millisecond) {
+		if !system.Sleep(ctx, 20*time.Millisecond) {
 			return nil
 		}
 	}
@@ -205,10 +213,10 @@
 	d.run.record.with(func() { l.told = d.run.record.now() })
 	d.signal(syscall.SIGTERM)
 	if twice {
-		sleep(ctx, 100*time.Millisecond)
+		system.Sleep(ctx, 100*time.Millisecond)
 		d.signal(syscall.SIGTERM)
 	}
-	sleep(context.WithoutCancel(ctx), frontLag)
+	system.Sleep(context.WithoutCancel(ctx), frontLag)
 	d.mu.Lock()
 	d.ready = false
 	d.mu.Unlock()
@@ -217,7 +225,7 @@
 	case <-time.After(killAfter - frontLag):
 		d.kill(l, exited)
 	}
-	if sleep(ctx, awayTime) {
+	if system.Sleep(ctx, awayTime) {
 		d.start(ctx)
 	}
 }
@@ -245,7 +253,7 @@
 		return
 	}
 	d.kill(l, exited)
-	if sleep(ctx, awayTime) {
+	if system.Sleep(ctx, awayTime) {
 		d.start(ctx)
 	}
 }
@@ -260,7 +268,7 @@
 	d.mu.Unlock()
 	from := d.run.record.now()
 	d.signal(syscall.SIGSTOP)
-	sleep(context.WithoutCancel(ctx), length)
+	system.Sleep(context.WithoutCancel(ctx), length)
 	d.signal(syscall.SIGCONT)
 	d.run.record.with(func() { l.stops = append(l.stops, span{from, d.run.record.now()}) })
 }
@@ -284,13 +292,13 @@
 		if f.Kind == ReloadTorn {
 			d.configure(to, true)
 			d.signal(syscall.SIGHUP)
-			sleep(ctx, f.Length)
+			system.Sleep(ctx, f.Length)
 		}
 		d.configure(to, false)
 		if f.Kind != ReloadTorn {
 			d.signal(syscall.SIGHUP)
 		}
 		d.run.record.with(func() { l.moves = append(l.moves, span{from, d.run.record.now()}) })
-		sleep(ctx, f.Length)
+		system.Sleep(ctx, f.Length)
 	}
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -16,7 +16,6 @@
 	holds    []holdEvent
 	listings []listing
 	lives    []*life
-	faults   []Fault
 }
 
 func newRecord() *record { return &record{began: time.Now(), byID: map[string]*request{}} }
@@ -59,7 +58,6 @@
 	neverRan   bool          // the answer says so, and it did not
 	told       time.Duration // the deadline that it states
 	finished   bool          // the backend wrote all of its answer
-	slowStart  bool          // it came to a backend in slow start
 }
 
 // end is when the attempt was not out any more; 0: it still is.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"sloetrestle/internal/system"
 )
 
 // ControlVariable names the environment variable that has a process of a soak find whoever drives its shims.
@@ -124,16 +126,17 @@
 			return err
 		}
 	}
+	ports := &addresses{map[int]bool{}}
 	for i := range r.options.Processes {
 		if err := r.discovery.addAgent(i); err != nil {
 			return err
 		}
 		d := &dispatcher{run: r, number: i, file: filepath.Join(r.dir, fmt.Sprintf("n%d.json", i))}
 		var err error
-		if d.listen, err = freeAddress(); err != nil {
+		if d.listen, err = ports.free(); err != nil {
 			return err
 		}
-		if d.peer, err = freeAddress(); err != nil {
+		if d.peer, err = ports.free(); err != nil {
 			return err
 		}
 		if d.control, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
@@ -169,13 +172,13 @@
 		running.Go(func() { asking.bad(ctx, rand.New(rand.NewPCG(r.options.Seed, 1<<32+uint64(i)))) })
 	}
 	running.Go(func() {
-		for sleep(ctx, beatTime) {
+		for system.Sleep(ctx, beatTime) {
 			r.discovery.beat()
 		}
 	})
 	began := time.Now()
 	for _, f := range faults {
-		if !sleep(ctx, f.At-time.Since(began)) {
+		if !system.Sleep(ctx, f.At-time.Since(began)) {
 			break
 		}
 		running.Go(func() { r.cause(ctx, f) })
@@ -233,7 +236,7 @@
 		r.discovery.change(b, "in_service")
 	case Drain:
 		r.discovery.change(b, "terminating")
-		if sleep(ctx, f.Length) {
+		if system.Sleep(ctx, f.Length) {
 			r.discovery.change(b, "in_service")
 		}
 	case BackendSilent:
--- a/internal/system/retry.go
+++ b/internal/system/retry.go
@@ -1,6 +1,7 @@
 package system
 
 import (
+	"context"
 	"errors"
 	"net"
 	"time"
@@ -63,3 +64,15 @@
 		retry.Wait()
 	}
 }
+
+// Sleep waits; false: the context ended before.
+func Sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
