--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -81,10 +81,17 @@
 			s.q.sends, s.q.to = append(s.q.sends, 1100*ms), append(s.q.to, 0)
 			return s
 		}()},
-		"two attempts out":                    {ruleDuplicate, tell(false).attempt("w1", 1010*ms, 1200*ms, nil).attempt("w2", 1100*ms, 1300*ms, nil).answered(200, 1300*ms)},
-		"one after the other":                 {"", tell(false).attempt("w1", 1010*ms, 1100*ms, nil).attempt("w2", 1100*ms, 1300*ms, nil).answered(200, 1300*ms)},
-		"a second run":                        {ruleDuplicate, tell(true).attempt("w1", 1010*ms, 1100*ms, nil).attempt("w2", 1100*ms, 1300*ms, nil).answered(200, 1300*ms)},
-		"a second one, the first never ran":   {"", tell(true).attempt("w1", 1010*ms, 1100*ms, neverRan).attempt("w2", 1100*ms, 1300*ms, nil).answered(200, 1300*ms)},
+		"two attempts out":                  {ruleDuplicate, tell(false).attempt("w1", 1010*ms, 1200*ms, nil).attempt("w2", 1100*ms, 1300*ms, nil).answered(200, 1300*ms)},
+		"one after the other":               {"", tell(false).attempt("w1", 1010*ms, 1100*ms, nil).attempt("w2", 1100*ms, 1300*ms, nil).answered(200, 1300*ms)},
+		"a second run":                      {ruleDuplicate, tell(true).attempt("w1", 1010*ms, 1100*ms, nil).attempt("w2", 1100*ms, 1300*ms, nil).answered(200, 1300*ms)},
+		"a second one, the first never ran": {"", tell(true).attempt("w1", 1010*ms, 1100*ms, neverRan).attempt("w2", 1100*ms, 1300*ms, nil).answered(200, 1300*ms)},
+		"a second one, the first's process was killed": {"", func() *story {
+			s := tell(true).attempt("w1", 1010*ms, 0, nil).attempt("w2", 1200*ms, 1300*ms, func(a *attempt) { a.dispatcher = 1 }).answered(200, 1300*ms)
+			s.lives[0].killed, s.lives[0].ended = true, 1100*ms
+			s.lives = append(s.lives, &life{dispatcher: 1, began: ms, ready: 2 * ms})
+			s.q.sends, s.q.to = append(s.q.sends, 1110*ms), append(s.q.to, 1)
+			return s
+		}()},
 		"rejected after one that may have":    {ruleDuplicate, tell(true).attempt("w1", 1010*ms, 1100*ms, nil).answered(503, 1200*ms)},
 		"rejected after one that never ran":   {"", tell(true).attempt("w1", 1010*ms, 1100*ms, neverRan).answered(503, 1200*ms)},
 		"to one that drains":                  {ruleDrain, tell(false).drained(500*ms, 501*ms).attempt("w1", 1010*ms, 1100*ms, nil).answered(200, 1200*ms)},
