--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -58,6 +58,7 @@
 	tokensLeast = 3
 	tokensMost  = 20
 	slowFactor  = 12
+	noticeTime  = 2 * time.Millisecond // for what came before a release to be noticed, a close above all
 )
 
 // addBackend opens a backend with an address for each dispatcher.
@@ -278,11 +279,18 @@
 		e.await(0)
 		return
 	}
+	time.Sleep(noticeTime)
 	e.farm.drop(id)
 	io.WriteString(e.conn, "HTTP/1.1 204 No Content\r\n\r\n")
 	e.await(0)
 }
 
+// abandoned tells whether the dispatcher has closed the attempt's connection: its state is not kept then.
+func (e *exchange) abandoned() (gone bool) {
+	e.farm.record.with(func() { gone = e.attempt.closed > 0 })
+	return gone
+}
+
 // hold and drop take note of what waits for a request.
 func (f *farm) hold(id string) {
 	f.mu.Lock()
@@ -349,6 +357,9 @@
 		return
 	}
 	if e.prefill {
+		if e.abandoned() {
+			return
+		}
 		e.farm.hold(e.attempt.id)
 		if hangs {
 			e.await(0) // behind its work
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -126,11 +126,14 @@
 	raw := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Tenant-Id: web-app\r\n"+
 		"X-Route-Key: s%d\r\nX-Timeout-Ms: %d\r\nX-Attrs: prefix=p%d,prompt_len=400,prefix_len=100,max_out=50\r\nContent-Length: 12\r\n\r\n{\"model\":\"\"}",
 		q.id, q.class.name, rng.IntN(200), q.left.Milliseconds(), rng.IntN(20))
+	began := c.record.now()
 	if err := send(conn, raw, how == inPiece); err != nil {
 		conn.close()
 		return true, nil
 	}
-	c.record.with(func() { q.sends, q.to = append(q.sends, c.record.now()), append(q.to, conn.dispatcher) })
+	c.record.with(func() {
+		q.tries, q.sends, q.to = append(q.tries, began), append(q.sends, c.record.now()), append(q.to, conn.dispatcher)
+	})
 	if how == leaves {
 		system.Sleep(ctx, time.Duration(rng.Float64()*float64(60*time.Millisecond)))
 		c.record.with(func() { q.gone = c.record.now() })
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -115,7 +115,7 @@
 		v.broke(ruleLost, q.ended, "request %s to n%v: its backend had finished, and its stream was cut", q.id, q.to)
 	}
 	for i, d := range q.to[:last] {
-		if a := v.forwarded(q, d, q.sends[i], q.sends[i+1]); a != nil && !v.excused(q, q.sends[i+1]) {
+		if a := v.forwarded(q, d, q.tries[i], q.tries[i+1]); a != nil && !v.excused(q, q.sends[i+1]) {
 			v.broke(ruleLost, a.first, "request %s was read by n%d and closed without an answer", q.id, d)
 		}
 	}
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -16,7 +16,7 @@
 func tell(once bool) *story {
 	s := &story{record: newRecord()}
 	s.began = time.Now().Add(-time.Minute) // a minute has passed
-	s.q = &request{id: "q", class: class{"c", once, 2 * time.Second}, usual: true, left: 2 * time.Second, sends: []time.Duration{1000 * ms}, to: []int{0}}
+	s.q = &request{id: "q", class: class{"c", once, 2 * time.Second}, usual: true, left: 2 * time.Second, tries: []time.Duration{1000 * ms}, sends: []time.Duration{1000 * ms}, to: []int{0}}
 	s.requests, s.byID["q"] = []*request{s.q}, s.q
 	s.lives = []*life{{dispatcher: 0, began: ms, ready: 100 * ms}}
 	return s
@@ -38,6 +38,11 @@
 	return s
 }
 
+// again has the request sent once more, to that dispatcher.
+func (s *story) again(dispatcher int) {
+	s.q.tries, s.q.sends, s.q.to = append(s.q.tries, 1100*ms), append(s.q.sends, 1101*ms), append(s.q.to, dispatcher)
+}
+
 func (s *story) drained(at, written time.Duration) *story {
 	s.listings = append(s.listings, listing{"w1", 0, false, at, written})
 	return s
@@ -73,12 +78,12 @@
 		}()},
 		"read, and closed unanswered": {ruleLost, func() *story {
 			s := tell(false).attempt("w1", 1010*ms, 1020*ms, nil).answered(200, 1300*ms)
-			s.q.sends, s.q.to = append(s.q.sends, 1100*ms), append(s.q.to, 1)
+			s.again(1)
 			return s
 		}()},
 		"left unread, and sent elsewhere": {"", func() *story {
 			s := tell(false).attempt("w1", 1110*ms, 1120*ms, nil).answered(200, 1300*ms)
-			s.q.sends, s.q.to = append(s.q.sends, 1100*ms), append(s.q.to, 0)
+			s.again(0)
 			return s
 		}()},
 		"two attempts out":                  {ruleDuplicate, tell(false).attempt("w1", 1010*ms, 1200*ms, nil).attempt("w2", 1100*ms, 1300*ms, nil).answered(200, 1300*ms)},
@@ -89,7 +94,7 @@
 			s := tell(true).attempt("w1", 1010*ms, 0, nil).attempt("w2", 1200*ms, 1300*ms, func(a *attempt) { a.dispatcher = 1 }).answered(200, 1300*ms)
 			s.lives[0].killed, s.lives[0].ended = true, 1100*ms
 			s.lives = append(s.lives, &life{dispatcher: 1, began: ms, ready: 2 * ms})
-			s.q.sends, s.q.to = append(s.q.sends, 1110*ms), append(s.q.to, 1)
+			s.again(1)
 			return s
 		}()},
 		"rejected after one that may have":    {ruleDuplicate, tell(true).attempt("w1", 1010*ms, 1100*ms, nil).answered(503, 1200*ms)},
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -36,6 +36,7 @@
 	class   class
 	usual   bool            // a client that keeps to the protocol sent it, and waits for its end
 	sends   []time.Duration // when its last byte was written; more than one: its connection was closed before an answer
+	tries   []time.Duration // when each of these sends began
 	to      []int           // the dispatchers that it was sent to
 	left    time.Duration   // that its client gave it
 	gone    time.Duration   // when its client closed, if it did before the answer's end
