A try at discovery always begins in its turn, at the cost of the oldest

Found by the suite on a busy machine: TestAChangeIsKnownInTimeWhateverCrossesIt, 'back after an outage with the change', 'it is known after 3.0 s' (2.5 allowed). With three tries out, each 4.5 s long and one begun every 1.5 s, a turn could find all three still out by a moment and was skipped, so discovery's return was seen up to 3 s late. Not noise: the oldest try ends for the new one now.

--- a/internal/endpoints/follow.go
+++ b/internal/endpoints/follow.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -165,10 +166,12 @@
 // race keeps a watch: the first that is answered of those that are tried. While none is, a further try begins beside the others every
 // so often, for discovery that has come back, while those that were begun may still be answered by one that is slow.
 func (f *Follower) race(ctx context.Context, at string, known bool) (got bool, err error) {
-	answered, ended := make(chan int, triesMost), make(chan try, triesMost)
+	answered, ended := make(chan int, 2*triesMost), make(chan try, 2*triesMost)
 	var ends []context.CancelFunc
+	var unanswered []int // numbers of those that run, the oldest first
 	begin := func() {
 		number := len(ends)
+		unanswered = append(unanswered, number)
 		one, end := context.WithCancel(ctx)
 		ends = append(ends, end)
 		go func() {
@@ -195,6 +198,7 @@
 		case t := <-ended:
 			running--
 			ends[t.number]()
+			unanswered = slices.DeleteFunc(unanswered, func(number int) bool { return number == t.number })
 			got = got || t.got
 			if err == nil || t.number == first || first < 0 {
 				err = t.err
@@ -204,10 +208,15 @@
 				f.Log.Warn("watch lost", "discovery", at, "error", t.err)
 			}
 		case <-next.C:
-			if first < 0 && running < triesMost {
-				begin()
-				running++
+			if first >= 0 {
+				continue
+			}
+			if len(unanswered) >= triesMost {
+				ends[unanswered[0]]() // never at the cost of a further one: discovery may just have come back
+				unanswered = unanswered[1:]
 			}
+			begin()
+			running++
 		}
 	}
 	return got, err
