--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -101,6 +101,9 @@
 		return Result{}, err
 	}
 	r.play(ctx, o.Faults)
+	if err := ctx.Err(); err != nil {
+		return Result{}, fmt.Errorf("seed %d was interrupted: %w", o.Seed, err)
+	}
 	return r.result(o.Faults), nil
 }
 
