--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -9,7 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
+	"sync/atomic"
 	"time"
 
 	"sloetrestle/internal/system"
@@ -42,9 +42,12 @@
 type clients struct {
 	run    *run
 	record *record
-	ids    chan string
+	given  atomic.Int64 // ids
 }
 
+// newID is the id of a further request; it tells the run.
+func (c *clients) newID() string { return fmt.Sprintf("%x-%06x", c.run.options.Seed, c.given.Add(1)) }
+
 // usual is a client that keeps to the protocol, request after request.
 func (c *clients) usual(ctx context.Context, rng *rand.Rand) {
 	var conn *clientConn
@@ -94,7 +97,7 @@
 // ask has one request served, and returns the connection if it can be used again. A connection that ends without a byte of an answer has
 // the request sent once more on a new one.
 func (c *clients) ask(ctx context.Context, rng *rand.Rand, conn *clientConn, how manner) *clientConn {
-	q := &request{id: <-c.ids, class: classes[rng.IntN(len(classes))], usual: true}
+	q := &request{id: c.newID(), class: classes[rng.IntN(len(classes))], usual: true}
 	q.left = q.class.deadline
 	if how == hurried {
 		q.left = hurriedLeft
@@ -210,18 +213,3 @@
 		}
 	}
 }
-
-// newIDs hands out ids of requests that tell the run.
-func newIDs(ctx context.Context, seed uint64) chan string {
-	ids := make(chan string)
-	go func() {
-		for n := 0; ; n++ {
-			select {
-			case ids <- strings.ToLower(fmt.Sprintf("%x-%06x", seed, n)):
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	return ids
-}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -166,7 +166,7 @@
 func (r *run) play(ctx context.Context, faults []Fault) {
 	ctx, end := context.WithTimeout(ctx, r.options.Length)
 	defer end()
-	asking := &clients{run: r, record: r.record, ids: newIDs(ctx, r.options.Seed)}
+	asking := &clients{run: r, record: r.record}
 	var running sync.WaitGroup
 	for i := range r.options.Processes * r.options.Clients {
 		running.Go(func() { asking.usual(ctx, rand.New(rand.NewPCG(r.options.Seed, uint64(i)))) })
