--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -405,10 +405,10 @@
 			return
 		}
 	}
-	e.farm.record.with(func() { e.attempt.finished = !e.silent() })
 	end := hosts.Chunk(hosts.Usage+hosts.Done) + hosts.Last
 	if spoils {
 		end += hosts.Opening + hosts.Chunk(hosts.Event("again")) // a second answer right behind
 	}
-	e.say(end, true)
+	wrote := e.say(end, true)
+	e.farm.record.with(func() { e.attempt.finished = wrote && !e.dead.Load() })
 }
