--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -97,7 +97,7 @@
 // ask has one request served, and returns the connection if it can be used again. A connection that ends without a byte of an answer has
 // the request sent once more on a new one.
 func (c *clients) ask(ctx context.Context, rng *rand.Rand, conn *clientConn, how manner) *clientConn {
-	q := &request{id: c.newID(), class: classes[rng.IntN(len(classes))], usual: true}
+	q := &request{id: c.newID(), class: classes[rng.IntN(len(classes))]}
 	q.left = q.class.deadline
 	if how == hurried {
 		q.left = hurriedLeft
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -34,7 +34,6 @@
 type request struct {
 	id      string
 	class   class
-	usual   bool            // a client that keeps to the protocol sent it, and waits for its end
 	sends   []time.Duration // when its last byte was written; more than one: its connection was closed before an answer
 	tries   []time.Duration // when each of these sends began
 	to      []int           // the dispatchers that it was sent to
