--- a/cmd/sloetrestle/soak.go
+++ b/cmd/sloetrestle/soak.go
@@ -32,18 +32,23 @@
 	f.DurationVar(&o.Length, "seconds", 30*time.Second, "length of a run, such as 30s")
 	f.DurationVar(&o.Every, "every", 400*time.Millisecond, "between two faults, on the mean")
 	f.IntVar(&o.Clients, "clients", 6, "clients for each dispatcher")
+	f.IntVar(&o.Backends, "backends", 0, "backends, up to 3200; 0: five")
+	f.Float64Var(&o.Rate, "rate", 0, "requests a second for each dispatcher, whatever becomes of the earlier ones, beside those of the clients that wait")
 	f.StringVar(&o.Dir, "record", "", "folder for schedules and logs")
 	f.BoolVar(&shrink, "shrink", false, "drop faults from a failing schedule as long as it still fails")
 	c.RunE = works(func(cmd *cobra.Command, _ []string) error {
 		if o.Processes < 1 || o.Processes > 40 {
 			return fmt.Errorf("%d processes, 1 to 40 are played", o.Processes)
 		}
+		if o.Backends != 0 && o.Backends < 5 || o.Backends > 3200 || o.Backends*o.Processes > 16000 {
+			return fmt.Errorf("%d backends for %d processes, 5 to 3200 are played, with 16,000 listeners in all", o.Backends, o.Processes)
+		}
 		program, err := os.Executable()
 		if err != nil {
 			return err
 		}
 		o.Command = []string{program, "soak-dispatcher", "--level", "debug"}
-		failed, dir, first := 0, o.Dir, o.Seed
+		failed, unjudged, dir, first := 0, 0, o.Dir, o.Seed
 		for i := range seeds {
 			o.Seed = first + uint64(i)
 			if dir != "" {
@@ -57,6 +62,10 @@
 				return err
 			}
 			res.Table(cmd.OutOrStdout())
+			if res.Unjudged {
+				unjudged++
+				continue
+			}
 			if len(res.Violations) == 0 {
 				continue
 			}
@@ -65,7 +74,7 @@
 				printShortest(cmd, o, res)
 			}
 		}
-		fmt.Fprintf(cmd.OutOrStdout(), "%d of %d runs broke a rule\n", failed, seeds)
+		fmt.Fprintf(cmd.OutOrStdout(), "%d of %d runs broke a rule, %d were not judged\n", failed, seeds, unjudged)
 		if failed > 0 {
 			return errBroken
 		}
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -23,7 +23,8 @@
 	uid     string
 	prefill bool
 	farm    *farm
-	at      []string   // where each dispatcher reaches it
+	at      []string // where each dispatcher reaches it
+	rack    int
 	cut     sync.Mutex // held while it is cut off
 
 	mu      sync.Mutex
@@ -33,6 +34,7 @@
 	state   string // as discovery has it
 	booted  time.Duration
 	bootMs  int64
+	taken   atomic.Uint64 // connections that were taken
 }
 
 // activeFault is a fault while it lasts.
@@ -59,13 +61,22 @@
 	tokensMost  = 20
 	slowFactor  = 12
 	noticeTime  = 2 * time.Millisecond // for what came before a release to be noticed, a close above all
+	rackSize    = 3
+	backendNet  = 64 // the second byte of backends' addresses, which nothing else uses
 )
 
+// address is the loopback address of a backend: each has one of its own, as thousands of listeners would else take the ports that
+// connections need.
+func (f *farm) address() string {
+	number := len(f.backends) + 1
+	return fmt.Sprintf("127.%d.%d.%d:0", backendNet+number>>16, number>>8&0xff, number&0xff)
+}
+
 // addBackend opens a backend with an address for each dispatcher.
 func (f *farm) addBackend(uid string, prefill bool, dispatchers int) error {
-	b := &backend{uid: uid, prefill: prefill, farm: f, wrong: map[Kind]activeFault{}, state: "in_service"}
+	b := &backend{uid: uid, prefill: prefill, rack: len(f.backends) / rackSize, farm: f, wrong: map[Kind]activeFault{}, state: "in_service"}
 	for d := range dispatchers {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", f.address())
 		if err != nil {
 			return err
 		}
@@ -183,11 +194,12 @@
 	dead    atomic.Bool   // the connection has fallen silent, both ways and for good
 	gone    chan struct{} // closed when the dispatcher has closed
 	in      *io.PipeReader
+	number  uint64 // of the connection
 }
 
 // serve takes the one request of a connection.
 func (b *backend) serve(conn *net.TCPConn, dispatcher int) {
-	e := &exchange{backend: b, conn: conn, gone: make(chan struct{}), attempt: &attempt{dispatcher: dispatcher, backend: b.uid, prefill: b.prefill}}
+	e := &exchange{backend: b, conn: conn, gone: make(chan struct{}), number: b.taken.Add(1), attempt: &attempt{dispatcher: dispatcher, backend: b.uid, prefill: b.prefill}}
 	in, out := io.Pipe()
 	e.in = in
 	b.farm.done.Go(func() { e.receive(out) })
@@ -245,7 +257,9 @@
 
 // silent tells whether the connection has fallen silent.
 func (e *exchange) silent() bool {
-	if _, wrong := e.wrongNow(BackendSilent); wrong {
+	_, wrong := e.wrongNow(BackendSilent)
+	draw, mute := e.wrongNow(BackendMute)
+	if wrong || mute && (draw%2 == 0 || e.number%2 == 0) {
 		e.dead.Store(true)
 	}
 	return e.dead.Load()
@@ -376,6 +390,9 @@
 	e.stream(hangs)
 }
 
+// eventText is the text of an event, with the time at which it is written: its client tells by that whether it was held back.
+func eventText(number int, now time.Duration) string { return fmt.Sprintf("t%d@%d;", number, now) }
+
 // stream writes an answer, event by event.
 func (e *exchange) stream(hangs bool) {
 	e.farm.drop(e.attempt.id)
@@ -389,7 +406,7 @@
 	}
 	tokens := tokensLeast + len(e.attempt.id)*7%(tokensMost-tokensLeast)
 	for i := range tokens {
-		if !e.say(hosts.Chunk(hosts.Event(fmt.Sprint("t", i))), false) || !e.await(tokenTime) {
+		if !e.say(hosts.Chunk(hosts.Event(eventText(i, e.farm.record.now()))), false) || !e.await(tokenTime) {
 			return
 		}
 		if hangs && i == 1 {
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -9,15 +9,14 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"regexp"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"sloetrestle/internal/system"
 )
 
-// The classes of hosts.Settings, with deadlines that a stop waits for.
-var classes = []class{{"trail-info", false, 3 * time.Second}, {"hut-booking", true, 2 * time.Second}}
-
 // manner is how a client goes about a request.
 type manner int
 
@@ -97,6 +96,7 @@
 // ask has one request served, and returns the connection if it can be used again. A connection that ends without a byte of an answer has
 // the request sent once more on a new one.
 func (c *clients) ask(ctx context.Context, rng *rand.Rand, conn *clientConn, how manner) *clientConn {
+	classes := c.run.variant.classes
 	q := &request{id: c.newID(), class: classes[rng.IntN(len(classes))]}
 	q.left = q.class.deadline
 	if how == hurried {
@@ -158,8 +158,14 @@
 	if how == slowly {
 		body = slowReader{body}
 	}
-	_, err = io.Copy(io.Discard, body)
-	c.record.with(func() { q.status, q.ended, q.whole = resp.StatusCode, c.record.now(), err == nil })
+	events := &eventReader{from: body, now: c.record.now}
+	_, err = io.Copy(io.Discard, events)
+	c.record.with(func() {
+		q.status, q.ended, q.whole = resp.StatusCode, c.record.now(), err == nil
+		if q.events = events.seen; how != slowly {
+			q.late = events.late
+		}
+	})
 	if err != nil || resp.Close {
 		conn.close()
 		return false, nil
@@ -184,6 +190,36 @@
 	return nil
 }
 
+// eventReader reads a stream, and measures by how much its latest event was held back: each states when it was written.
+type eventReader struct {
+	from io.Reader
+	now  func() time.Duration
+	tail []byte
+	seen int
+	late time.Duration
+}
+
+// eventMark is what eventText puts into an event.
+var eventMark = regexp.MustCompile(`@(\d+);`)
+
+func (e *eventReader) Read(into []byte) (int, error) {
+	n, err := e.from.Read(into)
+	now := e.now()
+	e.tail = append(e.tail, into[:n]...)
+	end := 0
+	for _, at := range eventMark.FindAllSubmatchIndex(e.tail, -1) {
+		written, _ := strconv.ParseInt(string(e.tail[at[2]:at[3]]), 10, 64)
+		e.late = max(e.late, now-time.Duration(written))
+		e.seen++
+		end = at[1]
+	}
+	e.tail = e.tail[max(end, len(e.tail)-eventMarkMost):]
+	return n, err
+}
+
+// eventMarkMost is the longest part of a mark that may stand at the end of what was read.
+const eventMarkMost = 24
+
 // slowReader reads a little at a time.
 type slowReader struct{ from io.Reader }
 
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -67,21 +67,27 @@
 	return a.listens[a.current].Addr().String()
 }
 
-// list is what discovery has; the lock is held.
-func (a *agent) list() []byte {
+// wholeMost is up to how many backends a change is told by the whole list.
+const wholeMost = 50
+
+// list is all that discovery has; the lock is held.
+func (a *agent) list() []byte { return a.entries(a.farm.backends, true) }
+
+// entries is what discovery has of some backends; the lock is held.
+func (a *agent) entries(backends []*backend, all bool) []byte {
 	targets := []hosts.Target{}
-	for i, b := range a.farm.backends {
+	for _, b := range backends {
 		b.mu.Lock()
 		kind := hosts.Writer
 		if b.prefill {
 			kind = hosts.Reader
 		}
 		targets = append(targets, hosts.Target{
-			UID: b.uid, Endpoint: b.at[a.dispatcher], Zone: "hall-1", Kind: kind, Rack: i % 2, State: b.state, Units: 1, Boot: b.bootMs,
+			UID: b.uid, Endpoint: b.at[a.dispatcher], Zone: "hall-1", Kind: kind, Rack: b.rack, State: b.state, Units: 1, Boot: b.bootMs,
 		})
 		b.mu.Unlock()
 	}
-	raw, err := json.Marshal(map[string]any{"rev": a.rev, "all": true, "targets": targets})
+	raw, err := json.Marshal(map[string]any{"rev": a.rev, "all": all, "targets": targets})
 	if err != nil {
 		panic(err) // plain fields
 	}
@@ -170,9 +176,13 @@
 	b.state = state
 	b.mu.Unlock()
 	d.rev++
+	told, whole := d.farm.backends, true
+	if len(told) > wholeMost {
+		told, whole = []*backend{b}, false
+	}
 	for _, a := range d.agents {
 		now, written := d.record.now(), time.Duration(0)
-		if a.push(hosts.Chunk(string(a.list()) + "\n")) {
+		if a.push(hosts.Chunk(string(a.entries(told, whole)) + "\n")) {
 			written = now
 		}
 		d.record.with(func() {
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -26,6 +26,7 @@
 	peer    string
 	file    string
 	control net.Listener
+	writing sync.Mutex // held while the configuration is written
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -38,9 +39,9 @@
 
 const (
 	readyMost = 10 * time.Second
-	frontLag  = 300 * time.Millisecond                                     // for which the front still opens connections to one that stops
-	killAfter = 3*time.Second + 700*time.Millisecond + 50*time.Millisecond // from SIGTERM to SIGKILL
-	awayTime  = 200 * time.Millisecond                                     // between two processes
+	frontLag  = 300 * time.Millisecond // for which the front still opens connections to one that stops
+	awayTime  = 200 * time.Millisecond // between two processes
+	burstSize = 6                      // reloads in a burst
 )
 
 // Ports of dispatchers are below those that the system gives to outgoing connections: one of these may else take a dispatcher's while
@@ -79,9 +80,14 @@
 	}
 	settings["siblings"], settings["slotNo"] = float64(d.run.options.Processes), float64(d.number)
 	settings["policyLimits"].(map[string]any)["peers"] = true
-	for i, c := range classes {
-		settings["requestClasses"].([]any)[i].(map[string]any)["giveUpUs"] = float64(c.deadline.Microseconds())
+	for i, c := range d.run.variant.classes {
+		stated := settings["requestClasses"].([]any)[i].(map[string]any)
+		stated["giveUpUs"], stated["effect"] = float64(c.deadline.Microseconds()), c.effect()
+		if c.window > 0 {
+			stated["windowUs"], stated["group"] = float64(c.window.Microseconds()), "all"
+		}
 	}
+	settings["familyInfo"].(map[string]any)["pinLimitUs"] = float64(d.run.variant.hold.Microseconds())
 	var peers []string
 	for _, o := range d.run.dispatchers {
 		peers = append(peers, o.peer)
@@ -100,6 +106,8 @@
 	if half {
 		raw = raw[:len(raw)/2]
 	}
+	d.writing.Lock()
+	defer d.writing.Unlock()
 	return os.WriteFile(d.file, raw, 0o600)
 }
 
@@ -203,7 +211,7 @@
 }
 
 // terminate has a process end as the platform does at a planned restart, and starts the next one.
-func (d *dispatcher) terminate(ctx context.Context, twice bool) {
+func (d *dispatcher) terminate(ctx context.Context, f Fault) {
 	d.mu.Lock()
 	l, exited := d.life, d.exited
 	d.mu.Unlock()
@@ -212,17 +220,23 @@
 	}
 	d.run.record.with(func() { l.told = d.run.record.now() })
 	d.signal(syscall.SIGTERM)
-	if twice {
+	began := time.Now()
+	switch f.Kind {
+	case TerminateTwice:
 		system.Sleep(ctx, 100*time.Millisecond)
 		d.signal(syscall.SIGTERM)
+	case TerminateReload:
+		system.Sleep(ctx, f.Length)
+		d.moveDiscovery(ctx, l, f)
+		d.signal(syscall.SIGTERM)
 	}
-	system.Sleep(context.WithoutCancel(ctx), frontLag)
+	system.Sleep(context.WithoutCancel(ctx), frontLag-time.Since(began))
 	d.mu.Lock()
 	d.ready = false
 	d.mu.Unlock()
 	select {
 	case <-exited:
-	case <-time.After(killAfter - frontLag):
+	case <-time.After(d.run.variant.killAfter() - time.Since(began)):
 		d.kill(l, exited)
 	}
 	if system.Sleep(ctx, awayTime) {
@@ -278,27 +292,28 @@
 	if !d.up() {
 		return
 	}
-	agent := d.run.discovery.agents[d.number]
-	moves := 1
-	if f.Kind == ReloadTwice {
-		moves = 2
-	}
-	for range moves {
-		to := agent.move()
+	moves := map[Kind]int{ReloadTwice: 2, ReloadBurst: burstSize}[f.Kind]
+	for range max(moves, 1) {
 		d.mu.Lock()
 		l := d.life
 		d.mu.Unlock()
-		from := d.run.record.now()
-		if f.Kind == ReloadTorn {
-			d.configure(to, true)
-			d.signal(syscall.SIGHUP)
-			system.Sleep(ctx, f.Length)
-		}
-		d.configure(to, false)
-		if f.Kind != ReloadTorn {
-			d.signal(syscall.SIGHUP)
-		}
-		d.run.record.with(func() { l.moves = append(l.moves, span{from, d.run.record.now()}) })
+		d.moveDiscovery(ctx, l, f)
 		system.Sleep(ctx, f.Length)
 	}
 }
+
+// moveDiscovery has discovery listen elsewhere, and a process be told of that.
+func (d *dispatcher) moveDiscovery(ctx context.Context, l *life, f Fault) {
+	to := d.run.discovery.agents[d.number].move()
+	from := d.run.record.now()
+	if f.Kind == ReloadTorn {
+		d.configure(to, true)
+		d.signal(syscall.SIGHUP)
+		system.Sleep(ctx, f.Length)
+	}
+	d.configure(to, false)
+	if f.Kind != ReloadTorn {
+		d.signal(syscall.SIGHUP)
+	}
+	d.run.record.with(func() { l.moves = append(l.moves, span{from, d.run.record.now()}) })
+}
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -21,13 +21,14 @@
 	ruleHeld      = "held"
 	ruleDeadline  = "deadline told"
 	ruleGone      = "client gone"
+	ruleEvents    = "events late"
 	ruleBad       = "bad client"
 	ruleCrash     = "crash"
 	ruleReady     = "ready"
 )
 
 // Rules lists them in the order of the table.
-var Rules = []string{ruleLost, ruleDuplicate, ruleDrain, ruleHeld, ruleDeadline, ruleGone, ruleBad, ruleCrash, ruleReady}
+var Rules = []string{ruleLost, ruleDuplicate, ruleDrain, ruleHeld, ruleDeadline, ruleGone, ruleEvents, ruleBad, ruleCrash, ruleReady}
 
 // The terms, and what the observation itself may be off by.
 const (
@@ -35,9 +36,11 @@
 	lateMost    = 500 * time.Millisecond
 	goneMost    = 100 * time.Millisecond
 	drainMost   = 250 * time.Millisecond
-	toldLag     = 6 * time.Second // from when discovery had it and could be reached
-	moveLag     = 4 * time.Second // from SIGHUP
-	holdMost    = 800 * time.Millisecond
+	toldLag     = 6 * time.Second        // from when discovery had it and could be reached
+	moveLag     = 4 * time.Second        // from SIGHUP
+	holdSlack   = 300 * time.Millisecond // beyond what the settings say
+	eventsLate  = 300 * time.Millisecond // for which an event may be held back
+	lateStreams = 0.1                    // share of the streams of which one may be
 	toldMost    = 150 * time.Millisecond
 	termMost    = 700 * time.Millisecond // after SIGTERM, for what SIGKILL may find unanswered
 	seenLate    = 300 * time.Millisecond // for which the end of a process may be seen late
@@ -58,6 +61,12 @@
 			v.of[a.id] = append(v.of[a.id], a)
 		}
 	}
+	v.told = map[place][]*listing{}
+	for i := range r.listings {
+		n := &r.listings[i]
+		at := place{n.dispatcher, n.backend}
+		v.told[at] = append(v.told[at], n)
+	}
 	for _, q := range r.requests {
 		v.answer(q)
 		v.effects(q)
@@ -67,6 +76,7 @@
 		v.deadline(a)
 	}
 	v.holds()
+	v.events()
 	v.processes()
 	slices.SortFunc(v.Violations, func(a, b Violation) int { return int(a.At - b.At) })
 	return v.Verdict
@@ -77,6 +87,13 @@
 	record *record
 	quiet  func(dispatcher int) []span
 	of     map[string][]*attempt
+	told   map[place][]*listing
+}
+
+// place is a backend as a dispatcher knows it.
+type place struct {
+	dispatcher int
+	backend    string
 }
 
 func (v *oracle) broke(rule string, at time.Duration, format string, args ...any) {
@@ -107,6 +124,8 @@
 	case v.excused(q, due):
 	case q.status == 0 && q.gone > 0:
 		v.broke(ruleLost, due, "request %s to n%v has no answer", q.id, q.to)
+	case q.status == 0 && q.refused > 0 && v.record.crowd && len(v.of[q.id]) == 0:
+		// It was shut out unread, which idle clients that fill the descriptors may have come to.
 	case q.status == 0 && q.refused > 0:
 		v.broke(ruleLost, q.refused, "request %s to n%v was closed without an answer", q.id, q.to)
 	case q.status != 200 && q.ended > due:
@@ -163,6 +182,9 @@
 		if ran != nil && q.class.once && !v.killedWith(ran, a.arrived) {
 			v.broke(ruleDuplicate, a.arrived, "request %s may run a second time, at %s after %s", q.id, a.backend, ran.backend)
 		}
+		if ran != nil && q.class.window > 0 && a.arrived-ran.first > q.class.window+slack && !v.killedWith(ran, a.arrived) {
+			v.broke(ruleDuplicate, a.arrived, "request %s may run a second time, at %s %v after %s", q.id, a.backend, a.arrived-ran.first, ran.backend)
+		}
 		ran = a
 	}
 	if q.class.once && (q.status == 503 || q.status == 429) {
@@ -193,8 +215,8 @@
 		return
 	}
 	var last *listing
-	for i := range v.record.listings {
-		if n := &v.record.listings[i]; n.backend == a.backend && n.dispatcher == a.dispatcher && n.at <= a.first {
+	for _, n := range v.told[place{a.dispatcher, a.backend}] {
+		if n.at <= a.first {
 			last = n
 		}
 	}
@@ -202,16 +224,16 @@
 		return
 	}
 	v.Chances[ruleDrain]++
-	told := v.told(l, last)
+	told := v.toldAt(l, last)
 	held := v.record.heldUp(a.dispatcher, told, a.first)
 	if late := a.first - told; late > drainMost+slack+held {
 		v.broke(ruleDrain, a.first, "an attempt for %s by n%d to %s began %v after it was told that that one drains", a.id, a.dispatcher, a.backend, late)
 	}
 }
 
-// told is when a change counts as told to a process: when it was written to it, or some seconds after discovery had it and could be
+// toldAt is when a change counts as told to a process: when it was written to it, or some seconds after discovery had it and could be
 // reached at its address.
-func (v *oracle) told(l *life, n *listing) time.Duration {
+func (v *oracle) toldAt(l *life, n *listing) time.Duration {
 	if n.written > 0 && n.written >= l.began {
 		return n.written
 	}
@@ -305,11 +327,31 @@
 		}
 		held = max(held, v.record.heldUp(a.dispatcher, from, to))
 	}
-	if to-from > holdMost+slack+held {
+	if to-from > v.record.hold+holdSlack+slack+held {
 		v.broke(ruleHeld, to, "a state for %s waited for %v", id, to-from)
 	}
 }
 
+// events holds streams to passing events on as they come. On a busy machine a few may be late; most must not be.
+func (v *oracle) events() {
+	late, worst := 0, time.Duration(0)
+	var last *request
+	for _, q := range v.record.requests {
+		if q.events == 0 || len(q.sends) == 0 {
+			continue
+		}
+		v.Chances[ruleEvents]++
+		held := v.record.heldUp(q.to[len(q.to)-1], q.sends[len(q.sends)-1], q.ended)
+		if q.late > eventsLate+slack+held {
+			late++
+			last, worst = q, max(worst, q.late)
+		}
+	}
+	if last != nil && float64(late) > lateStreams*float64(v.Chances[ruleEvents]) {
+		v.broke(ruleEvents, last.ended, "%d streams had an event held back, for up to %v, the last for %s by n%v", late, worst, last.id, last.to)
+	}
+}
+
 // processes holds processes to staying up, and to being ready in time.
 func (v *oracle) processes() {
 	for _, l := range v.record.lives {
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -14,9 +14,9 @@
 }
 
 func tell(once bool) *story {
-	s := &story{record: newRecord()}
+	s := &story{record: newRecord(variant{hold: 500 * ms})}
 	s.began = time.Now().Add(-time.Minute) // a minute has passed
-	s.q = &request{id: "q", class: class{"c", once, 2 * time.Second}, left: 2 * time.Second, tries: []time.Duration{1000 * ms}, sends: []time.Duration{1000 * ms}, to: []int{0}}
+	s.q = &request{id: "q", class: class{name: "c", once: once, deadline: 2 * time.Second}, left: 2 * time.Second, tries: []time.Duration{1000 * ms}, sends: []time.Duration{1000 * ms}, to: []int{0}}
 	s.requests, s.byID["q"] = []*request{s.q}, s.q
 	s.lives = []*life{{dispatcher: 0, began: ms, ready: 100 * ms}}
 	return s
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -8,6 +8,8 @@
 // record is what the far ends saw, on one monotonic clock. The dispatchers' own word is no part of it.
 type record struct {
 	began time.Time
+	hold  time.Duration // for which a state may wait with no attempt out, as the settings have it
+	crowd bool          // idle clients fill the descriptors: new connections may be shut unread
 
 	mu       sync.Mutex
 	requests []*request
@@ -18,7 +20,9 @@
 	lives    []*life
 }
 
-func newRecord() *record { return &record{began: time.Now(), byID: map[string]*request{}} }
+func newRecord(v variant) *record {
+	return &record{began: time.Now(), hold: v.hold, crowd: v.crowd > 0, byID: map[string]*request{}}
+}
 
 // now is the time since the run began, never 0.
 func (r *record) now() time.Duration { return max(time.Since(r.began), 1) }
@@ -28,6 +32,7 @@
 	name     string
 	once     bool // it may not run twice
 	deadline time.Duration
+	window   time.Duration // in which backends drop repeats; 0: they do not
 }
 
 // request is one request of a client.
@@ -42,6 +47,8 @@
 	status  int
 	ended   time.Duration // when its answer had ended
 	whole   bool          // in good order
+	events  int           // that its answer had
+	late    time.Duration // by which the latest of them was held back on its way
 	refused time.Duration // when nobody would take it any more
 }
 
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -15,11 +15,13 @@
 const (
 	Terminate       Kind = "terminate"        // SIGTERM to a dispatcher, then SIGKILL as the platform does, then a new process
 	TerminateTwice  Kind = "terminate_twice"  // with a second SIGTERM soon after
+	TerminateReload Kind = "terminate_reload" // SIGTERM, a reload in the middle of the stop, SIGTERM
 	KillProcess     Kind = "kill"             // SIGKILL, then a new process
 	Stop            Kind = "stop"             // SIGSTOP, later SIGCONT
 	Reload          Kind = "reload"           // a new configuration moves discovery, SIGHUP
 	ReloadTorn      Kind = "reload_torn"      // the same, and the file is half written as the signal comes
 	ReloadTwice     Kind = "reload_twice"     // two in quick succession, to the other address and back
+	ReloadBurst     Kind = "reload_burst"     // six in quick succession
 	WallStep        Kind = "wall_step"        // the wall clock steps
 	AcceptFails     Kind = "accept_fails"     // accept fails for a moment
 	DialFails       Kind = "dial_fails"       // connecting fails on the dispatcher's machine for a moment
@@ -30,9 +32,13 @@
 	BackendResets   Kind = "backend_resets"   // connections are reset: in a request, right behind it, or in the answer
 	BackendSpoils   Kind = "backend_spoils"   // answers that can't be read, or two for one
 	BackendSilent   Kind = "backend_silent"   // its connections fall silent without an error
+	BackendMute     Kind = "backend_mute"     // it goes on taking connections, of which all or every other one are silent
+	RoleMute        Kind = "role_mute"        // the same for four in five backends of one role together
 	BackendSlow     Kind = "backend_slow"     // it works slowly
 	BackendRestarts Kind = "backend_restarts" // it is replaced by one in slow start
+	MassRestart     Kind = "mass_restart"     // six in ten backends are replaced so, within seconds
 	Drain           Kind = "drain"            // discovery has it drain
+	MassDrain       Kind = "mass_drain"       // discovery has a quarter of the backends drain
 	DiscoverySilent Kind = "discovery_silent" // one dispatcher's discovery says nothing
 	DiscoverySlow   Kind = "discovery_slow"   // it answers late
 	DiscoveryResets Kind = "discovery_resets" // its watches are reset
@@ -44,13 +50,15 @@
 	weight      int
 	least, most time.Duration
 }{
-	{Terminate, 4, 0, 0}, {TerminateTwice, 1, 0, 0}, {KillProcess, 2, 0, 0}, {Stop, 3, 100 * time.Millisecond, 1500 * time.Millisecond},
+	{Terminate, 4, 0, 0}, {TerminateTwice, 1, 0, 0}, {TerminateReload, 1, 20 * time.Millisecond, 600 * time.Millisecond},
+	{KillProcess, 2, 0, 0}, {Stop, 3, 100 * time.Millisecond, 1500 * time.Millisecond}, {ReloadBurst, 1, time.Millisecond, 30 * time.Millisecond},
 	{Reload, 2, 0, 0}, {ReloadTorn, 2, 50 * time.Millisecond, 300 * time.Millisecond}, {ReloadTwice, 1, 10 * time.Millisecond, 200 * time.Millisecond},
 	{WallStep, 2, 0, 0}, {AcceptFails, 3, 20 * time.Millisecond, 500 * time.Millisecond}, {DialFails, 3, 20 * time.Millisecond, 800 * time.Millisecond},
 	{ShortReads, 2, time.Second, 4 * time.Second}, {BackendHangs, 4, time.Second, 5 * time.Second}, {BackendFails, 2, time.Second, 4 * time.Second},
 	{BackendFull, 2, time.Second, 4 * time.Second}, {BackendResets, 3, time.Second, 4 * time.Second}, {BackendSpoils, 2, time.Second, 4 * time.Second},
 	{BackendSilent, 3, time.Second, 4 * time.Second}, {BackendSlow, 2, time.Second, 4 * time.Second}, {BackendRestarts, 2, 0, 0},
-	{Drain, 4, time.Second, 6 * time.Second}, {DiscoverySilent, 3, time.Second, 6 * time.Second}, {DiscoverySlow, 2, 2 * time.Second, 6 * time.Second},
+	{BackendMute, 5, time.Second, 4 * time.Second}, {RoleMute, 2, time.Second, 3 * time.Second},
+	{MassRestart, 1, 0, 0}, {MassDrain, 1, time.Second, 6 * time.Second}, {Drain, 4, time.Second, 6 * time.Second}, {DiscoverySilent, 3, time.Second, 6 * time.Second}, {DiscoverySlow, 2, 2 * time.Second, 6 * time.Second},
 	{DiscoveryResets, 2, 0, 0},
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -34,6 +35,8 @@
 	Length    time.Duration
 	Every     time.Duration // between two faults, on the mean
 	Clients   int           // usual ones for each process
+	Backends  int           // 0: as few as show all rules
+	Rate      float64       // requests a second for each process beside those of the usual clients, which wait for their answers
 	Command   []string      // that runs a dispatcher with Shims
 	Env       []string
 	Dir       string  // for the record; empty: none is kept
@@ -43,8 +46,8 @@
 const (
 	settleTime  = 4 * time.Second // at a run's end, without a new fault
 	aftermath   = time.Second     // for which a fault that has ended still acts
-	prefills    = 2               // backends
-	decodes     = 3
+	fewBackends = 5
+	prefillPart = 0.45 // of the backends
 	badClients  = 2
 	startMost   = 30 * time.Second
 	clientsMost = 8 * time.Second // for clients to end
@@ -53,6 +56,8 @@
 // run is one that is being played.
 type run struct {
 	options     Options
+	variant     variant
+	late        lateness // of the soak itself
 	record      *record
 	farm        *farm
 	discovery   *discovery
@@ -74,11 +79,14 @@
 	Attempts int
 	Statuses map[int]int
 	Resent   int
+	Late     time.Duration // by which the soak itself was late
+	Unjudged bool          // it was too late to tell whose a delay is
 }
 
 // Run plays one seed and judges it.
 func Run(ctx context.Context, o Options) (Result, error) {
-	r := &run{options: o, record: newRecord(), dir: o.Dir}
+	v := drawVariant(o.Seed)
+	r := &run{options: o, variant: v, record: newRecord(v), dir: o.Dir}
 	if o.Faults == nil {
 		o.Faults = Schedule(o)
 	}
@@ -120,7 +128,9 @@
 func (r *run) open() error {
 	r.farm = &farm{record: r.record, held: map[string]bool{}}
 	r.discovery = &discovery{record: r.record, farm: r.farm, rev: 1}
-	for i := range prefills + decodes {
+	backends := cmp.Or(r.options.Backends, fewBackends)
+	prefills := int(prefillPart * float64(backends))
+	for i := range backends {
 		name := fmt.Sprintf("r%d", i)
 		if i >= prefills {
 			name = fmt.Sprintf("w%d", i-prefills)
@@ -171,6 +181,15 @@
 	for i := range r.options.Processes * r.options.Clients {
 		running.Go(func() { asking.usual(ctx, rand.New(rand.NewPCG(r.options.Seed, uint64(i)))) })
 	}
+	running.Go(func() { r.late.watch(ctx) })
+	if rate := r.options.Rate * float64(r.options.Processes); rate > 0 {
+		running.Go(func() { asking.openLoop(ctx, rand.New(rand.NewPCG(r.options.Seed, 2<<32)), rate) })
+	}
+	for _, d := range r.dispatchers {
+		for range r.variant.crowd {
+			running.Go(func() { asking.idle(ctx, d) })
+		}
+	}
 	for i := range badClients {
 		running.Go(func() { asking.bad(ctx, rand.New(rand.NewPCG(r.options.Seed, 1<<32+uint64(i)))) })
 	}
@@ -218,13 +237,13 @@
 	agent := r.discovery.agents[d.number]
 	until := r.record.now() + f.Length
 	switch f.Kind {
-	case Terminate, TerminateTwice:
-		d.terminate(ctx, f.Kind == TerminateTwice)
+	case Terminate, TerminateTwice, TerminateReload:
+		d.terminate(ctx, f)
 	case KillProcess:
 		d.crash(ctx)
 	case Stop:
 		d.stop(ctx, f.Length)
-	case Reload, ReloadTorn, ReloadTwice:
+	case Reload, ReloadTorn, ReloadTwice, ReloadBurst:
 		d.reload(ctx, f)
 	case WallStep:
 		d.order(Order{WallStep: wallSteps[f.Draw%uint64(len(wallSteps))]})
@@ -242,6 +261,12 @@
 		if system.Sleep(ctx, f.Length) {
 			r.discovery.change(b, "in_service")
 		}
+	case MassRestart:
+		r.restartMost(ctx, f)
+	case MassDrain:
+		r.drainMany(ctx, f)
+	case RoleMute:
+		r.muteRole(f, until)
 	case BackendSilent:
 		b.cutOff(ctx, f.Length, f.Draw)
 	case DiscoverySilent:
@@ -255,6 +280,67 @@
 	}
 }
 
+const (
+	restartTime  = 7 * time.Second // in which most backends are replaced
+	restartShare = 0.6
+	drainShare   = 0.25
+	muteShare    = 0.8
+)
+
+// drawn are so large a share of the backends, as a fault's draw has it.
+func (r *run) drawn(f Fault, share float64) []*backend {
+	rng := rand.New(rand.NewPCG(f.Draw, 0))
+	var chosen []*backend
+	for _, b := range r.farm.backends {
+		if rng.Float64() < share {
+			chosen = append(chosen, b)
+		}
+	}
+	return chosen
+}
+
+// restartMost has most backends be replaced one by one.
+func (r *run) restartMost(ctx context.Context, f Fault) {
+	chosen := r.drawn(f, restartShare)
+	for _, b := range chosen {
+		if !system.Sleep(ctx, restartTime/time.Duration(len(chosen))) {
+			return
+		}
+		b.restart()
+		r.discovery.change(b, "in_service")
+	}
+}
+
+// drainMany has many backends drain at once, and come back.
+func (r *run) drainMany(ctx context.Context, f Fault) {
+	chosen := r.drawn(f, drainShare)
+	for _, b := range chosen {
+		r.discovery.change(b, "terminating")
+	}
+	if !system.Sleep(ctx, f.Length) {
+		return
+	}
+	for _, b := range chosen {
+		r.discovery.change(b, "in_service")
+	}
+}
+
+// muteRole has four in five backends of one role fall silent together, but never all.
+func (r *run) muteRole(f Fault, until time.Duration) {
+	prefill := f.Target%2 == 0
+	var role []*backend
+	for _, b := range r.farm.backends {
+		if b.prefill == prefill {
+			role = append(role, b)
+		}
+	}
+	mute := min(int(muteShare*float64(len(role))+0.5), len(role)-1)
+	first := int(f.Draw % uint64(len(role)))
+	for i := range mute {
+		role[(first+i)%len(role)].goesWrong(BackendMute, until, 0)
+	}
+}
+
 // badDone takes note of a bad client's end.
 func (r *run) badDone(dispatcher int, began, took time.Duration, err error) {
 	r.mu.Lock()
@@ -284,6 +370,8 @@
 	}
 	r.record.mu.Unlock()
 	r.mu.Lock()
+	res.Late = r.late.most()
+	res.Unjudged = res.Late > latenessMost
 	res.Violations = append(res.Violations, r.bad...)
 	res.Chances[ruleBad] = r.saw
 	r.mu.Unlock()
@@ -321,7 +409,10 @@
 	for _, k := range slices.Sorted(maps.Keys(kinds)) {
 		fmt.Fprintf(w, " %s %d", k, kinds[k])
 	}
-	fmt.Fprintf(w, "\npairs that overlapped: %d kinds\n", len(Overlaps(res.Faults)))
+	fmt.Fprintf(w, "\npairs that overlapped: %d kinds; the soak itself was late by up to %v\n", len(Overlaps(res.Faults)), res.Late.Round(time.Millisecond))
+	if res.Unjudged {
+		fmt.Fprintf(w, "NOT JUDGED: the soak lagged by over %v; what follows may be its own\n", latenessMost)
+	}
 	broken := map[string]int{}
 	for _, v := range res.Violations {
 		broken[v.Rule]++
