The event loop measures how far it is behind; what ends a request is a flag, not a message

Change: dispatch.Lag (longest turn, longest wait of a message, latest timer; a long turn is logged), timers between two messages, Asked.End and Over, a list of the boxes that are gone in place of a walk over all. Release beside an attempt leaves what waits in place for the release at its end; carriers that prove arrival (serve, the virtual fleet) skip it.

--- a/internal/dispatch/backends.go
+++ b/internal/dispatch/backends.go
@@ -68,11 +68,21 @@
 		}
 	}
 	l.module.Listed(out, whole)
-	for _, b := range l.boxes {
-		if b.Host.Standing == brain.Gone && b.out == 0 && l.now-b.gone >= goneKept {
+	l.forgetGone()
+}
+
+// forgetGone drops the boxes that are gone for long, and those that came back from the list of them.
+func (l *Loop) forgetGone() {
+	l.gone = slices.DeleteFunc(l.gone, func(b *Box) bool {
+		switch {
+		case b.Host.Standing != brain.Gone || l.boxes[b.Name] != b:
+			return true
+		case b.out == 0 && l.now-b.gone >= goneKept:
 			l.forgetBox(b)
+			return true
 		}
-	}
+		return false
+	})
 }
 
 // goneKept is how long a box that is gone is still known: it may come back within its cold start, and what it was sent in
@@ -95,6 +105,7 @@
 	default:
 		close(b.Drained)
 		b.At, b.gone = nil, l.now
+		l.gone = append(l.gone, b)
 		l.accountListed(b, true)
 		l.carrier.Reach(b, nil)
 	}
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -55,6 +55,23 @@
 	flight   *Flight // the trip that is out
 	waiting  map[*Box]bool
 	from     time.Duration
+	over     atomic.Bool
+}
+
+// End says that nothing more may be sent for the request: it has its answer, its client has gone, or its time is up. Unlike a message
+// to the loop it does not wait its turn.
+func (a *Asked) End() { a.over.Store(true) }
+
+// Over tells whether nothing more may be sent.
+func (a *Asked) Over() bool { return a.over.Load() }
+
+// AttemptOut tells whether an attempt is out. It is the loop's.
+func (a *Asked) AttemptOut() bool { return a.flight != nil }
+
+// message is something that the loop is to do.
+type message struct {
+	do func()
+	at time.Duration // when it was posted
 }
 
 // release lets go at a box of what a question's trips so far may have left there.
@@ -80,6 +97,7 @@
 	Unfit  bool // its box says that the question itself is none; set before its end is told
 
 	Key      string        // of its question, at boxes
+	Arrived  atomic.Bool   // a byte of an answer has come: only that shows that the request had
 	Streamed atomic.Int64  // tokens that have come
 	Count    *kserve.Count // what its box counted, if that came along
 }
@@ -100,7 +118,7 @@
 	since   func() time.Duration
 
 	mu     sync.Mutex
-	queue  []func()
+	queue  []message
 	closed bool
 	bell   chan struct{}
 	ended  chan struct{}
@@ -116,6 +134,8 @@
 
 	further map[string][]addresses.Spec // of boxes, from the own file
 	Tally   Tally
+	Lag     Lag
+	gone    []*Box // that may be forgotten some time
 
 	books *Books
 
@@ -164,7 +184,9 @@
 	if l.closed {
 		return false
 	}
-	l.queue = append(l.queue, do)
+	now := l.since()
+	l.queue = append(l.queue, message{do, now})
+	l.Lag.posted(now)
 	select {
 	case l.bell <- struct{}{}:
 	default:
@@ -202,9 +224,13 @@
 		work := l.queue
 		l.queue = nil
 		l.mu.Unlock()
-		for _, do := range work {
-			l.Do(do)
+		for i, m := range work {
+			l.Lag.next(work[i:])
+			l.take(m)
 		}
+		l.mu.Lock()
+		l.Lag.next(l.queue)
+		l.mu.Unlock()
 		l.Due()
 		if len(work) > 0 {
 			select {
@@ -228,6 +254,20 @@
 	}
 }
 
+// take does what a message asks for, and then what has come due: timers don't wait behind all messages.
+func (l *Loop) take(m message) {
+	l.Do(m.do)
+	l.Lag.LongestWait = max(l.Lag.LongestWait, l.now-m.at)
+	ended := l.since()
+	l.Lag.turn(l.now, ended, l.Log)
+	if at, ok := l.wakes.Next(); ok && at <= ended {
+		l.Due()
+	}
+}
+
+// Behind is how long the oldest message has waited for its turn. Any goroutine may ask.
+func (l *Loop) Behind() time.Duration { return l.Lag.now(l.since()) }
+
 // Do runs one thing at the present time. Only the loop's goroutine, and tests without one, call it.
 func (l *Loop) Do(do func()) {
 	l.now = l.since()
@@ -237,16 +277,21 @@
 // Due runs the timers whose time has come.
 func (l *Loop) Due() {
 	for now := l.since(); ; {
-		_, do, ok := l.wakes.Take(now)
+		at, do, ok := l.wakes.Take(now)
 		if !ok {
 			return
 		}
+		l.Lag.LatestTimer = max(l.Lag.LatestTimer, now-at)
 		l.Do(do)
+		l.Lag.turn(l.now, l.since(), l.Log)
 	}
 }
 
 // Arrive takes a question, which has left for its answer.
 func (l *Loop) Arrive(a *Asked, grade, channel int, left time.Duration) {
+	if a.Over() {
+		return // it had to wait for its turn, and is over meanwhile
+	}
 	l.lastID++
 	a.began, a.final, a.waiting = make(chan *Flight, 1), make(chan kserve.Final, 1), map[*Box]bool{}
 	a.from = l.now
@@ -301,6 +346,7 @@
 		return
 	}
 	a.answered = true
+	a.End()
 	f.Trips = len(a.Question.Trips)
 	l.accountOver(a, f.Final, f.Error)
 	if l.Guard != nil && !a.unpaid && f.Trips+int(f.AfterMs) > 0 {
@@ -363,7 +409,7 @@
 	switch {
 	case f.late:
 		return brain.DeadlinePassed
-	case f.Asked.left, f.Asked.answered:
+	case f.Asked.left, f.Asked.answered, f.Asked.Over():
 		return brain.RequestOver
 	}
 	return l.module.MaySend(f.Trip)
@@ -457,10 +503,11 @@
 
 // Left takes word that a client has gone.
 func (l *Loop) Left(a *Asked) {
-	if a.answered || a.left {
+	if a.Question == nil || a.answered || a.left {
 		return
 	}
 	a.left = true
+	a.End()
 	l.accountOver(a, "left", "")
 	l.Tally.Left++
 	if a.flight != nil && a.flight.Trip.Began > 0 {
@@ -523,12 +570,16 @@
 	}
 }
 
+// Release has what waits for a request released. Beside an attempt it may go on waiting, for that attempt, and is released once more
+// at its end.
 func (l *Loop) Release(q *brain.Question) {
 	a := l.asked[q]
 	for b := range a.waiting {
 		l.release(b, a)
 	}
-	clear(a.waiting)
+	if !a.AttemptOut() {
+		clear(a.waiting)
+	}
 }
 
 func (l *Loop) Decline(q *brain.Question, after time.Duration) {
--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -240,6 +240,9 @@
 
 // Release tells a box to let go of a question's state, until it is known done or the box is gone.
 func (c *Trips) Release(b *Box, a *Asked) {
+	if a.AttemptOut() {
+		return // its connection was proven right before it, and its box may hold the state without having fetched it
+	}
 	key := kserve.Release{Key: c.loop.Key(a), Trip: len(a.Question.Trips) - 1}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -39,6 +39,9 @@
 }
 
 func (c *transport) Release(b *dispatch.Box, a *dispatch.Asked) {
+	if a.AttemptOut() {
+		return // attempts arrive here, and wait for the state
+	}
 	w := c.w
 	r := kserve.Release{Key: c.loop.Key(a), Trip: len(a.Question.Trips) - 1}
 	to := w.boxes[b.Name]
