The module: a state is due at its time, attempt out or not; a choice costs little at any fleet size

Cause 1: letGo released only with no attempt out, and Ended let the state's time begin anew for attempts that broke or timed out, which prove no arrival. Change: brain/release.go. With a decode attempt out, its state is released at the settings' limit unless the first token has come; it is never used again (a further release follows at the attempt's end, and the request starts over); only an answer (read, answered, failed, rejected) gives a state further time; the time counts from when word of the read's end came, not from its turn in the loop.

Cause 2: mayUseSlowStart summed up what all backends carried for each backend in slow start (N x N); able, reader, homes and the free memory walked all; settings were looked up by name in the inner loop; each change of the list sorted all.

--- a/brain/admission.go
+++ b/brain/admission.go
@@ -20,9 +20,9 @@
 	fairness = 2.0
 )
 
-// weigh has the queue follow what was admitted of each class lately: the less, the more its requests count. With a
+// weighQueue has the queue follow what was admitted of each class lately: the less, the more its requests count. With a
 // fixed order of classes, the last one would wait for all of the others and be rejected as late.
-func (d *Dispatcher) weigh() {
+func (d *Dispatcher) weighQueue() {
 	for _, g := range d.grades {
 		g.Weight = math.Pow(g.admittedShare(d.door.Now()), -fairness)
 	}
@@ -41,12 +41,12 @@
 func (d *Dispatcher) density(q *Question) float64 {
 	v := q.Grade.Benefit * cmp.Or(q.Grade.Weight, 1)
 	if q.Surplus {
-		v *= d.facts.Num("overShareWorth", 1)
+		v *= d.parameters.surplusValue
 	}
 	if q.Again {
 		v *= q.Grade.Late
 	}
-	if d.facts.Text("valueBy") != "work" {
+	if !d.parameters.valueByWork {
 		v /= q.Prompt + q.Most + 1
 	}
 	return v
@@ -87,7 +87,7 @@
 // sweepQueue looks at the queue anew.
 func (d *Dispatcher) sweepQueue() {
 	d.sweeping = false
-	d.weigh()
+	d.weighQueue()
 	d.shed()
 	d.dispatch()
 }
@@ -200,7 +200,7 @@
 	case began && binding:
 		d.window *= change
 	}
-	d.window = max(min(d.window, perHost*float64(len(d.hosts))), 1/d.facts.Num("siblings", 1))
+	d.window = max(min(d.window, perHost*float64(len(d.hosts))), 1/d.parameters.dispatchers)
 }
 
 // heardShare takes in what another dispatcher tells of a request of its own.
--- a/brain/admission_test.go
+++ b/brain/admission_test.go
@@ -225,7 +225,7 @@
 			q.ID, q.Grade, q.Taken = id, d.grades[(id-1)/2], q.Taken+time.Duration(id)
 			d.enqueue(q)
 		}
-		d.weigh()
+		d.weighQueue()
 		var order []uint64
 		for _, q := range d.queue {
 			order = append(order, q.ID)
--- a/brain/belief.go
+++ b/brain/belief.go
@@ -41,3 +41,15 @@
 	}
 	return b
 }
+
+// report takes a load report's values in the stated order.
+func (d *Dispatcher) report(h *Host, values []float64) {
+	for i, v := range values[:min(len(values), len(d.parameters.reportFields))] {
+		switch d.parameters.reportFields[i] {
+		case "util":
+			h.Util = v
+		case "queue":
+			h.Queue = v
+		}
+	}
+}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,7 +41,7 @@
 		return nil, err
 	}
 	facts = facts.Complete()
-	d := &Dispatcher{facts: facts, door: door, rng: NewPCG(seed), own: Mix(seed, 1), credit: burst}
+	d := &Dispatcher{facts: facts, parameters: parametersOf(facts), door: door, rng: NewPCG(seed), own: Mix(seed, 1), credit: burst}
 	d.unread.Width, d.asked.Width, d.begins.Width = refresh, refresh, refresh
 	var err error
 	if d.grades, err = facts.Grades(); err != nil {
@@ -49,8 +49,8 @@
 	}
 	d.channels = facts.Channels()
 	if facts.Yes("policyLimits.peers") {
-		dear := max(facts.Num("prices.peer", 0)*newsSize/256, gossip/8)
-		d.listeners = min(int(gossip/dear), int(facts.Num("siblings", 1))-1)
+		dear := max(d.parameters.peerPrice*newsSize/256, gossip/8)
+		d.listeners = min(int(gossip/dear), int(d.parameters.dispatchers)-1)
 	}
 	if facts.Text("discovery") == "subscribe" {
 		door.Watch(true)
@@ -72,11 +72,15 @@
 	for _, h := range d.hosts {
 		h.Forget(now - keptFor)
 	}
+	d.forgetKeepers()
+	d.compared = 0
+	d.compareSizes()
 	d.door.Wake(refresh, d.refresh)
 }
 
 // Listed takes what the list says of hosts; a whole list leaves out those that are gone.
 func (d *Dispatcher) Listed(lines []Listing, whole bool) {
+	gone := whole
 	if whole {
 		for _, h := range d.hosts {
 			h.Standing = Gone
@@ -84,38 +88,48 @@
 	}
 	for _, l := range lines {
 		h := l.Host
-		if !h.Held {
-			h.Held, d.hosts = true, append(d.hosts, h)
-		}
 		if h.Kept == nil {
-			h.Role, h.Memory = d.facts.RoleOf(h.Kind), d.facts.MemoryOf(h.Kind)
-			h.Sent.Width = max(d.facts.Span("rules.tipAfterUs")/(buckets-1), 1)
-			h.Carried.Width = max(d.facts.Span("rules.tipAfterUs")*5/buckets, 1)
-			h.Given.Width, h.Far, h.Lean = memory, 1, -math.Log(d.rng.Float())
-			if h.Zone != int(d.facts.Num("zone", 0)) {
-				h.Far += 25 * d.facts.Num("prices.crossZone", 0)
-			}
-			h.Room = h.Memory / d.facts.Num("siblings", 1)
+			d.meet(h)
+		}
+		if !h.Held {
+			d.addHost(h)
 		}
 		if h.Kept == nil || l.Restart && l.Booted != h.Booted {
 			h.Kept = map[uint64]Kept{}
 			fresh := Record{Good: Ring{Width: evidence}, Bad: Ring{Width: evidence}}
 			h.Records = slices.Repeat([]Record{fresh}, 1+len(d.grades))
 		}
+		gone = gone || l.Standing == Gone
 		h.Standing, h.Units, h.Booted, h.Restart = l.Standing, max(l.Units, 0.01), l.Booted, l.Restart
+		if h.Size == 0 {
+			h.Size = 1 // until sizes are compared
+		}
 	}
-	d.hosts = slices.DeleteFunc(d.hosts, func(h *Host) bool {
-		h.Held = h.Standing != Gone || h.Streams > 0 || h.Tokens >= 1 // what is out there still counts
-		return !h.Held
-	})
-	Order(d.hosts, d.own)
-	d.answering = Compare(d.hosts)
+	if gone || d.lingering {
+		d.dropHosts()
+		d.lingering = slices.ContainsFunc(d.hosts, func(h *Host) bool { return h.Standing == Gone })
+	}
+	d.orderHosts()
+	d.carriedChanged()
+	d.compareSizes()
 	if !d.adjusted {
-		d.window = perHost * float64(len(d.hosts)) / d.facts.Num("siblings", 1)
+		d.window = perHost * float64(len(d.hosts)) / d.parameters.dispatchers
 	}
 	d.dispatch()
 }
 
+// meet sets what does not change of a backend that is seen for the first time.
+func (d *Dispatcher) meet(h *Host) {
+	h.Role, h.Memory = d.facts.RoleOf(h.Kind), d.facts.MemoryOf(h.Kind)
+	h.Sent.Width = max(d.parameters.slowStartWindow/(buckets-1), 1)
+	h.Carried.Width = max(d.parameters.slowStartWindow*5/buckets, 1)
+	h.Given.Width, h.Far, h.Lean = memory, 1, -math.Log(d.rng.Float())
+	if h.Zone != d.parameters.zone {
+		h.Far += 25 * d.parameters.crossZonePrice
+	}
+	h.Room = h.Memory / d.parameters.dispatchers
+}
+
 // ListFailed asks again, a little later, where the list has to be asked for.
 func (d *Dispatcher) ListFailed() {
 	if d.facts.Text("discovery") == "subscribe" {
@@ -133,7 +147,7 @@
 	if channel < len(d.channels) {
 		c := d.channels[channel]
 		c.Taken.Add(now, 1)
-		share := c.Quota / max(d.facts.Num("siblings", 1), 1)
+		share := d.parameters.share(c.Quota)
 		q.Surplus = c.Taken.Sum(now) > share*buckets*c.Taken.Width.Seconds()
 	}
 	d.enqueue(q)
@@ -152,83 +166,12 @@
 		return
 	}
 	var after time.Duration
-	if d.facts.Yes("policyLimits.retryAfter") {
-		after = min(d.facts.Span("policyLimits.maxRetryAfterUs"), q.Promised-q.Taken)
+	if d.parameters.retryAfter {
+		after = min(d.parameters.retryMost, q.Promised-q.Taken)
 	}
 	d.door.Decline(q, after)
 }
 
-// letGo releases a state that waits for the question. Every end of a step comes through here (rule 5).
-func (d *Dispatcher) letGo(q *Question) {
-	if q.State != nil && q.Out() == nil {
-		q.State = nil
-		d.door.Release(q)
-	}
-}
-
-// cold tells whether a backend is taken to be in slow start.
-func (d *Dispatcher) cold(h *Host) bool {
-	return d.started(h) || h.Unmet > 0 && d.door.Now() < h.Unmet+d.facts.Span("rules.rampTimeUs")
-}
-
-// started tells whether the list told of a start within the ramp.
-func (d *Dispatcher) started(h *Host) bool {
-	return h.Restart && d.door.Now() < h.Booted+d.facts.Span("rules.rampTimeUs")
-}
-
-// warmth is the part of its capacity that a host has: it warms from the stated share within the stated time.
-func (d *Dispatcher) warmth(h *Host) float64 {
-	if !d.started(h) {
-		return 1
-	}
-	from, ramp := max(d.facts.Num("rules.coldFrom", 0), 0.1), d.facts.Span("rules.rampTimeUs")
-	return from + (1-from)*float64(max(d.door.Now()-h.Booted, 0))/float64(ramp)
-}
-
-// weight is the mean work of the question's grade, the measure of the rule on cold hosts. At a mixed host an
-// answer alone weighs less than a whole question: warm ones that only write must not speak for reading too.
-func (d *Dispatcher) weight(q *Question, h *Host, stage Stage) float64 {
-	write := 100 * q.Grade.Writing.Or(2)
-	if h.Mixed() && stage == ToWrite {
-		return write
-	}
-	return q.Grade.Reading.Or(1000) + write
-}
-
-// carries is what hosts of a role ended well in a window for this dispatcher, on the mean and for a unit: the
-// warm ones, or where none is the cold ones. With most cold, what the warm ones did is not forgotten for
-// those that the list tells of: cold ones do what they are let, and less each time.
-func (d *Dispatcher) carries(role Role, fresh bool) float64 {
-	var sum, n [2]float64
-	for _, o := range d.hosts {
-		if o.Role == role && o.Standing == Ready {
-			i := 0
-			if d.cold(o) {
-				i = 1
-			}
-			sum[i] += o.Carried.Sum(d.door.Now()) / 5 / o.Units
-			n[i]++
-		}
-	}
-	if n[0] == 0 {
-		sum[0], n[0] = sum[1], max(n[1], 1)
-	} else if n[0] >= n[1] {
-		d.carried[role] = sum[0] / n[0]
-	}
-	if fresh && n[0] <= n[1] && d.carried[role] > 0 {
-		return d.carried[role]
-	}
-	return sum[0] / n[0]
-}
-
-// coldBudget is this dispatcher's part of what a cold host may be sent in a window. What warm hosts of its
-// role ended well over five windows is their capacity at most, however hard they are pushed just now. With
-// the stated multiple and cold share of that, and no more, a saturated role pushes no cold host over.
-func (d *Dispatcher) coldBudget(h *Host) float64 {
-	part := d.facts.Num("rules.tipMultiple", 1) * d.facts.Num("rules.coldFrom", 0)
-	return part * d.carries(h.Role, d.started(h)) * h.Units
-}
-
 // send makes a trip unless the gate bars it.
 func (d *Dispatcher) send(q *Question, h *Host, stage Stage, next func(Result)) bool {
 	if h == nil || d.barred(q, h) {
@@ -241,10 +184,9 @@
 	if stage != ToWrite {
 		t.Left = q.Prompt - kept
 	} else {
-		t.Connect = d.facts.Span("familyInfo.pinLimitUs") / 5 // other writers, and a release, are in time (rule 5)
+		t.Connect = d.connectTime() // other writers, and a release, are in time (rule 5)
 	}
-	streams := t.Weigh(1)
-	d.streams += streams
+	streams := d.weigh(t, 1)
 	h.Given.Add(now, streams+t.Left/2/max(d.average, 300))
 	if !q.Outstanding {
 		q.Outstanding, q.Dispatched = true, now
@@ -253,16 +195,27 @@
 	}
 	h.Sent.Add(now, d.weight(q, h, stage))
 	q.Trips = append(q.Trips, t)
+	d.releaseWhenDue(t)
 	d.door.Send(t, d.patience(t))
 	return true
 }
 
+// weigh counts what an attempt takes at its backend, or takes it away again, and tells the change in streams.
+func (d *Dispatcher) weigh(t *Trip, sign float64) float64 {
+	streams := t.Weigh(sign)
+	d.streams += streams
+	if t.Host.Role == Reads {
+		d.atReaders += sign * t.Question.Memory
+	}
+	return streams
+}
+
 // patience is how long a trip may take: three quarters of what is left where another trip may follow it,
 // so that a silent host leaves time for one. Shorter waits only fill hosts that go on with dropped work.
 func (d *Dispatcher) patience(t *Trip) time.Duration {
 	left := t.Question.Expiry - t.Sent
 	if left.Seconds()/4 < d.firstToken.Or(0) || t.Stage != ToRead && t.Question.Grade.Effect != Idempotent ||
-		t.Number+1 >= int(d.facts.Num("policyLimits.maxAttempts", 1)) {
+		t.Number+1 >= d.parameters.maxAttempts {
 		return left
 	}
 	return left * 3 / 4
@@ -274,7 +227,7 @@
 	kept := 0.0
 	for _, key := range []uint64{q.Session, q.Shared} {
 		k, ok := h.Kept[key]
-		since := (h.Taken - k.Taken) * d.facts.Num("siblings", 1)
+		since := (h.Taken - k.Taken) * d.parameters.dispatchers
 		if ok && key != 0 && d.door.Now()-k.At < keptFor && since < h.Memory-h.Tokens {
 			kept = max(kept, k.Tokens)
 		}
@@ -293,9 +246,11 @@
 	h.Taken += max(q.Prompt-kept, 0)
 	if q.Session != 0 {
 		h.Kept[q.Session] = Kept{q.Prompt, now, h.Taken}
+		d.keeperOf(q.Session, h)
 	}
 	if q.Shared != 0 {
 		h.Kept[q.Shared] = Kept{q.Prefix, now, h.Taken}
+		d.keeperOf(q.Shared, h)
 	}
 }
 
@@ -305,8 +260,11 @@
 	well = 1
 	for _, i := range []int{0, 1 + q.Grade.Index} {
 		r, now := &h.Records[i], d.door.Now()
-		good, bad := 2+r.Good.Sum(now), 1+r.Bad.Sum(now)+min(r.Missed, 4)
-		if bad > 1 && bad*well >= badly*good {
+		bad := 1 + r.Bad.Sum(now) + min(r.Missed, 4)
+		if bad <= 1 {
+			continue // nothing speaks against it
+		}
+		if good := 2 + r.Good.Sum(now); bad*well >= badly*good {
 			well, badly = good, bad
 		}
 	}
@@ -334,12 +292,13 @@
 	// A broken connection alone says nothing of that; taken so, a rash of resets shuts out the fleet.
 	if n.Verdict == Unmet {
 		n.Host.Unmet = d.door.Now()
+		d.carriedChanged()
 	}
 }
 
 // share tells a few others of an own trip: at most what the price of messages allows.
 func (d *Dispatcher) share(n News) {
-	others, own := int(d.facts.Num("siblings", 1))-1, int(d.facts.Num("slotNo", 0))
+	others, own := int(d.parameters.dispatchers)-1, int(d.parameters.number)
 	first := int(d.rng.Float() * float64(others))
 	for i := range d.listeners {
 		d.door.Tell((own+1+(first+i)%others)%(others+1), n)
@@ -351,7 +310,7 @@
 // each had its own draw, one of many would be taken for nearly every question.
 func (d *Dispatcher) able(q *Question, want func(*Host) bool) []*Host {
 	var all, trusted, doubtful []*Host
-	for _, h := range d.hosts {
+	for _, h := range d.candidates(q) {
 		if !want(h) || d.barred(q, h) {
 			continue
 		}
@@ -390,15 +349,7 @@
 func (d *Dispatcher) route(q *Question) bool {
 	answering := d.able(q, (*Host).Answers)
 	roomy := Only(answering, func(h *Host) bool { return hasRoom(h, q) })
-	free := -q.Memory // what is being read will need room to be answered
-	for _, h := range d.hosts {
-		if h.Role == Reads {
-			free -= h.Tokens
-		} else if !d.barred(q, h) {
-			free += max(h.Room-h.Tokens, 0)
-		}
-	}
-	if len(roomy) == 0 && len(answering) > 0 || free < 0 {
+	if len(roomy) == 0 && len(answering) > 0 || d.freeMemory(q) < q.Memory {
 		return false
 	}
 	if h := d.inPlace(q, roomy); h != nil {
@@ -419,7 +370,7 @@
 // inPlace finds the writer that should read a short question itself, by kept prefix against load. While
 // a token takes longer at readers than at writers, the cut rises with that, up to fourfold.
 func (d *Dispatcher) inPlace(q *Question, roomy []*Host) *Host {
-	if !d.facts.Yes("familyInfo.localRead") {
+	if !d.parameters.readsInPlace {
 		return nil
 	}
 	tilt := min(max(d.typical[Reads].Or(0)/max(d.typical[Writes].Or(0), 1e-6), 1), 4)
@@ -459,10 +410,9 @@
 // may be sent something stand beside them: for the few whose turn it is, few beginnings are at home there.
 func (d *Dispatcher) homes(q *Question, role Role, able []*Host) []*Host {
 	key := cmp.Or(q.Shared, q.Session)
-	all := Only(d.hosts, func(h *Host) bool { return h.Role == role && h.Standing == Ready })
-	share := d.begins.Sum(key, d.door.Now()) / (d.asked.Sum(d.door.Now()) + 10)
-	n := max(2, int(2*share*float64(len(all))))
-	Order(all, key)
+	all := d.homesInOrder(q, role)
+	n := d.homesWanted(key, role, all)
+	all = d.withMoreHomes(all, key, role, n, able)
 	most := bound * Average(able, d.next)
 	fits := func(h *Host) bool { return slices.Contains(able, h) && d.next(h) < most }
 	for n < len(all) && !slices.ContainsFunc(all[:n], fits) {
@@ -479,12 +429,13 @@
 // reader hashes the question's beginning to two readers and takes the one with fewer own reads, by their
 // tokens. As a state best stays in its rack, the reader counts for less whose rack has a freer writer.
 func (d *Dispatcher) reader(q *Question, answering []*Host) *Host {
+	freest := freestByRack(answering, d.next)
 	return Least(d.homes(q, Reads, d.able(q, (*Host).ReadsOnly)), func(h *Host) float64 {
-		near := Least(Only(answering, func(o *Host) bool { return o.Rack == h.Rack }), d.next)
-		if near == nil {
-			near = h // a rack without writers
+		near, known := freest[h.Rack]
+		if !known {
+			near = d.next(h) // a rack without writers
 		}
-		return d.press(h, d.unkept(h, q)) * d.next(near)
+		return d.press(h, d.unkept(h, q)) * near
 	})
 }
 
@@ -533,7 +484,7 @@
 		return
 	}
 	t.Began = d.door.Now()
-	t.Question.State = nil
+	t.Question.State, t.Question.Released = nil, false
 	d.settle(t.Question)
 	d.learn(t, took, true, false)
 	d.firstToken.Add((t.Began - t.Question.Dispatched).Seconds(), 0.1)
@@ -579,17 +530,17 @@
 func (d *Dispatcher) Ended(t *Trip, r Result) {
 	q, h, now := t.Question, t.Host, d.door.Now()
 	t.Ended, t.Outcome = true, r.Outcome
-	d.streams += t.Weigh(-1)
-	d.facts.Report(h, r.Load)
+	d.weigh(t, -1)
+	d.report(h, r.Load)
 	loaded := len(r.Load) > 0 // what came with no report tells others of no load
 	q.Over = q.Over || r.Over
-	// Only a trip that came to its host takes the state, if for a while.
-	if r.Outcome != Unreached && r.Outcome != Moot {
-		q.Waits = now
+	// Only an attempt that came to its backend takes the state, if for a while.
+	if r.Outcome.arrived() {
+		q.Waits = now - r.Ago
 	}
 	switch r.Outcome {
 	case Read:
-		q.State = h
+		q.State, q.Released = h, false
 		d.learn(t, r.Took, true, loaded)
 	case Answered:
 		if t.Began == 0 {
@@ -599,7 +550,7 @@
 		q.Grade.Writing.Add(now.Seconds()-t.Began.Seconds(), 0.02)
 	case Full:
 		if r.Note == 1 {
-			q.State = nil
+			q.State, q.Released = nil, false
 		}
 	case Failed, TimedOut, Unreached, Broken:
 		d.learn(t, r.Took, false, loaded)
@@ -607,6 +558,7 @@
 	if r.Outcome == Read || r.Outcome == Answered {
 		d.remember(t, float64(r.Note))
 		h.Carried.Add(now, d.weight(q, h, t.Stage))
+		d.carriedChanged()
 		if t.Stage != ToWrite {
 			left := max(q.Prompt-float64(r.Note), 0)
 			d.unread.Add(now, left)
@@ -632,7 +584,7 @@
 	q.Over = true
 	d.settle(q)
 	d.dequeue(q)
-	if t := q.Out(); t != nil && t.Began == 0 && d.facts.Yes("policyLimits.cancelling") {
+	if t := q.Out(); t != nil && t.Began == 0 && d.parameters.cancelling {
 		d.door.Cancel(t)
 	}
 	d.letGo(q)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -299,14 +299,14 @@
 		}
 	}
 	const fleet = 300
-	d.facts["siblings"] = float64(fleet)
+	d.parameters.dispatchers = fleet
 	h.Restart, h.Booted = true, out.now
 	want := fleet * d.coldBudget(h) / d.weight(ask(d), h, Whole)
 	turns := map[int]int{}
 	for window := range 4 {
 		let := 0
 		for slot := range fleet {
-			d.facts["slotNo"] = float64(slot)
+			d.parameters.number = float64(slot)
 			if !d.barred(ask(d), h) {
 				let++
 				turns[slot]++
--- a/brain/ends_test.go
+++ b/brain/ends_test.go
@@ -20,7 +20,23 @@
 	out    map[*Question]*Trip
 	state  map[*Question]*Host // held for it, as its host knows
 	drains map[*Host]bool
-	may    map[*Question]bool // it may have run
+	may    map[*Question]bool          // it may have run
+	silent map[*Trip]bool              // it never arrives
+	since  map[*Question]time.Duration // when its state began to wait with no attempt that has arrived
+}
+
+const playedHold = 60 * time.Millisecond
+
+// waits judges how long a state waits (rule 5).
+func (p *played) waits() {
+	for q, since := range p.since {
+		if p.state[q] == nil {
+			delete(p.since, q)
+		} else if p.now-since > playedHold+10*time.Millisecond {
+			p.t.Errorf("a state waits for %v", p.now-since)
+			delete(p.since, q)
+		}
+	}
 }
 
 type due struct {
@@ -49,6 +65,10 @@
 		p.t.Errorf("a write without a state")
 	}
 	p.out[q] = t
+	p.silent[t] = p.rng.IntN(4) == 0
+	if !p.silent[t] {
+		delete(p.since, q)
+	}
 	p.Wake(wait, func() {
 		if p.out[q] == t && t.Began == 0 {
 			p.finish(t, TimedOut)
@@ -73,10 +93,16 @@
 		p.due = slices.Delete(p.due, next, next+1)
 		p.now = w.at
 		w.do()
+		p.waits()
 	}
 }
 
-func (p *played) Release(q *Question) { delete(p.state, q) }
+// Release lets go of a state that no attempt waits for.
+func (p *played) Release(q *Question) {
+	if t := p.out[q]; t == nil || p.silent[t] {
+		delete(p.state, q)
+	}
+}
 
 func (p *played) end(q *Question, word string) {
 	if p.final[q]++; p.final[q] > 1 {
@@ -102,17 +128,20 @@
 func (p *played) finish(t *Trip, o Outcome) {
 	q := t.Question
 	delete(p.out, q)
+	if _, waits := p.since[q]; !waits {
+		p.since[q] = p.now
+	}
 	if t.Stage != ToRead && !o.NeverRan() {
 		p.may[q] = true
 	}
 	note := 0
 	switch {
 	case o == Read:
-		p.state[q] = t.Host
+		p.state[q], p.since[q] = t.Host, p.now
 		note = int(q.Prompt / 2)
 	case t.Stage == ToWrite && (t.Began > 0 || o == Answered):
 		delete(p.state, q)
-	case o == Full && t.Stage == ToWrite && p.rng.IntN(2) == 0:
+	case o == Full && t.Stage == ToWrite && (p.state[q] == nil || p.rng.IntN(2) == 0):
 		delete(p.state, q) // the reader had none
 		note = 1
 	}
@@ -130,9 +159,11 @@
 func TestNothingIsLeftBehindWhateverHappens(t *testing.T) {
 	for seed := range uint64(150) {
 		p := &played{door: &door{now: time.Second}, t: t, rng: rand.New(rand.NewPCG(seed, 3)), final: map[*Question]int{}, out: map[*Question]*Trip{},
-			state: map[*Question]*Host{}, drains: map[*Host]bool{}, may: map[*Question]bool{}}
+			state: map[*Question]*Host{}, drains: map[*Host]bool{}, may: map[*Question]bool{},
+			silent: map[*Trip]bool{}, since: map[*Question]time.Duration{}}
 		f := facts()
 		f["requestClasses"], f["siblings"], f["policyLimits.retryAfter"], f["report.fields.0"], f["report.fields.1"] = 3.0, 1.0, true, "util", "queue"
+		f["familyInfo.pinLimitUs"] = float64(playedHold.Microseconds())
 		for i, effect := range []string{"repeatable", "by_key", "once"} {
 			at := fmt.Sprintf("requestClasses.%d.", i)
 			f[at+"aimUs"], f[at+"effect"], f[at+"windowUs"], f[at+"worth"] = 5e5, effect, 1e6, float64(i+1)
@@ -176,6 +207,12 @@
 					p.finish(trip, []Outcome{Answered, Answered, Answered, Broken}[p.rng.IntN(4)])
 				case trip.Began > 0:
 				case p.rng.IntN(25) > 0:
+				case p.silent[trip]:
+					if p.rng.IntN(4) == 0 {
+						p.finish(trip, []Outcome{Unreached, Broken}[p.rng.IntN(2)])
+					}
+				case trip.Stage == ToWrite && p.state[q] == nil:
+					p.finish(trip, Full) // it arrives behind the release
 				case trip.Stage == ToRead:
 					p.finish(trip, []Outcome{Read, Read, Read, Read, Failed, Full, TimedOut, Unreached, Broken}[p.rng.IntN(9)])
 				case p.rng.IntN(3) > 0:
--- a/brain/facts.go
+++ b/brain/facts.go
@@ -208,14 +208,14 @@
 	return f.Num(fmt.Sprintf("familyInfo.tokensByKind.%d", kind), math.Inf(1))
 }
 
-// Report takes a load report's values in the stated order.
-func (f Facts) Report(h *Host, values []float64) {
-	for i, v := range values {
-		switch f.Text(fmt.Sprintf("report.fields.%d", i)) {
-		case "util":
-			h.Util = v
-		case "queue":
-			h.Queue = v
+// reportFields names the values of a load report in their order.
+func (f Facts) reportFields() []string {
+	var fields []string
+	for i := 0; ; i++ {
+		name := f.Text(fmt.Sprintf("report.fields.%d", i))
+		if name == "" && i >= int(f.Num("report.fields", 0)) {
+			return fields
 		}
+		fields = append(fields, name)
 	}
 }
--- a/brain/policy.go
+++ b/brain/policy.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 )
 
@@ -53,7 +52,7 @@
 		return NoFurtherAttempt
 	case q.Out() != nil:
 		return OtherAttemptOut
-	case len(q.Trips) >= int(d.facts.Num("policyLimits.maxAttempts", 1)):
+	case len(q.Trips) >= d.parameters.maxAttempts:
 		return AttemptsSpent
 	}
 	if v := d.mayReach(q, h, len(q.Trips)); v != Allowed {
@@ -75,6 +74,8 @@
 		return AttemptEnded
 	case q.Over:
 		return RequestOver
+	case t.Stage == ToWrite && (q.State == nil || q.Released):
+		return StateDue
 	}
 	if v := d.mayReach(q, h, t.Number); v != Allowed || t.SlowStart {
 		return v
@@ -118,31 +119,3 @@
 	}
 	return Allowed
 }
-
-// mayUseSlowStart tells whether a backend may have so much work in a window, a request's own included, of which one is the work of
-// one (rule 4). With many dispatchers a part is less than one request: then it is a chance of one, drawn for each window. All draw
-// alike and shift by their number: so the parts add up, and not only on average.
-func (d *Dispatcher) mayUseSlowStart(h *Host, one, sent float64) Permission {
-	if !d.cold(h) {
-		return Allowed
-	}
-	now, window, turn := d.door.Now(), d.facts.Span("rules.tipAfterUs"), max(h.Unmet, 0)
-	if h.Restart && h.Booted > turn {
-		turn = h.Booted
-	}
-	draw := float64(Mix(uint64((now-turn)/window), uint64(h.ID))>>11) / (1 << 53)
-	_, chance := math.Modf(draw + d.facts.Num("slotNo", 0)/d.facts.Num("siblings", 1))
-	if sent > d.coldBudget(h)+chance*one {
-		return SlowStartSpent
-	}
-	return Allowed
-}
-
-// mayHold tells whether a state may go on waiting for a backend. After two thirds of the time that it may wait, the rest is for its
-// release (rule 5).
-func (d *Dispatcher) mayHold(q *Question) Permission {
-	if limit := d.facts.Span("familyInfo.pinLimitUs"); limit > 0 && d.door.Now()-q.Waits > limit*2/3 {
-		return StateDue
-	}
-	return Allowed
-}
--- /dev/null
+++ b/brain/release.go
@@ -0,0 +1,72 @@
+package brain
+
+import "time"
+
+// Held state (rule 5): how long a state may wait for its decode attempt, and when it is released.
+//
+// A request that was written is not one that has arrived: a connection may come up and fall silent, and whatever stands between
+// acknowledges for a backend that hangs. Only an answer proves arrival. So a state is due at its time whether an attempt is out or
+// not. Beside an attempt that has arrived a release does nothing, as that attempt waits for the state; one that arrives behind its
+// release finds no state and has not run. Whether the state is there afterwards nobody knows, so it is never used again.
+
+const (
+	// holdForChoice is the part of the time in which a further backend may be chosen for a state that waits.
+	holdForChoice = 2.0 / 3
+	// holdForConnection is the part that an attempt's connection may take: a request is written before its state is due.
+	holdForConnection = 1.0 / 5
+)
+
+// mayHold tells whether a state may go on waiting for a backend to be chosen.
+func (d *Dispatcher) mayHold(q *Question) Permission {
+	limit := d.parameters.holdLimit
+	if q.Released || limit > 0 && d.door.Now()-q.Waits > part(limit, holdForChoice) {
+		return StateDue
+	}
+	return Allowed
+}
+
+// connectTime is how long the connection of an attempt that takes a state may take; 0: as long as any.
+func (d *Dispatcher) connectTime() time.Duration {
+	return part(d.parameters.holdLimit, holdForConnection)
+}
+
+// part is a share of a span.
+func part(whole time.Duration, share float64) time.Duration {
+	return time.Duration(float64(whole) * share)
+}
+
+// releaseWhenDue has the state of an attempt that is being sent released at its time, unless the attempt has its first token by then.
+func (d *Dispatcher) releaseWhenDue(t *Trip) {
+	limit := d.parameters.holdLimit
+	if t.Stage != ToWrite || limit <= 0 {
+		return
+	}
+	q := t.Question
+	d.door.Wake(q.Waits+limit-d.door.Now(), func() {
+		if t.Ended || t.Began > 0 || q.State == nil || q.Released {
+			return
+		}
+		q.Released = true
+		d.door.Release(q)
+	})
+}
+
+// letGo releases a state that waits for the request. Every end of a step comes through here. What was released beside an attempt is
+// released once more behind it: the attempt may have arrived, and have left the state where it was.
+func (d *Dispatcher) letGo(q *Question) {
+	if q.State == nil || q.Out() != nil {
+		return
+	}
+	q.State, q.Released = nil, false
+	d.door.Release(q)
+}
+
+// arrived tells whether the outcome proves that the attempt came to its backend. A connection that broke, or a time that was up, does
+// not: the state has waited all the while.
+func (o Outcome) arrived() bool {
+	switch o {
+	case Answered, Read, Failed, Full:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/brain/release_test.go
@@ -0,0 +1,102 @@
+package brain
+
+import (
+	"testing"
+	"time"
+)
+
+const holdLimit = 500 * time.Millisecond
+
+// waiting makes a dispatcher with a limit on held state, and a request of which a read has just ended and a decode attempt is out. due
+// passes the time until its state is due.
+func waiting(t *testing.T) (d *Dispatcher, out *door, q *Question, decode *Trip, due func()) {
+	t.Helper()
+	d, out = begin(t)
+	d.parameters.holdLimit = holdLimit
+	q = ask(d)
+	read := went(q, d.hosts[0], 0, out.now)
+	read.Ended, read.Next = false, d.onward(q)
+	d.Ended(read, Result{Outcome: Read})
+	if len(out.sent) != 1 || out.sent[0].Stage != ToWrite {
+		t.Fatalf("sent %v", out.sent)
+	}
+	wake := len(out.wakes) - 1
+	return d, out, q, out.sent[0], func() {
+		if out.delays[wake] != holdLimit {
+			t.Fatalf("the state is due after %v", out.delays[wake])
+		}
+		out.now += holdLimit
+		out.wakes[wake]()
+	}
+}
+
+// A request that was written is not one that has arrived: its state is released in time, whether the attempt is out or not.
+func TestAStateIsReleasedAtItsTimeBesideAnAttempt(t *testing.T) {
+	d, out, q, decode, due := waiting(t)
+	due()
+	if len(out.released) != 1 || len(out.cancelled) != 0 {
+		t.Fatalf("released %d, cancelled %d", len(out.released), len(out.cancelled))
+	}
+	if got := d.MaySend(decode); got != StateDue {
+		t.Errorf("an attempt that is still to be sent is %v", got)
+	}
+	d.Began(decode, time.Second) // it had arrived, and had its state
+	if q.State != nil || q.Released {
+		t.Error("the state is still held")
+	}
+}
+
+// Nothing takes a released state for one that is there: what comes next is a read, whatever the attempt's end says.
+func TestAReleasedStateIsNotUsedAgain(t *testing.T) {
+	for _, outcome := range []Outcome{Full, Failed, TimedOut, Unreached, Broken, Moot} {
+		d, out, q, decode, due := waiting(t)
+		due()
+		d.Ended(decode, Result{Outcome: outcome})
+		// The attempt may have waited for the state all the while, and have left it: it is released once more.
+		if len(out.released) != 2 {
+			t.Errorf("outcome %d: released %d times", outcome, len(out.released))
+		}
+		if len(out.sent) != 2 || out.sent[1].Stage == ToWrite || q.State != nil || q.Released {
+			t.Errorf("outcome %d: sent %d, state %v", outcome, len(out.sent), q.State)
+		}
+	}
+}
+
+func TestAStateThatIsTakenInTimeIsNotReleased(t *testing.T) {
+	d, out, _, decode, due := waiting(t)
+	d.Began(decode, 100*time.Millisecond)
+	due()
+	if len(out.released) != 0 {
+		t.Error("it is released")
+	}
+}
+
+// Only an answer proves that an attempt has come to its backend: with any other end the state has waited all the while.
+func TestAnEndThatProvesNoArrivalGivesAStateNoFurtherTime(t *testing.T) {
+	for _, c := range []struct {
+		outcome Outcome
+		again   Stage
+	}{
+		{Full, ToWrite}, {Failed, ToWrite}, {TimedOut, ToRead}, {Broken, ToRead}, {Unreached, ToRead}, {Moot, ToRead},
+	} {
+		d, out, _, decode, _ := waiting(t)
+		out.now += holdLimit * 4 / 5
+		d.Ended(decode, Result{Outcome: c.outcome})
+		if len(out.sent) != 2 || (out.sent[1].Stage == ToWrite) != (c.again == ToWrite) {
+			t.Errorf("outcome %d: sent %+v", c.outcome, out.sent[1:])
+		}
+	}
+}
+
+// Word of a read's end that had to wait takes from the state's time.
+func TestAReadsEndCountsFromWhenItCame(t *testing.T) {
+	d, out := begin(t)
+	d.parameters.holdLimit = holdLimit
+	q := ask(d)
+	read := went(q, d.hosts[0], 0, out.now)
+	read.Ended, read.Next = false, d.onward(q)
+	d.Ended(read, Result{Outcome: Read, Ago: 100 * time.Millisecond})
+	if got := out.delays[len(out.delays)-1]; got != holdLimit-100*time.Millisecond {
+		t.Errorf("the state is due after %v", got)
+	}
+}
--- a/brain/ring.go
+++ b/brain/ring.go
@@ -27,11 +27,17 @@
 	r.sums[r.at%buckets] += amount
 }
 
+// Sum is what was added within the ring's time. It leaves the ring as it is: most rings of a large fleet are empty, and are asked often.
 func (r *Ring) Sum(now time.Duration) float64 {
-	r.turn(now)
+	to := int64(now / r.Width)
+	if to-r.at >= buckets {
+		return 0
+	}
 	sum := 0.0
-	for _, s := range r.sums {
-		sum += s
+	for at := max(to, r.at) - buckets + 1; at <= r.at; at++ {
+		if at >= 0 {
+			sum += r.sums[at%buckets]
+		}
 	}
 	return sum
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -5,17 +5,28 @@
 // Dispatcher is one instance of the module.
 type Dispatcher struct {
 	facts              Facts
+	parameters         parameters
 	door               Door
 	rng                *PCG
 	grades             []*Grade
 	channels           []*Channel
-	own                uint64        // drawn at the start: orders the hosts differently in each dispatcher
-	hosts              []*Host       // in that order, by which ties go: in one order all would pick the same
-	unread, asked      Ring          // tokens left to read, and of how many questions
-	begins             Tally         // the same by shared beginning
-	average            float64       // of tokens left to read, as last refreshed; 0 in a fresh router
-	firstToken         Mean          // seconds from going out to a first token, lately
-	typical            [3]Mean       // seconds for a token left to read, at hosts of each role
+	own                uint64          // drawn at the start: orders the hosts differently in each dispatcher
+	hosts              []*Host         // in that order, by which ties go: in one order all would pick the same
+	unread, asked      Ring            // tokens left to read, and of how many questions
+	begins             Tally           // the same by shared beginning
+	average            float64         // of tokens left to read, as last refreshed; 0 in a fresh router
+	firstToken         Mean            // seconds from going out to a first token, lately
+	typical            [3]Mean         // seconds for a token left to read, at hosts of each role
+	work               carriedWork     // what backends did in a window of rule 4, as last summed up
+	byRole             [3][]listedHost // the hosts by role, and those that answer by rack
+	racks              map[int][]*Host
+	keepers            map[uint64][]*Host // of beginnings and sessions, in a large fleet
+	lingering          bool               // some hosts are gone and have something out
+	ordered            bool               // the hosts of a large fleet are in order
+	compared           time.Duration      // when sizes were compared last
+	atReaders          float64            // own tokens at hosts that only read
+	chosenFrom         candidateSet
+	firstRanks         []ranked
 	carried            [3]float64    // what warm hosts of each role did in a window of rule 4, as last seen
 	streams, answering float64       // own streams, and how many hosts may have them
 	window             float64       // how many own requests may be out without a first token
--- a/brain/types.go
+++ b/brain/types.go
@@ -111,7 +111,9 @@
 	Restart  bool          // Booted is a start that the list told of
 	Unmet    time.Duration // when it could last not be reached
 	Standing Standing
-	Held     bool // it is among the dispatcher's hosts
+	Held     bool   // it is among the dispatcher's hosts
+	order    uint64 // its place among them
+	mark     uint64 // of the last candidates that it was among
 
 	Streams int     // own questions that are or will be answered here
 	Tokens  float64 // own tokens held here
@@ -266,7 +268,8 @@
 	Density     float64 // benefit for its work
 	Trips       []*Trip
 	State       *Host         // where its read state waits
-	Waits       time.Duration // since when it does, with no trip that came to its host
+	Waits       time.Duration // since when it does, with no attempt that is known to have arrived
+	Released    bool          // it was released beside the attempt that is out, and may or may not be there
 	Promised    time.Duration
 	Expiry      time.Duration
 }
@@ -340,6 +343,7 @@
 type Result struct {
 	Outcome Outcome
 	Took    time.Duration
+	Ago     time.Duration // how long ago the attempt ended, where word of that had to wait
 	Over    bool
 	Note    int
 	Load    []float64
