Releases ask whoever was heard last; a request is answered in time even where the loop is not

Cause: a release asked first the backend that answered the last release, then the others in the order of the list: with four in five of a role silent that is luck. The monitor took a written attempt for an arrived one, so it counted nothing in the incident. Lines on single requests were at debug level only.

Change: platform/heard.go orders backends by when they last sent anything, one of each role and zone in turn; eight calls begin 30 ms apart. The loop behind by over 250 ms: 503 before the module sees the request. A request without an answer of the loop 0.2 s after its time is answered by its handler, and nothing more is sent for it: the flag is looked at right before the first byte. Monitor.AttemptArrived; lines by request for what is out of the ordinary, bounded; turn_ms, queued_ms, timer_ms, due, too_late in the state line. reach no longer touches each backend four times a second.

--- a/internal/monitor/monitor.go
+++ b/internal/monitor/monitor.go
@@ -228,18 +228,26 @@
 	r.out++
 }
 
-// AttemptSent is told that an attempt's last byte was written: the state that it takes does not wait any more.
+// AttemptSent is told that an attempt's last byte was written. Whether it has arrived is another matter: the state that it is to take
+// goes on waiting.
 func (m *Monitor) AttemptSent(id string, number int, effect bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.note(id, fmt.Sprintf("attempt %d sent", number))
-	r := m.known(id)
-	if r == nil {
-		return
+	m.note(id, fmt.Sprintf("attempt %d sent", number))
+	if r := m.known(id); r != nil {
+		r.mayRun = r.mayRun || effect
+	}
+}
+
+// AttemptArrived is told that a backend has begun to answer an attempt: the state that it takes does not wait any more.
+func (m *Monitor) AttemptArrived(id string, number int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.note(id, fmt.Sprintf("attempt %d has arrived", number))
+	if r := m.known(id); r != nil {
+		m.checkHeld(id, r, now)
+		r.waits = 0
 	}
-	m.checkHeld(id, r, now)
-	r.waits = 0
-	r.mayRun = r.mayRun || effect
 }
 
 // AttemptEnds is told of the end of an attempt that had begun, and what it proves.
--- a/internal/monitor/monitor_test.go
+++ b/internal/monitor/monitor_test.go
@@ -137,6 +137,25 @@
 			w.now += 801 * ms
 			w.AttemptBegins("q1", "w2", 1, true, time.Second)
 			w.AttemptSent("q1", 1, true)
+			w.AttemptArrived("q1", 1)
+			return w
+		}},
+		"a send that does not arrive": {Held, true, func() *watched {
+			w := taken(Idempotent).ended(StateKept)
+			w.AttemptBegins("q1", "w2", 1, true, time.Second)
+			w.AttemptSent("q1", 1, true)
+			w.now += 801 * ms
+			w.Released("q1", "released")
+			return w
+		}},
+		"a send that does not arrive, and a release in time": {Held, false, func() *watched {
+			w := taken(Idempotent).ended(StateKept)
+			w.AttemptBegins("q1", "w2", 1, true, time.Second)
+			w.AttemptSent("q1", 1, true)
+			w.now += 799 * ms
+			w.Released("q1", "released")
+			w.now += time.Minute
+			w.Released("q1", "released")
 			return w
 		}},
 		"a state that is taken in time": {Held, false, func() *watched {
@@ -144,6 +163,7 @@
 			w.now += 799 * ms
 			w.AttemptBegins("q1", "w2", 1, true, time.Second)
 			w.AttemptSent("q1", 1, true)
+			w.AttemptArrived("q1", 1)
 			w.now += time.Minute
 			w.Released("q1", "taken")
 			return w
--- a/internal/platform/connect.go
+++ b/internal/platform/connect.go
@@ -83,6 +83,11 @@
 		return nil, errStale
 	}
 	told := f.Until - c.since()
+	if told <= 0 || f.Asked.Over() {
+		// What ends a request is looked at right here: word of it may still wait for its turn in the loop.
+		c.Stale.Add(1)
+		return nil, errStale
+	}
 	c.monitor.AttemptBegins(m.id, f.Box.Name, f.Trip.Number, hasEffect(f), told)
 	stop, err = write(ctx, conn, m.head(told), m.body)
 	switch {
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -24,6 +24,10 @@
 	writeWait = 20 * time.Second        // for one piece to a client that does not read
 	restMost  = 10 * time.Minute        // that a client's connection may rest while there is room
 	bodyStep  = 16 << 10                // of a body, as it comes
+
+	// answerLate is how long after its client's time a request is answered here, if the loop has not done so: over half a second
+	// late it would be lost.
+	answerLate = 200 * time.Millisecond
 )
 
 // frontend takes requests from clients.
@@ -46,6 +50,7 @@
 	Rest       atomic.Int64 // questions for the rest of a stream
 	Moved      atomic.Int64 // streams cut for that
 	held       atomic.Int64
+	Late       atomic.Int64 // requests that were answered here, as the loop had no answer in time
 
 	ids     *idRegister
 	monitor *monitor.Monitor
@@ -106,7 +111,7 @@
 		return
 	}
 	defer f.asked.Add(-1)
-	if why := mayTake(f.over.Load(), f.asked.Add(1), f.open); why != taken {
+	if why := mayTake(f.over.Load(), f.asked.Add(1), f.open, f.loop.Behind()); why != taken {
 		f.full(w, r, why)
 		return
 	}
@@ -186,28 +191,22 @@
 	submitted = true
 	f.monitor.Taken(ask.ID, f.classes[grade], ask.Left-time.Since(came))
 	defer f.monitor.Closed(ask.ID, "its handler ends")
-	defer context.AfterFunc(r.Context(), func() { f.monitor.ClientGone(ask.ID) })()
-	if !f.loop.Call(r.Context(), func() {
+	defer context.AfterFunc(r.Context(), func() {
+		a.End()
+		f.monitor.ClientGone(ask.ID)
+	})()
+	ctx, done := context.WithDeadline(r.Context(), came.Add(ask.Left+answerLate))
+	defer done()
+	if !f.loop.Call(ctx, func() {
 		f.loop.Arrive(a, grade, channel, ask.Left-time.Since(came))
 	}) {
-		if r.Context().Err() == nil {
-			// It may have been taken by a loop that ended right then, so nothing is promised.
-			f.answer(w, ask.ID, kserve.Final{Final: kserve.Forfeited, Error: string(stoppedNow)})
-			return
-		}
-		f.monitor.ClientGone(ask.ID)
-		f.loop.Post(func() { // it may have been taken all the same
-			if a.Question != nil {
-				f.loop.Left(a)
-			}
-		})
+		f.giveUp(w, r, a, ctx)
 		return
 	}
-	trip, end, there := a.Start(r.Context())
+	trip, end, there := a.Start(ctx)
 	switch {
 	case !there:
-		f.monitor.ClientGone(ask.ID)
-		f.loop.Post(func() { f.loop.Left(a) })
+		f.giveUp(w, r, a, ctx)
 		return
 	case trip == nil:
 		f.answer(w, ask.ID, end)
@@ -218,6 +217,23 @@
 	f.newPassing(w, r, a, trip).run()
 }
 
+// giveUp ends a request of which the loop gave no answer: its client has gone, the loop has ended, or it is far behind. The loop may have
+// taken it, or may yet, so nothing is promised; from here on nothing more is sent for it.
+func (f *frontend) giveUp(w http.ResponseWriter, r *http.Request, a *dispatch.Asked, ctx context.Context) {
+	a.End()
+	f.loop.Post(func() { f.loop.Left(a) })
+	switch {
+	case r.Context().Err() != nil:
+		f.monitor.ClientGone(a.Ask.ID)
+	case ctx.Err() != nil:
+		f.Late.Add(1)
+		f.log.Error("the event loop gave no answer in time", "id", a.Ask.ID, "behind", f.loop.Behind())
+		f.answer(w, a.Ask.ID, kserve.Final{Final: kserve.Forfeited, Error: "no answer came in time"})
+	default:
+		f.answer(w, a.Ask.ID, kserve.Final{Final: kserve.Forfeited, Error: string(stoppedNow)})
+	}
+}
+
 var errNoRoom = errors.New("too many bodies are held")
 
 var errTooLong = errors.New("the body is too long")
--- a/internal/platform/lifecycle.go
+++ b/internal/platform/lifecycle.go
@@ -43,15 +43,22 @@
 	stoppedNow   rejection = "stopped"
 	tooManyOpen  rejection = "questions"
 	tooMuchBytes rejection = "bodies"
+	loopBehind   rejection = "event loop"
 )
 
-// mayTake tells whether a further request may be taken with so many open, itself among them.
-func mayTake(over bool, open, most int64) rejection {
+// behindMost is how far behind the event loop may be for a further request to be taken: it would wait for as long before it is looked at,
+// and so would all that is due for the others.
+const behindMost = 250 * time.Millisecond
+
+// mayTake tells whether a further request may be taken with so many open, itself among them, and with the event loop so far behind.
+func mayTake(over bool, open, most int64, behind time.Duration) rejection {
 	switch {
 	case over:
 		return stoppedNow
 	case open > most:
 		return tooManyOpen
+	case behind > behindMost:
+		return loopBehind
 	}
 	return taken
 }
--- a/internal/platform/observe.go
+++ b/internal/platform/observe.go
@@ -1,11 +1,15 @@
 package platform
 
 import (
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
 	"sloetrestle/brain"
 	"sloetrestle/internal/boxlist"
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/monitor"
-	"time"
 )
 
 // The terms of the rules that the settings do not state.
@@ -16,6 +20,40 @@
 	drainGraceElse = 250 * time.Millisecond // for attempts to a backend that drains, where the settings state none
 )
 
+const (
+	// notableEach and notableMost bound the lines on single requests that an operator sees without asking for more: so many in each.
+	notableEach = time.Second
+	notableMost = 20
+)
+
+// notableLog logs what happened to single requests, by their ids, as far as it is out of the ordinary: an attempt that failed or had no
+// answer, a state that was due, a release that nobody heard. A rash of them is counted.
+type notableLog struct {
+	log     *slog.Logger
+	dropped atomic.Int64
+
+	mu    sync.Mutex
+	began time.Time
+	lines int
+}
+
+// Info logs a line, unless there were too many just now.
+func (n *notableLog) Info(text string, args ...any) {
+	n.mu.Lock()
+	now := time.Now()
+	if now.Sub(n.began) >= notableEach {
+		n.began, n.lines = now, 0
+	}
+	n.lines++
+	many := n.lines > notableMost
+	n.mu.Unlock()
+	if many {
+		n.dropped.Add(1)
+		return
+	}
+	n.log.Info(text, args...)
+}
+
 // monitorTerms are the rules' bounds by the settings.
 func monitorTerms(facts brain.Facts) monitor.Terms {
 	terms := monitor.Terms{Gone: goneSlack, Told: toldSlack, DrainGrace: facts.Span("rules.drainGraceUs")}
--- a/internal/platform/releases.go
+++ b/internal/platform/releases.go
@@ -14,27 +14,33 @@
 
 const (
 	releaseTry  = 150 * time.Millisecond // for one call that releases
-	releaseNext = 30 * time.Millisecond  // without an answer, after which another backend is called too; doubled from the fifth on
+	releaseNext = 30 * time.Millisecond  // without an answer, after which another backend is called too; doubled from the ninth on
 	releaseMost = 3 * time.Second        // for all calls of one release
+	releaseFew  = 8                      // calls that begin one soon after the other
 )
 
 // releaser counts releases and bounds their calls.
 type releaser struct {
-	calls     chan struct{}              // one for each call, which has a connection
-	heard     atomic.Pointer[reach.Host] // the backend that answered last
-	releasing atomic.Int64               // releases that are not over
-	Calls     atomic.Int64               // releases that a backend answered
-	Unheard   atomic.Int64               // releases that no backend answered
+	calls     chan struct{} // one for each call, which has a connection
+	heard     heardList
+	releasing atomic.Int64 // releases that are not over
+	Calls     atomic.Int64 // releases that a backend answered
+	Unheard   atomic.Int64 // releases that no backend answered
+	Due       atomic.Int64 // releases of states that were due with an attempt out
 }
 
-// Release has what is held for a request released. Any backend takes that call: one that answers is asked first, then another beside
-// it each time that none has answered for a while, as a backend that is cut off keeps its caller waiting.
+// Release has what is held for a request released. Any backend takes that call: the one that was heard last is asked first, then another
+// beside it each time that none has answered for a while, as a backend that is cut off keeps its caller waiting.
 func (c *transport) Release(b *dispatch.Box, a *dispatch.Asked) {
 	m, _ := a.Matter.(*payload)
 	if m == nil {
 		return
 	}
 	call, targets := chat.LetGo(service, m.id), c.releaseOrder(c.hosts[b])
+	if a.AttemptOut() {
+		c.Due.Add(1)
+		c.notable.Info("a state is due: released beside an attempt that has no answer", "id", m.id, "backend", b.Name)
+	}
 	c.releasing.Add(1)
 	c.group.Go(func() error {
 		defer c.releasing.Add(-1)
@@ -44,21 +50,22 @@
 			c.monitor.Released(m.id, "released")
 		} else {
 			c.Unheard.Add(1)
+			c.notable.Info("no backend has heard a release", "id", m.id, "backend", b.Name)
 		}
 		c.log.Debug("release over", "id", m.id, "box", b.Name, "took", time.Since(began), "asked", len(targets))
 		return nil
 	})
 }
 
-// releaseOrder is the order in which backends are called: the one that answered the last release, the one that may hold the state,
-// and then the others from there on around. Where many backends are cut off, calls to them would else take all descriptors.
+// releaseOrder is the order in which backends are called: those heard last, and second the one that may hold the state. Where many
+// backends are cut off, calls to them would else take all descriptors, and the time that is left.
 func (c *transport) releaseOrder(holder *reach.Host) []*reach.Host {
-	first := max(slices.Index(c.order, holder), 0)
-	order := slices.Concat(c.order[first:], c.order[:first])
-	if i := slices.Index(order, c.heard.Load()); i > 0 {
-		order = slices.Insert(slices.Delete(order, i, i+1), 0, c.heard.Load())
+	order := c.heard.lastHeard()
+	if holder == nil || len(order) > 0 && order[0] == holder {
+		return order
 	}
-	return order
+	order = slices.DeleteFunc(order, func(h *reach.Host) bool { return h == holder })
+	return slices.Insert(order, min(1, len(order)), holder)
 }
 
 // releaseAny calls backends until one answers.
@@ -87,7 +94,7 @@
 				return nil
 			})
 			next.Reset(wait)
-			if i++; i > 3 {
+			if i++; i >= releaseFew {
 				wait = min(2*wait, releaseTry)
 			}
 		}
@@ -104,10 +111,10 @@
 	}
 	defer func() { <-c.calls }()
 	if !c.callRelease(ctx, host, call) {
-		c.heard.CompareAndSwap(host, nil)
+		c.heard.silent(host)
 		return false
 	}
-	c.heard.Store(host)
+	c.heard.heard(host)
 	return true
 }
 
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -75,7 +75,7 @@
 		Limit: max(facts.Span("policyLimits.dialTimeoutUs"), 10*time.Millisecond), Most: room.boxes, Since: since, Life: n.life, Group: &n.trips, Dial: sys.Dial, Bare: true,
 	}
 	n.transport = &transport{
-		fields: facts.Names("report.fields"), boxes: boxes, life: n.life, group: &n.trips, log: log, monitor: n.monitor, pulse: n.pulse, passed: map[string]*passed{},
+		fields: facts.Names("report.fields"), boxes: boxes, life: n.life, group: &n.trips, log: log, notable: &notableLog{log: log}, monitor: n.monitor, pulse: n.pulse, passed: map[string]*passed{},
 		hosts: map[*dispatch.Box]*reach.Host{}, releaser: releaser{calls: make(chan struct{}, room.releases)}, since: since,
 		slots: make(chan struct{}, room.boxes),
 	}
@@ -184,12 +184,14 @@
 	c, f, g := n.transport, n.frontend, n.limiter
 	n.loop.Call(n.life, func() {
 		t := n.loop.Tally
+		turn, wait, timer := n.loop.Lag.Period()
 		n.log.Info("state", "taken", t.Taken, "again", f.Again.Load(), "rest", f.Rest.Load(), "moved", f.Moved.Load(), "satisfied", t.Satisfied,
 			"declined", t.Declined, "forfeited", t.Forfeited, "left", t.Left, "overdue", t.Overdue, "trips", t.Trips, "outcomes", fmt.Sprint(t.Outcomes),
 			"prefills", fmt.Sprint(t.Prefills), "began", t.Began, "in_time", t.InTime, "held_ms", t.Held.Milliseconds(), "first_ms", t.First.Milliseconds(),
 			"believes", fmt.Sprintf("%+v", n.loop.Believes()), "open", f.asked.Load(), "bodies", f.held.Load(), "clients", g.count(), "pushed", g.Pushed.Load(), "waited", g.Waited.Load(), "accept_failed", g.Failed.Load(), "shut", g.Shut.Load(), "refused", f.state(),
 			"released", c.Calls.Load(), "unheard", c.Unheard.Load(), "stale", c.Stale.Load(), "local", c.Local.Load(), "unarrived", c.Unarrived.Load(), "spoilt", c.Spoilt.Load(), "strange", c.Strange.Load(),
-			"watch_lost", n.follower.Lost(), "strangers", n.peers.Dropped.Load(), "broken", n.monitor.Counts(), "heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine())
+			"watch_lost", n.follower.Lost(), "strangers", n.peers.Dropped.Load(), "broken", n.monitor.Counts(), "due", c.Due.Load(), "too_late", f.Late.Load(), "turn_ms", turn.Milliseconds(),
+			"queued_ms", wait.Milliseconds(), "timer_ms", timer.Milliseconds(), "long_turns", n.loop.Lag.LongTurns, "unlogged", c.notable.dropped.Load(), "heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "goroutines", runtime.NumGoroutine())
 		n.compare()
 	})
 }
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,8 +47,8 @@
 	group   *errgroup.Group
 	tell    func(peer int, n brain.News)
 	hosts   map[*dispatch.Box]*reach.Host // the loop's
-	order   []*reach.Host                 // the same, by when they came
 	log     *slog.Logger
+	notable *notableLog
 	monitor *monitor.Monitor
 	pulse   *pulse
 	mu      sync.Mutex
@@ -67,12 +66,13 @@
 
 func (c *transport) Reach(b *dispatch.Box, at []addresses.Spec) {
 	h := c.boxes.Set(b.Name, at, uint64(b.Host.ID))
-	c.order = slices.DeleteFunc(c.order, func(o *reach.Host) bool { return o == c.hosts[b] })
-	delete(c.hosts, b)
-	if len(at) > 0 {
-		c.hosts[b] = h
-		c.order = append(c.order, h)
+	if len(at) == 0 {
+		delete(c.hosts, b)
+		c.heard.remove(h)
+		return
 	}
+	c.hosts[b] = h
+	c.heard.add(h, failureDomain{b.Host.Role, b.Host.Zone})
 }
 
 func (c *transport) Tell(peer int, n brain.News) { c.tell(peer, n) }
@@ -115,11 +115,25 @@
 		r := c.fly(ctx, f, host, m)
 		off(nil)
 		close(f.Tokens)
-		c.loop.Post(func() { c.loop.Ended(f, r) })
+		c.tellEnd(f, m.id, r)
 		return nil
 	})
 }
 
+// tellEnd tells the loop of an attempt's end, and how long ago that was once it is its turn.
+func (c *transport) tellEnd(f *dispatch.Flight, id string, r brain.Result) {
+	ended := c.since()
+	switch r.Outcome {
+	case brain.TimedOut, brain.Broken, brain.Unreached:
+		c.notable.Info("an attempt has failed", "id", id, "backend", f.Box.Name, "stage", f.Stage(), "number", f.Trip.Number,
+			"outcome", dispatch.OutcomeName(r.Outcome), "arrived", f.Arrived.Load(), "wait", f.Wait)
+	}
+	c.loop.Post(func() {
+		r.Ago = c.since() - ended
+		c.loop.Ended(f, r)
+	})
+}
+
 // fly is one trip. Its connection is closed before its end is told.
 func (c *transport) fly(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (r brain.Result) {
 	conn, stop, err := c.open(ctx, f, host, m)
@@ -148,8 +162,12 @@
 		return brain.Result{Outcome: brain.Broken}
 	}
 	if _, err := conn.Bytes().Peek(1); err != nil {
+		c.heard.silent(host)
 		return broken()
 	}
+	f.Arrived.Store(true) // nothing else shows that the request has come to a running backend
+	c.heard.heard(host)
+	c.monitor.AttemptArrived(m.id, f.Trip.Number)
 	conn.SetReadDeadline(time.Now().Add(headTime))
 	var resp *http.Response
 	for range chat.InformMost {
@@ -203,6 +221,7 @@
 			c.monitor.Released(m.id, "its answer begins")
 			c.loop.Post(func() { c.loop.Began(f) })
 		}
+		c.heard.heard(host)
 		conn.SetReadDeadline(time.Now().Add(stallTime))
 		select {
 		case f.Tokens <- piece:
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -36,10 +36,11 @@
 	Dial  func(ctx context.Context, network, address string) (net.Conn, error) // nil: the operating system's
 	Bare  bool                                                                 // the far side knows no proof: a connection counts once it is up, takes one request, and none is made unasked
 
-	mu     sync.Mutex
-	hosts  map[string]*Host
-	order  []*Host // by when they were first heard of
-	budget addresses.Budget
+	mu      sync.Mutex
+	hosts   map[string]*Host
+	order   []*Host // by when they were first heard of
+	leaving bool    // some of them are gone
+	budget  addresses.Budget
 }
 
 // Host is one box as it is reached.
@@ -120,6 +121,7 @@
 		b.hosts[name] = h
 		b.order = append(b.order, h)
 	}
+	b.leaving = b.leaving || len(specs) == 0
 	h.mu.Lock() // before it could be forgotten
 	defer h.mu.Unlock()
 	b.mu.Unlock()
@@ -160,6 +162,9 @@
 
 // dropIdle closes idle connections; the host is locked.
 func (h *Host) dropIdle(which func(*Conn) bool) {
+	if len(h.idle) == 0 {
+		return
+	}
 	h.idle = slices.DeleteFunc(h.idle, func(c *Conn) bool {
 		if !which(c) {
 			return false
@@ -631,10 +636,15 @@
 func (b *Boxes) forget() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.leaving {
+		return
+	}
+	b.leaving = false
 	b.order = slices.DeleteFunc(b.order, func(h *Host) bool {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if !h.gone || h.open > 0 || h.racing > 0 {
+			b.leaving = b.leaving || h.gone
 			return false
 		}
 		delete(b.hosts, h.Name)
