--- a/brain/brain.go
+++ b/brain/brain.go
@@ -92,7 +92,7 @@
 			d.meet(h)
 		}
 		if !h.Held {
-			d.addHost(h)
+			d.addHost(h, len(lines) > smallFleet)
 		}
 		if h.Kept == nil || l.Restart && l.Booted != h.Booted {
 			h.Kept = map[uint64]Kept{}
--- a/brain/candidates.go
+++ b/brain/candidates.go
@@ -187,11 +187,12 @@
 	}
 }
 
-// addHost puts a backend that is new among the others, in this dispatcher's own order.
-func (d *Dispatcher) addHost(h *Host) {
+// addHost puts a backend that is new among the others: in a large fleet in this dispatcher's own order, unless many are added at once.
+func (d *Dispatcher) addHost(h *Host, many bool) {
 	h.Held, h.order = true, Mix(d.own, uint64(h.ID))
+	d.ordered = d.ordered && !many
 	i := len(d.hosts)
-	if d.large() {
+	if d.large() && d.ordered {
 		i, _ = slices.BinarySearchFunc(d.hosts, h.order, func(o *Host, order uint64) int { return cmp.Compare(o.order, order) })
 	}
 	d.hosts = slices.Insert(d.hosts, i, h)
@@ -204,12 +205,13 @@
 	}
 }
 
-// orderHosts puts the backends of a small fleet in this dispatcher's own order; those of a large one are in it as they are added.
+// orderHosts puts the backends in this dispatcher's own order, if they are not in it.
 func (d *Dispatcher) orderHosts() {
-	if !d.large() || !d.ordered {
-		Order(d.hosts, d.own)
-		d.ordered = d.large()
+	if d.large() && d.ordered {
+		return
 	}
+	slices.SortFunc(d.hosts, func(a, b *Host) int { return cmp.Compare(a.order, b.order) })
+	d.ordered = d.large()
 }
 
 // dropHosts forgets the backends that are gone and have nothing out.
--- /dev/null
+++ b/brain/candidates_test.go
@@ -0,0 +1,139 @@
+package brain
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// largeFleet makes a dispatcher of a fleet of which a choice looks at some backends only.
+func largeFleet(t *testing.T, seed uint64) (*Dispatcher, *door) {
+	t.Helper()
+	out := &door{now: 100 * time.Second}
+	d, err := New(facts(), seed, out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var lines []Listing
+	for i := range 2000 {
+		lines = append(lines, Listing{Host: &Host{ID: uint32(i + 1), Kind: i % 2, Rack: i / 6}, Standing: Ready, Units: 1})
+	}
+	d.Listed(lines, true)
+	return d, out
+}
+
+func ids(hosts []*Host) (numbers []uint32) {
+	for _, h := range hosts {
+		numbers = append(numbers, h.ID)
+	}
+	return numbers
+}
+
+// Whatever each dispatcher draws, a beginning has the same two homes in all of them, and they are those that its hash comes to over all.
+func TestABeginningHasTheSameHomesInALargeFleet(t *testing.T) {
+	first, _ := largeFleet(t, 1)
+	second, _ := largeFleet(t, 2)
+	for beginning := range uint64(20) {
+		q := ask(first)
+		q.Shared = beginning + 1
+		other := *q
+		homes := first.homes(q, Reads, first.able(q, (*Host).ReadsOnly))
+		also := second.homes(&other, Reads, second.able(&other, (*Host).ReadsOnly))
+		all := Only(first.hosts, (*Host).ReadsOnly)
+		Order(all, q.Shared)
+		if len(homes) != 2 || !slices.Equal(ids(homes), ids(also)) || !slices.Equal(ids(homes), ids(all[:2])) {
+			t.Errorf("beginning %d: %v and %v, wanted %v", q.Shared, ids(homes), ids(also), ids(all[:2]))
+		}
+	}
+}
+
+// A beginning that a tenth of the requests share has as large a part of a large fleet: by chance, about as many of those that are drawn.
+func TestACommonBeginningHasManyHomesInALargeFleet(t *testing.T) {
+	d, out := largeFleet(t, 1)
+	for range 1000 {
+		d.asked.Add(out.now, 1)
+	}
+	d.begins.Add(9, out.now, 100)
+	used := map[uint32]bool{}
+	for range 100 {
+		out.now += time.Millisecond
+		q := ask(d)
+		for _, h := range d.homes(q, Reads, d.able(q, (*Host).ReadsOnly)) {
+			used[h.ID] = true
+		}
+	}
+	if len(used) < 130 || len(used) > 260 {
+		t.Errorf("%d backends of 1,000 are homes to a tenth of the requests", len(used))
+	}
+}
+
+// What a request has a reason to go to is among its candidates, however few are drawn.
+func TestCandidatesOfALargeFleetHaveWhatSpeaksForThem(t *testing.T) {
+	d, out := largeFleet(t, 1)
+	keeper := Only(d.hosts, (*Host).Answers)[700]
+	d.remember(&Trip{Question: ask(d), Host: keeper}, 0)
+	reader := Only(d.hosts, (*Host).ReadsOnly)[300]
+	for range 50 {
+		out.now += time.Millisecond
+		q := ask(d)
+		if !slices.Contains(d.candidates(q), keeper) {
+			t.Fatal("the backend that keeps the session is not among them")
+		}
+		q.State = reader
+		out.now += time.Millisecond
+		near := Only(d.candidates(q), func(h *Host) bool { return h.Rack == reader.Rack && h.Answers() })
+		if len(near) != 3 {
+			t.Fatalf("%d backends of the state's rack are among them", len(near))
+		}
+		if n := len(d.candidates(q)); n > 400 || n < stretch {
+			t.Fatalf("%d candidates", n)
+		}
+	}
+}
+
+// Over many requests each backend of a large fleet has its turn.
+func TestEveryBackendOfALargeFleetIsUsed(t *testing.T) {
+	d, out := largeFleet(t, 1)
+	used := map[*Host]int{}
+	const requests = 3000
+	for number := range requests {
+		out.now += 10 * time.Millisecond
+		q := ask(d)
+		q.Session, q.Shared = 0, uint64(number+1)
+		q.State = Only(d.hosts, (*Host).ReadsOnly)[number%1000]
+		d.write(q)
+		trip := out.sent[len(out.sent)-1]
+		used[trip.Host]++
+		d.Began(trip, time.Millisecond)
+		d.Ended(trip, Result{Outcome: Answered, Over: true})
+	}
+	most := 0
+	for _, n := range used {
+		most = max(most, n)
+	}
+	if len(used) < 600 || most > 60 {
+		t.Errorf("%d of 1,000 backends are used, one of them %d times", len(used), most)
+	}
+}
+
+// A fleet that shrinks and grows over the bound keeps its order and loses nobody.
+func TestAFleetGrowsAndShrinksOverTheBound(t *testing.T) {
+	d, _ := largeFleet(t, 1)
+	var lines []Listing
+	for _, h := range d.hosts[100:] {
+		lines = append(lines, Listing{Host: h, Standing: Gone})
+	}
+	d.Listed(lines, false)
+	if len(d.hosts) != 100 || d.large() || len(d.byRole[Reads])+len(d.byRole[Writes]) != 100 {
+		t.Fatalf("%d backends are left, %d and %d by role", len(d.hosts), len(d.byRole[Reads]), len(d.byRole[Writes]))
+	}
+	for i := range 100 {
+		d.Listed([]Listing{{Host: &Host{ID: uint32(5000 + i), Kind: i % 2, Rack: 1000 + i/6}, Standing: Ready, Units: 1}}, false)
+	}
+	if !d.large() || !slices.IsSortedFunc(d.hosts, func(a, b *Host) int { return int(a.order>>1) - int(b.order>>1) }) {
+		t.Errorf("%d backends, in order %v", len(d.hosts), d.ordered)
+	}
+	if got := len(d.byRole[Reads]) + len(d.byRole[Writes]); got != 200 {
+		t.Errorf("%d backends by role", got)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/cost_test.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sloetrestle/internal/addresses"
+	"sloetrestle/internal/boxlist"
+)
+
+// wholeList is a list of so many backends.
+func wholeList(backends int) []boxlist.Box {
+	var lines []boxlist.Box
+	for i := range backends {
+		lines = append(lines, boxlist.Box{
+			Name: fmt.Sprintf("s-%d", i), Kind: []string{"reader", "writer"}[i%2], Zone: "hall-1", Rack: fmt.Sprint(i / 5), Standing: boxlist.Ready, Units: 1, UpMs: -1,
+			Addresses: []addresses.Spec{{Network: addresses.TCP4, At: fmt.Sprintf("127.0.%d.%d:8080", i>>8, i&255)}},
+		})
+	}
+	return lines
+}
+
+// A whole list that says again what is known is taken in one turn of the loop, which has to be short with thousands of backends too.
+func TestAWholeListOfThousandsCostsLittle(t *testing.T) {
+	const backends, rounds, most = 3200, 10, 25 * time.Millisecond
+	l, _ := settled(t, "idempotent")
+	lines := wholeList(backends)
+	l.Do(func() { l.Listed(lines, true) })
+	if len(l.boxes) < backends {
+		t.Fatalf("%d backends are known", len(l.boxes))
+	}
+	began := time.Now()
+	for range rounds {
+		l.Do(func() { l.Listed(lines, true) })
+	}
+	if took := time.Since(began) / rounds; took > most {
+		t.Errorf("a list takes %v", took)
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -79,6 +79,7 @@
 	Attempts int
 	Statuses map[int]int
 	Resent   int
+	usage    usage
 	Late     time.Duration // by which the soak itself was late
 	Unjudged bool          // it was too late to tell whose a delay is
 }
@@ -359,6 +360,7 @@
 // result judges what was recorded, with the processes still up.
 func (r *run) result(faults []Fault) Result {
 	res := Result{Seed: r.options.Seed, Faults: faults, Statuses: map[int]int{}}
+	res.usage = usageOf(r.pids())
 	r.record.mu.Lock()
 	res.Verdict = judge(r.record, func(dispatcher int) []span { return r.discovery.agents[dispatcher].quiet })
 	res.Requests, res.Attempts = len(r.record.requests), len(r.record.attempts)
@@ -378,6 +380,18 @@
 	return res
 }
 
+// pids are those of the processes that are up.
+func (r *run) pids() (pids []int) {
+	for _, d := range r.dispatchers {
+		d.mu.Lock()
+		if d.ready {
+			pids = append(pids, d.cmd.Process.Pid)
+		}
+		d.mu.Unlock()
+	}
+	return pids
+}
+
 // close ends all of it.
 func (r *run) close() {
 	for _, d := range r.dispatchers {
@@ -410,6 +424,7 @@
 		fmt.Fprintf(w, " %s %d", k, kinds[k])
 	}
 	fmt.Fprintf(w, "\npairs that overlapped: %d kinds; the soak itself was late by up to %v\n", len(Overlaps(res.Faults)), res.Late.Round(time.Millisecond))
+	fmt.Fprintf(w, "a dispatcher needed %v\n", res.usage)
 	if res.Unjudged {
 		fmt.Fprintf(w, "NOT JUDGED: the soak lagged by over %v; what follows may be its own\n", latenessMost)
 	}
