A request is as old as its bytes; a release that this machine could not begin asked nobody

Cause: how long a request had waited counted only if its connection was read within 10 ms of being accepted (conn.keep, atOnce), and only from this connection's own wait for room, not from that of those before it in the backlog. Now the system tells when the bytes came (TCP_INFO), bounded by when the backlog was last seen empty. The oracle leaves out the time in which the dispatcher's machine lets it begin no connection.

--- a/internal/platform/accept_test.go
+++ b/internal/platform/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -144,3 +145,42 @@
 		t.Errorf("they waited for %v: this shows nothing", waited)
 	}
 }
+
+// A busy process reads a request some time after it has accepted its connection. How long it had waited before is not forgotten by that,
+// neither behind errors of accept nor behind others that had no room.
+func TestARequestThatWaitedIsAsOldAsItIsHoweverLateItIsRead(t *testing.T) {
+	const clients, busy, observed = 4, 40 * time.Millisecond, 60 * time.Millisecond
+	for name, c := range map[string]struct {
+		most   int
+		errors int64
+	}{
+		"accept fails":    {100, 8},
+		"there's no room": {2, 0},
+	} {
+		listener, _ := failing(t, syscall.ENOBUFS, c.errors)
+		l := newLimiter(listener, c.most, slog.New(slog.DiscardHandler))
+		var sent []time.Time
+		for range clients {
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			io.WriteString(conn, "GET /ready HTTP/1.1\r\n\r\n")
+			sent = append(sent, time.Now())
+		}
+		for i := range clients {
+			accepted, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(busy)
+			accepted.Read(make([]byte, 1000))
+			if came := accepted.(*clientConn).requestCame(time.Now()); came.Sub(sent[i]) > observed {
+				t.Errorf("%s: request %d is taken to have come %v after it was sent", name, i, came.Sub(sent[i]))
+			}
+			time.AfterFunc(2*busy, func() { accepted.Close() })
+		}
+		listener.Close()
+	}
+}
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -25,6 +25,9 @@
 	requestMost = 2700 * time.Millisecond
 )
 
+// receivedLeast is from when on the system's word counts of how long ago bytes came: it is told in steps of some milliseconds.
+const receivedLeast = 10 * time.Millisecond
+
 // atOnce is how soon after its connection a request may come that was there before it.
 const atOnce = 10 * time.Millisecond
 
@@ -62,6 +65,7 @@
 	state     connState
 	since     time.Time // when the state began
 	waited    time.Time // since when the connection may have waited to be accepted
+	earliest  time.Time // before which it was not complete
 	lastRead  time.Time // when bytes last came from the socket
 	came      time.Time // when the present request had come at the latest; zero: it is coming now
 	until     time.Time // when the present request has to be whole
@@ -85,7 +89,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	return &clientConn{Conn: conn, raw: raw, released: released, since: now, waited: now, until: now.Add(requestMost)}, nil
+	return &clientConn{Conn: conn, raw: raw, released: released, since: now, waited: now, earliest: now, until: now.Add(requestMost)}, nil
 }
 
 // Read hands on bytes of the present request. Once that is whole, it returns only when the client has gone or a deadline passes.
@@ -177,7 +181,7 @@
 		case n == 0:
 			c.readErr = io.EOF
 		default:
-			c.keep(chunk[:n])
+			c.keep(fd, chunk[:n])
 		}
 		return true
 	})
@@ -190,13 +194,14 @@
 }
 
 // keep takes what was read from the socket. The lock is held.
-func (c *clientConn) keep(bytes []byte) {
+func (c *clientConn) keep(fd uintptr, bytes []byte) {
 	c.lastRead = time.Now()
-	if c.state == connNew || c.state == connIdle {
+	switch c.state {
+	case connNew:
+		c.came = c.firstCame(fd)
+		c.enter(connReading)
+	case connIdle:
 		c.came = time.Time{}
-		if c.state == connNew && c.lastRead.Sub(c.since) < atOnce {
-			c.came = c.waited // it may have waited as long as its connection did
-		}
 		c.enter(connReading)
 	}
 	if (c.frame.at == afterHead || c.frame.at == afterBody) && len(c.pending)+len(bytes) > aheadMost {
@@ -207,6 +212,21 @@
 	}
 }
 
+// firstCame is when the first bytes of the connection came that are read now; zero: they are coming now. They may have waited for as long
+// as the connection did to be accepted, and then for their turn. The lock is held.
+func (c *clientConn) firstCame(fd uintptr) time.Time {
+	if ago, told := system.ReceivedAgo(fd); told && ago >= receivedLeast {
+		if came := c.lastRead.Add(-ago); came.After(c.earliest) {
+			return came
+		}
+		return c.earliest
+	}
+	if c.lastRead.Sub(c.since) < atOnce {
+		return c.waited
+	}
+	return time.Time{}
+}
+
 // begin says how the present request's body is framed: by its length, or in chunks.
 func (c *clientConn) begin(bodyLength int64) {
 	c.mu.Lock()
--- a/internal/platform/limiter.go
+++ b/internal/platform/limiter.go
@@ -18,6 +18,9 @@
 	idleFor   = 2 * time.Second       // one without an open request may be closed by then
 	roomWait  = 10 * time.Millisecond // until another look, where none makes room
 
+	// emptyLeast is how long a call of accept takes that had to wait for a connection.
+	emptyLeast = time.Millisecond
+
 	// At the end of accepting, for connections that the system has completed already: how long a look waits for one, until
 	// drainMost is over and after that.
 	drainTime  = 20 * time.Millisecond
@@ -49,6 +52,7 @@
 	conns    map[*clientConn]bool
 	draining bool         // connections without an open request are closed
 	failures timeSpan     // in which accept failed last; the accepting goroutine's
+	empty    time.Time    // when no connection waited to be accepted, as last seen; the accepting goroutine's
 	ending   time.Time    // when acceptLast was called; set before last is
 	last     atomic.Bool  // what is completed already is accepted, and no more
 	Pushed   atomic.Int64 // connections that made room
@@ -59,7 +63,7 @@
 }
 
 func newLimiter(listener system.Listener, most int, log *slog.Logger) *limiter {
-	return &limiter{listener: listener, most: most, log: log, conns: map[*clientConn]bool{}}
+	return &limiter{listener: listener, most: most, log: log, conns: map[*clientConn]bool{}, empty: time.Now()}
 }
 
 // Addr is where the limiter listens.
@@ -81,7 +85,7 @@
 		}
 		switch {
 		case err == nil:
-			if c, err := l.admit(raw, l.completedAt(noRoom, called)); err == nil {
+			if c, err := l.admit(raw, l.completedAt(noRoom, called), l.waitingSince(called)); err == nil {
 				return c, nil
 			}
 			raw.Close()
@@ -109,6 +113,16 @@
 	return now
 }
 
+// waitingSince is since when at the earliest a connection that was accepted now was complete: a call that found it there shows only that
+// it came after the last one that had to wait.
+func (l *limiter) waitingSince(called time.Time) time.Time {
+	now := time.Now()
+	if now.Sub(called) > emptyLeast {
+		l.empty = now
+	}
+	return l.empty
+}
+
 // awaitRoom waits until one more connection may be open, or accepting ends, and tells since when; zero: there was room at once.
 func (l *limiter) awaitRoom() (since time.Time) {
 	for !l.last.Load() && !l.makeRoom(time.Now()) {
@@ -159,8 +173,8 @@
 // errNoPlace says that a connection can't be held.
 var errNoPlace = errors.New("too many connections are open")
 
-// admit takes a connection on that may have been complete for a while.
-func (l *limiter) admit(raw system.Conn, complete time.Time) (net.Conn, error) {
+// admit takes a connection on that may have been complete for a while, and was not before earliest.
+func (l *limiter) admit(raw system.Conn, complete, earliest time.Time) (net.Conn, error) {
 	if l.last.Load() && l.count() >= l.most+l.closingMost() {
 		l.Shut.Add(1)
 		return nil, errNoPlace
@@ -169,7 +183,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.waited = complete
+	c.waited, c.earliest = complete, earliest
 	l.mu.Lock()
 	l.conns[c] = true
 	l.mu.Unlock()
--- a/internal/platform/releases.go
+++ b/internal/platform/releases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"slices"
 	"sync/atomic"
@@ -72,20 +73,23 @@
 func (c *transport) releaseAny(targets []*reach.Host, call []byte) bool {
 	ctx, end := context.WithTimeout(c.life, releaseMost)
 	defer end()
-	heard := make(chan bool)
+	heard := make(chan releaseResult)
 	next := time.NewTimer(0)
 	defer next.Stop()
-	for i, wait := 0, releaseNext; len(targets) > 0; {
+	for asked, wait := 0, releaseNext; len(targets) > 0; {
 		select {
 		case <-ctx.Done():
 			return false
-		case ok := <-heard:
-			if ok {
+		case result := <-heard:
+			if result == releaseHeard {
 				return true
 			}
+			if result == releaseNotBegun {
+				asked, wait = max(asked-1, 0), releaseNext // nobody was asked
+			}
 			next.Reset(dialWait)
 		case <-next.C:
-			host := targets[i%len(targets)]
+			host := targets[asked%len(targets)]
 			c.group.Go(func() error {
 				select {
 				case heard <- c.release(ctx, host, call):
@@ -94,7 +98,7 @@
 				return nil
 			})
 			next.Reset(wait)
-			if i++; i >= releaseFew {
+			if asked++; asked >= releaseFew {
 				wait = min(2*wait, releaseTry)
 			}
 		}
@@ -102,38 +106,55 @@
 	return false
 }
 
-// release calls one backend and tells whether it answered. Its time begins when there is a descriptor for the call.
-func (c *transport) release(ctx context.Context, host *reach.Host, call []byte) bool {
+// releaseResult is what came of one call that releases.
+type releaseResult int
+
+const (
+	releaseHeard    releaseResult = iota
+	releaseUnheard                // the backend did not answer it
+	releaseNotBegun               // this machine could not begin to connect, which says nothing of the backend
+)
+
+// release calls one backend. Its time begins when there is a descriptor for the call.
+func (c *transport) release(ctx context.Context, host *reach.Host, call []byte) releaseResult {
 	select {
 	case c.calls <- struct{}{}:
 	case <-ctx.Done():
-		return false
+		return releaseNotBegun
 	}
 	defer func() { <-c.calls }()
-	if !c.callRelease(ctx, host, call) {
+	result := c.callRelease(ctx, host, call)
+	switch result {
+	case releaseHeard:
+		c.heard.heard(host)
+	case releaseUnheard:
 		c.heard.silent(host)
-		return false
 	}
-	c.heard.heard(host)
-	return true
+	return result
 }
 
-func (c *transport) callRelease(ctx context.Context, host *reach.Host, call []byte) bool {
+func (c *transport) callRelease(ctx context.Context, host *reach.Host, call []byte) releaseResult {
 	ctx, cancel := context.WithTimeout(ctx, releaseTry)
 	defer cancel()
 	conn, err := host.Get(ctx)
+	if errors.Is(err, reach.ErrLocal) {
+		return releaseNotBegun
+	}
 	if err != nil {
-		return false
+		return releaseUnheard
 	}
 	defer conn.Drop()
 	conn.SetDeadline(time.Now().Add(releaseTry))
 	if whole, _ := conn.Put(call); !whole {
-		return false
+		return releaseUnheard
 	}
 	resp, err := conn.Head(nil)
 	if err != nil {
-		return false
+		return releaseUnheard
 	}
 	io.Copy(io.Discard, io.LimitReader(resp.Body, shortMost))
-	return resp.StatusCode/100 == 2
+	if resp.StatusCode/100 != 2 {
+		return releaseUnheard
+	}
+	return releaseHeard
 }
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -325,7 +325,7 @@
 		if l := v.record.lifeAt(a.dispatcher, a.first); l == nil || l.killed && l.ended < to {
 			return // its process was killed
 		}
-		held = max(held, v.record.heldUp(a.dispatcher, from, to))
+		held = max(held, v.record.heldUp(a.dispatcher, from, to)+v.record.cutOff(a.dispatcher, from, to))
 	}
 	if to-from > v.record.hold+holdSlack+slack+held {
 		v.broke(ruleHeld, to, "a state for %s waited for %v", id, to-from)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -105,6 +105,7 @@
 	crashed    string
 	stops      []span // while it was stopped by a signal
 	moves      []span // a SIGHUP with a new address of discovery
+	cutOff     []span // while its machine let it begin no connection
 }
 
 // span is a stretch of time.
@@ -130,6 +131,19 @@
 	return nil
 }
 
+// cutOff is for how long the dispatcher's own machine let it begin no connection within a time: nothing that it has to say could go out.
+func (r *record) cutOff(dispatcher int, from, to time.Duration) (sum time.Duration) {
+	for _, l := range r.lives {
+		if l.dispatcher != dispatcher {
+			continue
+		}
+		for _, s := range l.cutOff {
+			sum += max(min(s.to, to)-max(s.from, from), 0)
+		}
+	}
+	return sum
+}
+
 // heldUp is for how long the dispatcher was stopped by signals around a time: whatever it did then it did so much late.
 func (r *record) heldUp(dispatcher int, from, to time.Duration) (sum time.Duration) {
 	for _, l := range r.lives {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -251,6 +251,10 @@
 	case AcceptFails:
 		d.order(Order{Accept: acceptErrors[f.Draw%uint64(len(acceptErrors))], For: f.Length})
 	case DialFails:
+		d.mu.Lock()
+		l := d.life
+		d.mu.Unlock()
+		r.record.with(func() { l.cutOff = append(l.cutOff, span{r.record.now(), until}) })
 		d.order(Order{Dial: dialErrors[f.Draw%uint64(len(dialErrors))], For: f.Length})
 	case ShortReads:
 		d.order(Order{ShortReads: true, For: f.Length})
--- a/internal/system/arrival.go
+++ b/internal/system/arrival.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -25,3 +26,13 @@
 	})
 	return bytes
 }
+
+// ReceivedAgo is how long ago the last bytes came to a TCP connection, whenever they are read; false where the operating system does not
+// tell.
+func ReceivedAgo(fd uintptr) (time.Duration, bool) {
+	info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
