--- a/brain/admission.go
+++ b/brain/admission.go
@@ -23,8 +23,8 @@
 // weighQueue has the queue follow what was admitted of each class lately: the less, the more its requests count. With a
 // fixed order of classes, the last one would wait for all of the others and be rejected as late.
 func (d *Dispatcher) weighQueue() {
-	for _, g := range d.grades {
-		g.Weight = math.Pow(g.admittedShare(d.door.Now()), -fairness)
+	for _, g := range d.classes {
+		g.Weight = math.Pow(g.admittedShare(d.runtime.Now()), -fairness)
 	}
 	for _, q := range d.queue {
 		q.Density = d.density(q)
@@ -33,18 +33,18 @@
 }
 
 // compareRank orders requests in the queue: densest first, then newest, which has most time left.
-func compareRank(a, b *Question) int {
+func compareRank(a, b *Request) int {
 	return cmp.Or(cmp.Compare(b.Density, a.Density), cmp.Compare(b.Taken, a.Taken), cmp.Compare(a.ID, b.ID))
 }
 
 // density is the value of a request for its work.
-func (d *Dispatcher) density(q *Question) float64 {
-	v := q.Grade.Benefit * cmp.Or(q.Grade.Weight, 1)
+func (d *Dispatcher) density(q *Request) float64 {
+	v := q.Class.Value * cmp.Or(q.Class.Weight, 1)
 	if q.Surplus {
 		v *= d.parameters.surplusValue
 	}
 	if q.Again {
-		v *= q.Grade.Late
+		v *= q.Class.Late
 	}
 	if !d.parameters.valueByWork {
 		v /= q.Prompt + q.Most + 1
@@ -53,8 +53,8 @@
 }
 
 // enqueue puts a request into the queue. One whose deadline passes before the next look is rejected at once.
-func (d *Dispatcher) enqueue(q *Question) {
-	if d.door.Now()+2*sweep > q.Expiry {
+func (d *Dispatcher) enqueue(q *Request) {
+	if d.runtime.Now()+2*sweep > q.Deadline {
 		d.giveUp(q)
 		return
 	}
@@ -68,10 +68,10 @@
 func (d *Dispatcher) dispatch() {
 	for len(d.queue) > 0 && d.mayDispatch() {
 		q := d.queue[0]
-		first := len(q.Trips) == 0
+		first := len(q.Attempts) == 0
 		if d.route(q) {
 			d.admitted(q, first)
-		} else if len(q.Trips) == 0 || d.takable(q) {
+		} else if len(q.Attempts) == 0 || d.takable(q) {
 			break
 		} else {
 			d.giveUp(q)
@@ -80,7 +80,7 @@
 	}
 	if len(d.queue) > 0 && !d.sweeping {
 		d.sweeping = true
-		d.door.Wake(sweep, d.sweepQueue)
+		d.runtime.Wake(sweep, d.sweepQueue)
 	}
 }
 
@@ -93,32 +93,32 @@
 }
 
 // admitted takes note that a request was sent on, for the first time or again.
-func (d *Dispatcher) admitted(q *Question, first bool) {
+func (d *Dispatcher) admitted(q *Request, first bool) {
 	d.spendCredit()
 	if first {
-		q.Grade.Admitted.Add(d.door.Now(), 1)
+		q.Class.Admitted.Add(d.runtime.Now(), 1)
 	}
 }
 
-func (d *Dispatcher) dequeue(q *Question) {
-	d.queue = slices.DeleteFunc(d.queue, func(o *Question) bool { return o == q })
+func (d *Dispatcher) dequeue(q *Request) {
+	d.queue = slices.DeleteFunc(d.queue, func(o *Request) bool { return o == q })
 }
 
 // shed rejects, at once, queued requests that can't make their latency target. Overload is told by
 // the oldest wait; then what stands too far back, and so has least value for its work, goes first.
 func (d *Dispatcher) shed() {
-	now := d.door.Now()
+	now := d.runtime.Now()
 	overload := false
 	for _, q := range d.queue {
-		overload = overload || float64(now-q.Taken) > impatient*float64(q.Promised-q.Taken)
+		overload = overload || float64(now-q.Taken) > impatient*float64(q.TargetAt-q.Taken)
 	}
 	expected := d.expectedFirstToken()
 	rate := d.window / max(expected, sweep.Seconds())
 	place := 0.0
 	for _, q := range slices.Clone(d.queue) {
 		first := time.Duration((place/rate + expected) * float64(time.Second))
-		late := now+first > q.Promised-(q.Promised-q.Taken)/4
-		if overload && late || now+2*sweep > q.Expiry {
+		late := now+first > q.TargetAt-(q.TargetAt-q.Taken)/4
+		if overload && late || now+2*sweep > q.Deadline {
 			d.dequeue(q)
 			d.giveUp(q)
 			continue
@@ -132,7 +132,7 @@
 // So the windows of many dispatchers add up to what backends bear, and one that had nothing to send may send
 // two at once.
 func (d *Dispatcher) mayDispatch() bool {
-	now := d.door.Now()
+	now := d.runtime.Now()
 	rate := (d.window - d.wholePart()) / max(d.expectedFirstToken(), sweep.Seconds())
 	d.credit = min(d.credit+rate*max(now-d.credited, 0).Seconds(), burst)
 	d.credited = now
@@ -150,24 +150,24 @@
 
 // settle takes note that a request that was out has its first token, or goes back to the queue or is over
 // without. One window over all backends: own attempts at any one are too few to tell congestion by.
-func (d *Dispatcher) settle(q *Question) {
+func (d *Dispatcher) settle(q *Request) {
 	if !q.Outstanding {
 		return
 	}
 	q.Outstanding = false
-	d.awaiting = slices.DeleteFunc(d.awaiting, func(o *Question) bool { return o == q })
-	now, t := d.door.Now(), q.Trips[len(q.Trips)-1]
+	d.awaiting = slices.DeleteFunc(d.awaiting, func(o *Request) bool { return o == q })
+	now, t := d.runtime.Now(), q.Attempts[len(q.Attempts)-1]
 	d.adjustWindow(d.targetShare(q), q.Dispatched, t.Began > 0)
 	// What was given up on still runs at its backend; where first tokens come late for all, what is let out in
 	// its place at once would wait behind it and be given up on too. So it keeps its place for as long again.
-	congested := d.expectedFirstToken() > impatient*(q.Promised-q.Taken).Seconds()
+	congested := d.expectedFirstToken() > impatient*(q.TargetAt-q.Taken).Seconds()
 	// An attempt that timed out would have had its first token later still: told by those alone that had one,
 	// congestion looks quick, and further attempts are sent into it.
 	if t.Began == 0 && t.Outcome == TimedOut {
 		d.firstToken.Add(max((now-q.Dispatched).Seconds(), d.firstToken.Or(0)), 0.1)
 	}
 	if congested && t.Began == 0 && (t.Outcome == TimedOut || t.Outcome == Cancelled) {
-		d.door.Wake(min(now-t.Sent, q.Promised-q.Taken), func() { d.outstanding--; d.dispatch() })
+		d.runtime.Wake(min(now-t.Sent, q.TargetAt-q.Taken), func() { d.outstanding--; d.dispatch() })
 	} else {
 		d.outstanding--
 	}
@@ -175,12 +175,12 @@
 
 // targetShare is which part of its latency target a request has been out for. Without a first token that says
 // only how long there was none: it is never a sign that first tokens come quickly.
-func (d *Dispatcher) targetShare(q *Question) float64 {
-	t := q.Trips[len(q.Trips)-1]
-	if t.Began == 0 && (t.Outcome == Full || t.Outcome == TimedOut) {
+func (d *Dispatcher) targetShare(q *Request) float64 {
+	t := q.Attempts[len(q.Attempts)-1]
+	if t.Began == 0 && (t.Outcome == Rejected || t.Outcome == TimedOut) {
 		return 1
 	}
-	return min(float64(d.door.Now()-q.Dispatched)/float64(max(q.Promised-q.Taken, 1)), 1)
+	return min(float64(d.runtime.Now()-q.Dispatched)/float64(max(q.TargetAt-q.Taken, 1)), 1)
 }
 
 // adjustWindow lets such a share narrow the window or, with a first token, widen it if it holds requests
@@ -192,7 +192,7 @@
 	switch {
 	case share > calm:
 		if dispatched >= d.jam {
-			d.jam, d.least = d.door.Now(), d.window/2
+			d.jam, d.least = d.runtime.Now(), d.window/2
 		}
 		// All that was out when congestion began tells of the one, and halves the window at most: when half a
 		// fleet died it would else close to nearly nothing, and learn nothing for minutes.
@@ -200,25 +200,25 @@
 	case began && binding:
 		d.window *= change
 	}
-	d.window = max(min(d.window, perHost*float64(len(d.hosts))), 1/d.parameters.dispatchers)
+	d.window = max(min(d.window, perHost*float64(len(d.backends))), 1/d.parameters.dispatchers)
 }
 
 // heardShare takes in what another dispatcher tells of a request of its own.
-func (d *Dispatcher) heardShare(n News) {
-	if n.Share == 0 || n.Grade >= len(d.grades) {
+func (d *Dispatcher) heardShare(n PeerUpdate) {
+	if n.Share == 0 || n.Grade >= len(d.classes) {
 		return
 	}
-	took := time.Duration(n.Share * float64(d.grades[n.Grade].Promise))
+	took := time.Duration(n.Share * float64(d.classes[n.Grade].Target))
 	d.firstToken.Add(took.Seconds(), 0.1)
-	d.adjustWindow(n.Share, d.door.Now()-took, n.Share < 1)
+	d.adjustWindow(n.Share, d.runtime.Now()-took, n.Share < 1)
 }
 
 // expectedFirstToken is in how many seconds one comes: as lately seen, at least as long as one is awaited by
 // now.
 func (d *Dispatcher) expectedFirstToken() float64 {
-	expected := d.firstToken.Or(impatient * d.grades[0].Promise.Seconds())
+	expected := d.firstToken.Or(impatient * d.classes[0].Target.Seconds())
 	if len(d.awaiting) > 0 {
-		expected = max(expected, (d.door.Now() - d.awaiting[0].Dispatched).Seconds())
+		expected = max(expected, (d.runtime.Now() - d.awaiting[0].Dispatched).Seconds())
 	}
 	return expected
 }
--- a/brain/admission_test.go
+++ b/brain/admission_test.go
@@ -55,7 +55,7 @@
 func TestAnIdleDispatcherSendsAtOnce(t *testing.T) {
 	d, out := fleetOf(t, 300)
 	for range 2 {
-		d.Arrive(&Question{ID: 1, Prompt: 2000, Most: 400, Left: 4 * time.Second}, 0, 0)
+		d.Submit(&Request{ID: 1, Prompt: 2000, Most: 400, Left: 4 * time.Second}, 0, 0)
 	}
 	if len(out.sent) != 2 {
 		t.Errorf("%d of 2 were sent at the start", len(out.sent))
@@ -63,7 +63,7 @@
 	d, out = fleetOf(t, 300)
 	d.window, d.credit, d.adjusted = 1.0/300, 0, true
 	out.now += 10 * time.Minute
-	d.Arrive(&Question{ID: 1, Prompt: 2000, Most: 400, Left: 4 * time.Second}, 0, 0)
+	d.Submit(&Request{ID: 1, Prompt: 2000, Most: 400, Left: 4 * time.Second}, 0, 0)
 	if len(out.sent) != 1 {
 		t.Error("after a long rest the first request waits")
 	}
@@ -78,7 +78,7 @@
 			t.Fatalf("after 20 quick first tokens the window is %g", d.window)
 		}
 		q := ask(d)
-		went(q, d.hosts[0], Answered, out.now).Began = out.now
+		went(q, d.backends[0], Served, out.now).Began = out.now
 		q.Outstanding, q.Dispatched, d.outstanding = true, out.now, 1
 		before := d.window
 		d.settle(q)
@@ -95,7 +95,7 @@
 		d.window = window
 		for range int(max(window, 1)) {
 			q := ask(d)
-			went(q, d.hosts[0], TimedOut, out.now)
+			went(q, d.backends[0], TimedOut, out.now)
 			q.Outstanding, q.Dispatched = true, out.now
 			d.outstanding++
 			d.settle(q)
@@ -111,18 +111,18 @@
 	d, _ := fleetOf(t, 300)
 	d.window, d.listeners = 0.8, 7
 	before := d.window
-	d.Heard(News{Host: d.hosts[0], Verdict: Badly, Share: 1})
+	d.Heard(PeerUpdate{Host: d.backends[0], Verdict: Badly, Share: 1})
 	if d.window >= before || d.window < 0.9*before {
 		t.Errorf("a late one: %g -> %g", before, d.window)
 	}
 	before = d.window
-	d.Heard(News{Host: d.hosts[0], Verdict: Well, Share: 0.1})
+	d.Heard(PeerUpdate{Host: d.backends[0], Verdict: Well, Share: 0.1})
 	if d.window <= before || d.window > 1.3*before {
 		t.Errorf("a quick one: %g -> %g", before, d.window)
 	}
 	before = d.window
-	d.Heard(News{Host: d.hosts[0], Verdict: Badly})
-	d.Heard(News{Host: d.hosts[0], Grade: 200, Share: 1})
+	d.Heard(PeerUpdate{Host: d.backends[0], Verdict: Badly})
+	d.Heard(PeerUpdate{Host: d.backends[0], Grade: 200, Share: 1})
 	if d.window != before {
 		t.Errorf("news with no share, or of no class: %g -> %g", before, d.window)
 	}
@@ -133,14 +133,14 @@
 	d, out := begin(t)
 	d.firstToken.Add(0.1, 1)
 	q := ask(d)
-	if !d.send(q, d.hosts[0], ToRead, d.onward(q)) {
+	if !d.send(q, d.backends[0], ToRead, d.onward(q)) {
 		t.Fatal("not sent")
 	}
 	out.now += 2 * time.Second
 	if got := d.expectedFirstToken(); got != 2 {
 		t.Errorf("after 2 s a first token is expected in %g s", got)
 	}
-	d.Ended(q.Trips[0], Result{Outcome: Unreached, Over: true})
+	d.Ended(q.Attempts[0], Result{Outcome: Unreachable, Over: true})
 	if got := d.expectedFirstToken(); got != 0.1 {
 		t.Errorf("once it has ended, in %g s", got)
 	}
@@ -166,10 +166,10 @@
 func TestNothingStopsTheSendingForGood(t *testing.T) {
 	for name, bad := range map[string]func(*Dispatcher, *door){
 		"no hosts for a while": func(d *Dispatcher, _ *door) {
-			hosts := d.hosts
-			d.hosts = nil
+			hosts := d.backends
+			d.backends = nil
 			d.adjustWindow(0.1, 0, true)
-			d.hosts = hosts
+			d.backends = hosts
 		},
 		"a clock that steps back": func(d *Dispatcher, out *door) {
 			d.mayDispatch()
@@ -178,14 +178,14 @@
 		},
 		"a target of nought": func(d *Dispatcher, out *door) {
 			q := ask(d)
-			q.Promised = q.Taken
-			went(q, d.hosts[0], Answered, out.now).Began = out.now
+			q.TargetAt = q.Taken
+			went(q, d.backends[0], Served, out.now).Began = out.now
 			q.Outstanding, q.Dispatched, d.outstanding = true, out.now, 1
 			d.settle(q)
 		},
 		"absurd reports": func(d *Dispatcher, _ *door) {
-			for _, h := range d.hosts {
-				d.Heard(News{Host: h, Loaded: true, Util: 1e9, Queue: 1e12, Share: 1, Verdict: Well})
+			for _, h := range d.backends {
+				d.Heard(PeerUpdate{Host: h, Loaded: true, Util: 1e9, Queue: 1e12, Share: 1, Verdict: Well})
 			}
 		},
 	} {
@@ -195,7 +195,7 @@
 			t.Errorf("%s: window %g, credit %g", name, d.window, d.credit)
 		}
 		out.now += 30 * time.Minute
-		d.Arrive(&Question{ID: 1, Prompt: 2000, Most: 400, Left: 4 * time.Second}, 0, 0)
+		d.Submit(&Request{ID: 1, Prompt: 2000, Most: 400, Left: 4 * time.Second}, 0, 0)
 		if len(out.sent) != 1 {
 			t.Errorf("%s: half an hour later nothing is sent", name)
 		}
@@ -217,12 +217,12 @@
 			t.Fatal(err)
 		}
 		for i, admitted := range []int{100, admittedOfTheLast} {
-			d.grades[i].Offered.Add(out.now, 100)
-			d.grades[i].Admitted.Add(out.now, float64(admitted))
+			d.classes[i].Offered.Add(out.now, 100)
+			d.classes[i].Admitted.Add(out.now, float64(admitted))
 		}
 		for id := uint64(1); id <= 4; id++ {
 			q := ask(d)
-			q.ID, q.Grade, q.Taken = id, d.grades[(id-1)/2], q.Taken+time.Duration(id)
+			q.ID, q.Class, q.Taken = id, d.classes[(id-1)/2], q.Taken+time.Duration(id)
 			d.enqueue(q)
 		}
 		d.weighQueue()
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -12,73 +12,73 @@
 func TestGateBarsWhatTheRulesBar(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		set   func(d *Dispatcher, q *Question, h *Host)
+		set   func(d *Dispatcher, q *Request, h *Backend)
 		bars  bool
 		reach Reach
 	}{
-		{name: "nothing against it", set: func(*Dispatcher, *Question, *Host) {}},
-		{name: "answered", bars: true, set: func(_ *Dispatcher, q *Question, _ *Host) { q.Over = true }},
-		{name: "a trip is out", bars: true, set: func(_ *Dispatcher, q *Question, h *Host) {
-			went(q, h, Full, 0).Ended = false
+		{name: "nothing against it", set: func(*Dispatcher, *Request, *Backend) {}},
+		{name: "answered", bars: true, set: func(_ *Dispatcher, q *Request, _ *Backend) { q.Over = true }},
+		{name: "a trip is out", bars: true, set: func(_ *Dispatcher, q *Request, h *Backend) {
+			went(q, h, Rejected, 0).Ended = false
 		}},
-		{name: "expired", bars: true, set: func(d *Dispatcher, q *Question, _ *Host) { q.Expiry = d.door.Now() }},
-		{name: "trips used up", bars: true, set: func(_ *Dispatcher, q *Question, h *Host) {
+		{name: "expired", bars: true, set: func(d *Dispatcher, q *Request, _ *Backend) { q.Deadline = d.runtime.Now() }},
+		{name: "trips used up", bars: true, set: func(_ *Dispatcher, q *Request, h *Backend) {
 			for range 4 {
-				went(q, h, Full, 0)
+				went(q, h, Rejected, 0)
 			}
 		}},
-		{name: "draining", bars: true, set: func(_ *Dispatcher, _ *Question, h *Host) { h.Standing = Draining }},
-		{name: "gone", bars: true, set: func(_ *Dispatcher, _ *Question, h *Host) { h.Standing = Gone }},
-		{name: "unrepeatable, may have run", bars: true, set: func(_ *Dispatcher, q *Question, h *Host) {
-			q.Grade.Effect = Unrepeatable
+		{name: "draining", bars: true, set: func(_ *Dispatcher, _ *Request, h *Backend) { h.Standing = Draining }},
+		{name: "gone", bars: true, set: func(_ *Dispatcher, _ *Request, h *Backend) { h.Standing = Gone }},
+		{name: "unrepeatable, may have run", bars: true, set: func(_ *Dispatcher, q *Request, h *Backend) {
+			q.Class.Effect = Unrepeatable
 			went(q, h, TimedOut, 0)
 		}},
-		{name: "unrepeatable, proven not run", set: func(_ *Dispatcher, q *Question, h *Host) {
-			q.Grade.Effect = Unrepeatable
-			went(q, h, Full, 0)
+		{name: "unrepeatable, proven not run", set: func(_ *Dispatcher, q *Request, h *Backend) {
+			q.Class.Effect = Unrepeatable
+			went(q, h, Rejected, 0)
 		}},
-		{name: "unrepeatable, lost at a reader", set: func(d *Dispatcher, q *Question, _ *Host) {
-			q.Grade.Effect = Unrepeatable
-			went(q, d.hosts[0], Broken, 0)
+		{name: "unrepeatable, lost at a reader", set: func(d *Dispatcher, q *Request, _ *Backend) {
+			q.Class.Effect = Unrepeatable
+			went(q, d.backends[0], Broken, 0)
 		}},
-		{name: "deduplicated, past its window", bars: true, set: func(d *Dispatcher, q *Question, h *Host) {
-			q.Grade.Effect, q.Grade.Window = Deduplicated, time.Second
-			went(q, h, TimedOut, d.door.Now()-time.Second)
+		{name: "deduplicated, past its window", bars: true, set: func(d *Dispatcher, q *Request, h *Backend) {
+			q.Class.Effect, q.Class.Window = Deduplicated, time.Second
+			went(q, h, TimedOut, d.runtime.Now()-time.Second)
 		}},
-		{name: "deduplicated, in its window", set: func(d *Dispatcher, q *Question, h *Host) {
-			q.Grade.Effect, q.Grade.Window = Deduplicated, time.Second
-			went(q, h, TimedOut, d.door.Now()-time.Second/2)
+		{name: "deduplicated, in its window", set: func(d *Dispatcher, q *Request, h *Backend) {
+			q.Class.Effect, q.Class.Window = Deduplicated, time.Second
+			went(q, h, TimedOut, d.runtime.Now()-time.Second/2)
 		}},
-		{name: "deduplicated, other rack", bars: true, reach: SameRack, set: func(d *Dispatcher, q *Question, _ *Host) {
-			q.Grade.Effect, q.Grade.Window = Deduplicated, time.Minute
-			went(q, d.hosts[3], TimedOut, d.door.Now())
+		{name: "deduplicated, other rack", bars: true, reach: SameRack, set: func(d *Dispatcher, q *Request, _ *Backend) {
+			q.Class.Effect, q.Class.Window = Deduplicated, time.Minute
+			went(q, d.backends[3], TimedOut, d.runtime.Now())
 		}},
-		{name: "deduplicated, other zone", bars: true, reach: SameZone, set: func(d *Dispatcher, q *Question, _ *Host) {
-			q.Grade.Effect, q.Grade.Window = Deduplicated, time.Minute
-			d.hosts[3].Zone = 1
-			went(q, d.hosts[3], TimedOut, d.door.Now())
+		{name: "deduplicated, other zone", bars: true, reach: SameZone, set: func(d *Dispatcher, q *Request, _ *Backend) {
+			q.Class.Effect, q.Class.Window = Deduplicated, time.Minute
+			d.backends[3].Zone = 1
+			went(q, d.backends[3], TimedOut, d.runtime.Now())
 		}},
-		{name: "cold and at its budget", bars: true, set: func(d *Dispatcher, _ *Question, h *Host) {
-			h.Restart, h.Booted = true, d.door.Now()-time.Second
-			d.hosts[3].Carried.Add(d.door.Now(), 50000)
-			h.Sent.Add(d.door.Now(), 12000)
+		{name: "cold and at its budget", bars: true, set: func(d *Dispatcher, _ *Request, h *Backend) {
+			h.Restart, h.Booted = true, d.runtime.Now()-time.Second
+			d.backends[3].Carried.Add(d.runtime.Now(), 50000)
+			h.Sent.Add(d.runtime.Now(), 12000)
 		}},
-		{name: "cold with budget left", set: func(d *Dispatcher, _ *Question, h *Host) {
-			h.Restart, h.Booted = true, d.door.Now()-time.Second
-			d.hosts[3].Carried.Add(d.door.Now(), 50000)
-			h.Sent.Add(d.door.Now(), 100)
+		{name: "cold with budget left", set: func(d *Dispatcher, _ *Request, h *Backend) {
+			h.Restart, h.Booted = true, d.runtime.Now()-time.Second
+			d.backends[3].Carried.Add(d.runtime.Now(), 50000)
+			h.Sent.Add(d.runtime.Now(), 100)
 		}},
-		{name: "cold while warm hosts are pushed hard", bars: true, set: func(d *Dispatcher, _ *Question, h *Host) {
-			h.Restart, h.Booted = true, d.door.Now()-time.Second
-			d.hosts[3].Sent.Add(d.door.Now(), 50000)
-			h.Sent.Add(d.door.Now(), 100)
+		{name: "cold while warm hosts are pushed hard", bars: true, set: func(d *Dispatcher, _ *Request, h *Backend) {
+			h.Restart, h.Booted = true, d.runtime.Now()-time.Second
+			d.backends[3].Sent.Add(d.runtime.Now(), 50000)
+			h.Sent.Add(d.runtime.Now(), 100)
 		}},
 	} {
 		d, _ := begin(t)
 		q := ask(d)
-		q.Grade.Reach = c.reach
-		c.set(d, q, d.hosts[2])
-		if got := d.barred(q, d.hosts[2]); got != c.bars {
+		q.Class.Reach = c.reach
+		c.set(d, q, d.backends[2])
+		if got := d.barred(q, d.backends[2]); got != c.bars {
 			t.Errorf("%s: barred is %v", c.name, got)
 		}
 	}
@@ -93,15 +93,15 @@
 		decline bool
 	}{
 		{"idempotent that may have run", Idempotent, Everywhere, TimedOut, true},
-		{"unrepeatable that never ran", Unrepeatable, Everywhere, Full, true},
+		{"unrepeatable that never ran", Unrepeatable, Everywhere, Rejected, true},
 		{"unrepeatable that may have run", Unrepeatable, Everywhere, Broken, false},
 		{"deduplicated everywhere", Deduplicated, Everywhere, TimedOut, true},
 		{"deduplicated in its rack", Deduplicated, SameRack, TimedOut, false},
 	} {
 		d, out := begin(t)
 		q := ask(d)
-		q.Grade.Effect, q.Grade.Reach, q.State = c.effect, c.reach, d.hosts[0]
-		went(q, d.hosts[2], c.outcome, 0)
+		q.Class.Effect, q.Class.Reach, q.State = c.effect, c.reach, d.backends[0]
+		went(q, d.backends[2], c.outcome, 0)
 		d.giveUp(q)
 		if (len(out.declined) == 1) != c.decline || (len(out.lost) == 1) == c.decline || len(out.released) != 1 {
 			t.Errorf("%s: declined %d, forfeited %d, released %d", c.name, len(out.declined), len(out.lost), len(out.released))
@@ -112,18 +112,18 @@
 func TestLeftReleasesAStateThatComesAfterTheClientHasGone(t *testing.T) {
 	d, out := begin(t)
 	q := ask(d)
-	trip := went(q, d.hosts[0], 0, d.door.Now())
-	trip.Ended, q.Over, d.hosts[0].Tokens = false, true, q.Memory
+	trip := went(q, d.backends[0], 0, d.runtime.Now())
+	trip.Ended, q.Over, d.backends[0].Tokens = false, true, q.Memory
 	d.Ended(trip, Result{Outcome: Read, Over: true})
-	if len(out.released) != 1 || d.hosts[0].Tokens != 0 {
-		t.Errorf("released %d, tokens %g", len(out.released), d.hosts[0].Tokens)
+	if len(out.released) != 1 || d.backends[0].Tokens != 0 {
+		t.Errorf("released %d, tokens %g", len(out.released), d.backends[0].Tokens)
 	}
 }
 
 func TestHoldGivesUpWhatExpiresBeforeTheNextLook(t *testing.T) {
 	d, out := begin(t)
 	q := ask(d)
-	q.Expiry = d.door.Now() + sweep
+	q.Deadline = d.runtime.Now() + sweep
 	d.enqueue(q)
 	if len(out.declined) != 1 || len(d.queue) != 0 {
 		t.Errorf("declined %d, held %d", len(out.declined), len(d.queue))
@@ -133,18 +133,18 @@
 func TestEndedTakesAHostWhoseConnectionFailsAsCold(t *testing.T) {
 	d, _ := begin(t)
 	q := ask(d)
-	trip := went(q, d.hosts[2], 0, d.door.Now())
+	trip := went(q, d.backends[2], 0, d.runtime.Now())
 	trip.Ended = false
-	d.Ended(trip, Result{Outcome: Unreached, Over: true})
-	if !d.cold(d.hosts[2]) {
+	d.Ended(trip, Result{Outcome: Unreachable, Over: true})
+	if !d.cold(d.backends[2]) {
 		t.Error("the host counts as warm")
 	}
 }
 
 func TestTrustedForgetsNoHostQuite(t *testing.T) {
 	d, _ := begin(t)
-	h := d.hosts[2]
-	h.Records[0].Bad.Add(d.door.Now(), 8)
+	h := d.backends[2]
+	h.Records[0].Bad.Add(d.runtime.Now(), 8)
 	given := 0
 	for range 1000 {
 		if d.drawn(d.chance(h, ask(d))) {
@@ -156,17 +156,17 @@
 	}
 }
 
-// A question that no host may take any more, as its group drains or its window is over, must not hold up all behind it until
+// A request that no backend may take any more, as its group drains or its window is over, must not hold up all behind it until
 // its time is up: it is given up on at once.
 func TestServeGivesUpOnWhatNoHostMayTake(t *testing.T) {
 	d, out := begin(t)
 	first, behind := ask(d), ask(d)
 	behind.ID = 2
-	first.Grade = &Grade{Effect: Deduplicated, Reach: SameRack, Window: time.Minute, Benefit: 9, Promise: time.Second}
-	went(first, d.hosts[2], TimedOut, out.now)
+	first.Class = &Class{Effect: Deduplicated, Reach: SameRack, Window: time.Minute, Value: 9, Target: time.Second}
+	went(first, d.backends[2], TimedOut, out.now)
 	d.enqueue(first)
-	for _, h := range d.hosts {
-		if h.Rack == d.hosts[2].Rack {
+	for _, h := range d.backends {
+		if h.Rack == d.backends[2].Rack {
 			h.Standing = Draining
 		}
 	}
@@ -175,7 +175,7 @@
 		t.Fatal("the other one is in front")
 	}
 	d.dispatch()
-	if len(out.sent) != 1 || out.sent[0].Question != behind || len(out.lost) != 1 || out.lost[0] != first || len(d.queue) != 0 {
+	if len(out.sent) != 1 || out.sent[0].Request != behind || len(out.lost) != 1 || out.lost[0] != first || len(d.queue) != 0 {
 		t.Errorf("%d sent, %d forfeited, %d held", len(out.sent), len(out.lost), len(d.queue))
 	}
 }
@@ -184,11 +184,11 @@
 	d, out := begin(t)
 	early, late := ask(d), ask(d)
 	early.ID, late.ID = 1, 2
-	d.queue = []*Question{early, late}
+	d.queue = []*Request{early, late}
 	out.now += 300 * time.Millisecond
 	d.window = 0.1 // one in 2.5 s, by a first token's 0.25 s
 	d.shed()
-	if !slices.Equal(out.declined, []*Question{late}) {
+	if !slices.Equal(out.declined, []*Request{late}) {
 		t.Errorf("declined %v", out.declined)
 	}
 }
@@ -206,10 +206,10 @@
 	} {
 		d, out := begin(t)
 		d.average = c.average
-		d.hosts[4].Standing, d.hosts[5].Standing = Gone, Gone
-		d.hosts[3].Kept[7] = Kept{Tokens: c.kept, At: d.door.Now()}
+		d.backends[4].Standing, d.backends[5].Standing = Gone, Gone
+		d.backends[3].Kept[7] = Kept{Tokens: c.kept, At: d.runtime.Now()}
 		d.route(ask(d))
-		if len(out.sent) != 1 || out.sent[0].Stage != c.stage || c.host != 0 && out.sent[0].Host.ID != c.host {
+		if len(out.sent) != 1 || out.sent[0].Stage != c.stage || c.host != 0 && out.sent[0].Backend.ID != c.host {
 			t.Errorf("%s: sent %+v", c.name, out.sent)
 		}
 	}
@@ -218,9 +218,9 @@
 func TestAnsweredReadsALostStateAnew(t *testing.T) {
 	d, out := begin(t)
 	q := ask(d)
-	trip := went(q, d.hosts[2], 0, d.door.Now())
-	trip.Ended, trip.Stage, trip.Next, q.State = false, ToWrite, d.onward(q), d.hosts[0]
-	d.Ended(trip, Result{Outcome: Full, Note: 1})
+	trip := went(q, d.backends[2], 0, d.runtime.Now())
+	trip.Ended, trip.Stage, trip.Next, q.State = false, ToWrite, d.onward(q), d.backends[0]
+	d.Ended(trip, Result{Outcome: Rejected, Note: 1})
 	if len(out.sent) != 1 || out.sent[0].Stage != ToRead {
 		t.Errorf("sent %v", out.sent)
 	}
@@ -241,17 +241,17 @@
 
 func TestReaderLeansToTheRackWithFreerWriters(t *testing.T) {
 	d, _ := begin(t)
-	for i, h := range d.hosts[2:] {
+	for i, h := range d.backends[2:] {
 		h.Size = 100
-		h.Streams = 90 * (i % 2) // the writer and the mixed host of the second rack are full
+		h.Streams = 90 * (i % 2) // the decode backend and the mixed backend of the second rack are full
 	}
-	if h := d.reader(ask(d), d.hosts[2:]); h == nil || h.Rack != 0 {
+	if h := d.pickPrefill(ask(d), d.backends[2:]); h == nil || h.Rack != 0 {
 		t.Errorf("got %+v", h)
 	}
-	for _, h := range d.hosts[2:] {
+	for _, h := range d.backends[2:] {
 		h.Streams = 90 - h.Streams
 	}
-	if h := d.reader(ask(d), d.hosts[2:]); h == nil || h.Rack != 1 {
+	if h := d.pickPrefill(ask(d), d.backends[2:]); h == nil || h.Rack != 1 {
 		t.Errorf("got %+v", h)
 	}
 }
@@ -271,20 +271,20 @@
 	} {
 		d, _ := begin(t)
 		q := ask(d)
-		q.Grade.Effect = c.effect
-		wait := d.patience(&Trip{Question: q, Stage: c.stage, Number: c.number, Sent: q.Taken})
-		if (wait == q.Expiry-q.Taken) != c.all {
-			t.Errorf("%s: waits %v of %v", c.name, wait, q.Expiry-q.Taken)
+		q.Class.Effect = c.effect
+		wait := d.patience(&Attempt{Request: q, Stage: c.stage, Number: c.number, Sent: q.Taken})
+		if (wait == q.Deadline-q.Taken) != c.all {
+			t.Errorf("%s: waits %v of %v", c.name, wait, q.Deadline-q.Taken)
 		}
 	}
 }
 
 func TestEndedDoesNotTakeAHostForColdForABrokenConnection(t *testing.T) {
 	d, _ := begin(t)
-	trip := went(ask(d), d.hosts[2], 0, d.door.Now())
+	trip := went(ask(d), d.backends[2], 0, d.runtime.Now())
 	trip.Ended = false
 	d.Ended(trip, Result{Outcome: Broken, Over: true})
-	if d.cold(d.hosts[2]) {
+	if d.cold(d.backends[2]) {
 		t.Error("the host counts as cold")
 	}
 }
@@ -292,10 +292,10 @@
 // What a whole fleet lets through in a window is what all parts come to, not only on average; and each dispatcher has its turns.
 func TestBarredSpendsPartsBelowOneQuestionUpToTheirSum(t *testing.T) {
 	d, out := begin(t)
-	h := d.hosts[2]
-	for _, o := range d.hosts {
+	h := d.backends[2]
+	for _, o := range d.backends {
 		if o.Role == Writes && o != h {
-			o.Carried.Add(out.now, 1000) // a part of about a tenth of the question's weight
+			o.Carried.Add(out.now, 1000) // a part of about a tenth of the request's weight
 		}
 	}
 	const fleet = 300
@@ -331,10 +331,10 @@
 		}
 		var lines []Listing
 		for i := range 4 {
-			lines = append(lines, Listing{Host: &Host{ID: uint32(i), Kind: 1}, Standing: Ready, Units: float64(1 + i%2)})
+			lines = append(lines, Listing{Host: &Backend{ID: uint32(i), Kind: 1}, Standing: Ready, Units: float64(1 + i%2)})
 		}
 		d.Listed(lines, true)
-		first[Least(d.hosts, d.next).ID]++
+		first[Least(d.backends, d.next).ID]++
 	}
 	if len(first) != 4 || first[1]+first[3] < 120 || first[1] > 120 || first[3] > 120 {
 		t.Errorf("first choices of 200 dispatchers: %v", first)
@@ -343,19 +343,19 @@
 
 func TestTrustedTellsByGradeOfQuestion(t *testing.T) {
 	d, _ := begin(t)
-	d.grades = append(d.grades, &Grade{Index: 1})
-	h, given := d.hosts[2], [2]int{}
+	d.classes = append(d.classes, &Class{Index: 1})
+	h, given := d.backends[2], [2]int{}
 	h.Records = make([]Record, 3)
 	for i := range h.Records {
 		h.Records[i].Good.Width, h.Records[i].Bad.Width = time.Second, time.Second
 	}
 	for i := range 40 {
-		d.Heard(News{Host: h, Grade: i % 2, Verdict: []Verdict{Well, Badly}[i%2]})
+		d.Heard(PeerUpdate{Host: h, Grade: i % 2, Verdict: []Verdict{Well, Badly}[i%2]})
 	}
 	for i := range 200 {
 		q := ask(d)
-		q.Grade = d.grades[i%2]
-		d.Heard(News{Host: h, Grade: 0, Verdict: Well})
+		q.Class = d.classes[i%2]
+		d.Heard(PeerUpdate{Host: h, Grade: 0, Verdict: Well})
 		if d.drawn(d.chance(h, q)) {
 			given[i%2]++
 		}
@@ -368,15 +368,15 @@
 func TestAbleDrawsForOneDoubtfulHostAtATime(t *testing.T) {
 	d, _ := begin(t)
 	for range 30 {
-		h := &Host{Kind: 1}
+		h := &Backend{Kind: 1}
 		d.Listed([]Listing{{Host: h, Standing: Ready, Units: 1}}, false)
 		for range 4 {
-			d.Heard(News{Host: h, Verdict: Badly})
+			d.Heard(PeerUpdate{Host: h, Verdict: Badly})
 		}
 	}
 	tried := 0
 	for range 500 {
-		if len(d.able(ask(d), (*Host).Answers)) > 4 {
+		if len(d.able(ask(d), (*Backend).Answers)) > 4 {
 			tried++
 		}
 	}
@@ -387,22 +387,22 @@
 
 func TestHeardTakesAnUnmetHostAsCold(t *testing.T) {
 	d, _ := begin(t)
-	d.Heard(News{Host: d.hosts[2], Verdict: Unmet})
-	if !d.cold(d.hosts[2]) {
+	d.Heard(PeerUpdate{Host: d.backends[2], Verdict: Unmet})
+	if !d.cold(d.backends[2]) {
 		t.Error("the host counts as warm")
 	}
 }
 
-// A whole list says again what it said before, and knows only of processes: it must make a host that can't be reached neither
+// A whole list says again what it said before, and knows only of processes: it must make a backend that can't be reached neither
 // warm nor trusted.
 func TestAListThatRepeatsItselfUndoesNothing(t *testing.T) {
 	for _, restart := range []bool{true, false} {
 		d, out := begin(t)
-		h := d.hosts[2]
+		h := d.backends[2]
 		line := Listing{Host: h, Standing: Ready, Units: 4, Booted: -time.Hour, Restart: restart}
 		d.Listed([]Listing{line}, false)
 		h.Kept[7] = Kept{100, out.now, 0}
-		d.Heard(News{Host: h, Verdict: Unmet})
+		d.Heard(PeerUpdate{Host: h, Verdict: Unmet})
 		out.now += time.Second
 		d.Listed([]Listing{line}, false)
 		if !d.cold(h) || h.Records[0].Missed != 1 || len(h.Kept) != 1 {
@@ -434,7 +434,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		d.share(News{})
+		d.share(PeerUpdate{})
 		if len(out.told) != c.most || slices.Contains(out.told, 7) {
 			t.Errorf("%s: told %v", c.name, out.told)
 		}
@@ -451,19 +451,19 @@
 		ended Outcome
 		moves int // 1: it widens, -1: it narrows
 	}{
-		{"quick", 100 * time.Millisecond, true, Answered, 1},
+		{"quick", 100 * time.Millisecond, true, Served, 1},
 		{"quick, by a request that another dispatcher cut off", 100 * time.Millisecond, false, Failed, 0},
 		{"a client that left early", 300 * time.Millisecond, false, Cancelled, 0},
 		{"a deadline that came early", 300 * time.Millisecond, false, TimedOut, -1},
-		{"late", 900 * time.Millisecond, true, Answered, -1},
+		{"late", 900 * time.Millisecond, true, Served, -1},
 		{"a client that left late", 900 * time.Millisecond, false, Cancelled, -1},
-		{"rejected as full", time.Millisecond, false, Full, -1},
+		{"rejected as full", time.Millisecond, false, Rejected, -1},
 	} {
 		d, out := begin(t)
 		d.window = 10
 		q := ask(d)
-		trip := went(q, d.hosts[2], c.ended, out.now)
-		q.Outstanding, q.Dispatched, d.outstanding, d.queue = true, out.now, 10, []*Question{ask(d)}
+		trip := went(q, d.backends[2], c.ended, out.now)
+		q.Outstanding, q.Dispatched, d.outstanding, d.queue = true, out.now, 10, []*Request{ask(d)}
 		out.now += c.out
 		if c.began {
 			trip.Began = out.now
@@ -483,7 +483,7 @@
 	}
 }
 
-// Timed-out reads still ran at their hosts while the next stood behind them and timed out too: readers did nothing else for 15 s.
+// Timed-out reads still ran at their backends while the next stood behind them and timed out too: prefill backends did nothing else for 15 s.
 func TestWhatWasGivenUpOnKeepsItsPlaceForAsLongAgain(t *testing.T) {
 	for _, c := range []struct {
 		ended Outcome
@@ -492,14 +492,14 @@
 		keeps time.Duration
 	}{
 		{TimedOut, 600 * time.Millisecond, 0.5, 600 * time.Millisecond}, {Cancelled, 200 * time.Millisecond, 0.5, 200 * time.Millisecond},
-		{TimedOut, 3 * time.Second, 0.5, time.Second}, {Read, 600 * time.Millisecond, 0.5, 0}, {Unreached, 200 * time.Millisecond, 0.5, 0},
-		{Full, 0, 0.5, 0}, {TimedOut, 3 * time.Second, 0.1, 0}, // a host that hangs holds up no others
+		{TimedOut, 3 * time.Second, 0.5, time.Second}, {Read, 600 * time.Millisecond, 0.5, 0}, {Unreachable, 200 * time.Millisecond, 0.5, 0},
+		{Rejected, 0, 0.5, 0}, {TimedOut, 3 * time.Second, 0.1, 0}, // a backend that hangs holds up no others
 	} {
 		d, out := begin(t)
 		d.window = 1
 		d.firstToken.Add(c.ahead, 1)
 		q := ask(d)
-		went(q, d.hosts[0], c.ended, out.now)
+		went(q, d.backends[0], c.ended, out.now)
 		q.Outstanding, q.Dispatched, d.outstanding = true, out.now, 1
 		out.now += c.took
 		out.wakes, out.delays = nil, nil
@@ -512,22 +512,22 @@
 			next := ask(d)
 			d.enqueue(next)
 			out.wakes[0]()
-			if len(out.sent) != 1 || out.sent[0].Question != next {
+			if len(out.sent) != 1 || out.sent[0].Request != next {
 				t.Errorf("%+v: the place that comes free is not used", c)
 			}
 		}
 	}
 }
 
-// Boxes that had just started got one read a second while the others were jammed: each dispatcher waited for a question of theirs.
+// Backends that had just started got one read a second while the others were jammed: each dispatcher waited for a request of theirs.
 func TestHomesTakeInAColdHostWithAPartLeft(t *testing.T) {
 	d, out := begin(t)
 	for i := range 20 {
-		d.Listed([]Listing{{Host: &Host{ID: uint32(100 + i)}, Standing: Ready, Units: 1}}, false)
+		d.Listed([]Listing{{Host: &Backend{ID: uint32(100 + i)}, Standing: Ready, Units: 1}}, false)
 	}
-	q, readers := ask(d), Only(d.hosts, (*Host).ReadsOnly)
+	q, readers := ask(d), Only(d.backends, (*Backend).ReadsOnly)
 	homes := d.homes(q, Reads, slices.Clone(readers))
-	cold := readers[slices.IndexFunc(readers, func(h *Host) bool { return !slices.Contains(homes, h) })]
+	cold := readers[slices.IndexFunc(readers, func(h *Backend) bool { return !slices.Contains(homes, h) })]
 	cold.Restart, cold.Booted = true, out.now-time.Second
 	if got := d.homes(q, Reads, slices.Clone(readers)); !slices.Equal(got, append(homes, cold)) {
 		t.Errorf("%d homes", len(got))
@@ -537,21 +537,21 @@
 	}
 }
 
-// Cold hosts that speak for each other were let have less from window to window, until nothing went anywhere.
+// Cold backends that speak for each other were let have less from window to window, until nothing went anywhere.
 func TestWhatWarmHostsDidIsRememberedWhileMostAreCold(t *testing.T) {
 	d, out := begin(t)
-	for _, h := range d.hosts[:2] {
+	for _, h := range d.backends[:2] {
 		h.Carried.Add(out.now, 20000)
 	}
-	warm := d.coldBudget(d.hosts[0])
-	for _, h := range d.hosts[:2] {
+	warm := d.coldBudget(d.backends[0])
+	for _, h := range d.backends[:2] {
 		h.Restart, h.Booted = true, out.now
 	}
 	out.now += 30 * time.Second // nothing that was carried counts any more
-	for _, h := range d.hosts[:2] {
+	for _, h := range d.backends[:2] {
 		h.Booted = out.now
 	}
-	if cold := d.coldBudget(d.hosts[0]); warm == 0 || cold != warm {
+	if cold := d.coldBudget(d.backends[0]); warm == 0 || cold != warm {
 		t.Errorf("a part of %g is %g when all are cold", warm, cold)
 	}
 }
@@ -559,11 +559,11 @@
 func TestHomesStayWhenOneIsDoubtedAndGrowWithShare(t *testing.T) {
 	d, out := begin(t)
 	for i := range 20 {
-		d.Listed([]Listing{{Host: &Host{ID: uint32(100 + i)}, Standing: Ready, Units: 1}}, false)
+		d.Listed([]Listing{{Host: &Backend{ID: uint32(100 + i)}, Standing: Ready, Units: 1}}, false)
 	}
-	q, readers := ask(d), Only(d.hosts, (*Host).ReadsOnly)
+	q, readers := ask(d), Only(d.backends, (*Backend).ReadsOnly)
 	two := slices.Clone(d.homes(q, Reads, slices.Clone(readers)))
-	without := slices.DeleteFunc(slices.Clone(readers), func(h *Host) bool { return h == two[0] })
+	without := slices.DeleteFunc(slices.Clone(readers), func(h *Backend) bool { return h == two[0] })
 	if left := d.homes(q, Reads, without); len(two) != 2 || !slices.Equal(left, two[1:]) {
 		t.Errorf("homes %v, with one doubted %v", two, left)
 	}
@@ -580,7 +580,7 @@
 		bad  float64
 	}{{100 * time.Millisecond, 0}, {2 * time.Second, 1}} {
 		d, out := begin(t)
-		h := d.hosts[2]
+		h := d.backends[2]
 		d.typical[Writes].Add(0.001, 1)
 		d.learn(went(ask(d), h, TimedOut, out.now), c.took, false, false)
 		if got := h.Records[0].Bad.Sum(out.now); got != c.bad {
@@ -597,13 +597,13 @@
 	}{{"as quick", 1e-4, true}, {"slower", 1e-2, false}} {
 		d, _ := begin(t)
 		d.average = 1000
-		for i, h := range d.hosts {
+		for i, h := range d.backends {
 			h.Lean, h.Streams = 0, []int{3, 3, 8, 8, 0, 0}[i]
 		}
 		for role, pace := range []float64{1e-4, 1e-4, c.pace} {
 			d.typical[role].Add(pace, 1)
 		}
-		if m := d.mixed(ask(d), d.hosts[2:], d.hosts[0]); (m != nil) != c.taken {
+		if m := d.pickMixed(ask(d), d.backends[2:], d.backends[0]); (m != nil) != c.taken {
 			t.Errorf("%s: got %v", c.name, m)
 		}
 	}
@@ -611,9 +611,9 @@
 
 func TestTrustedForgetsNoHostThatFailedForLong(t *testing.T) {
 	d, out := begin(t)
-	h, given := d.hosts[2], 0
+	h, given := d.backends[2], 0
 	for range 100 {
-		d.Heard(News{Host: h, Verdict: Badly})
+		d.Heard(PeerUpdate{Host: h, Verdict: Badly})
 	}
 	out.now += time.Minute
 	for range 1000 {
@@ -626,7 +626,7 @@
 	}
 }
 
-// Half a fleet dying under a few dispatchers ends dozens of trips late in one moment: they tell of one jam. Were each
+// Half a fleet dying under a few dispatchers ends dozens of attempts late in one moment: they tell of one jam. Were each
 // to narrow the window, it would close to nothing, and learn nothing for minutes.
 func TestWhatWasOutWhenAJamBeganHalvesTheWindowAtMost(t *testing.T) {
 	d, out := begin(t)
@@ -634,9 +634,9 @@
 	for range 60 {
 		q := ask(d)
 		q.Outstanding, q.Dispatched = true, out.now-2*time.Second
-		went(q, d.hosts[0], TimedOut, out.now)
+		went(q, d.backends[0], TimedOut, out.now)
 		d.outstanding++
-		q.Promised = out.now + time.Second
+		q.TargetAt = out.now + time.Second
 		d.settle(q)
 	}
 	out.now += 3 * time.Second
@@ -645,25 +645,25 @@
 	}
 	q := ask(d) // one let out after the jam was told of another
 	q.Outstanding, q.Dispatched, d.outstanding = true, out.now-2*time.Second, d.outstanding+1
-	went(q, d.hosts[0], Full, out.now)
+	went(q, d.backends[0], Rejected, out.now)
 	d.settle(q)
 	if d.window >= 10 || d.window < 5 {
 		t.Errorf("after the next one it is %g", d.window)
 	}
 }
 
-// Warm mixed hosts that only wrote spoke for cold ones that were sent whole questions: pushed over on the emulator.
+// Warm mixed backends that only wrote spoke for cold ones that were sent whole requests: pushed over on the emulator.
 func TestWritesAtAMixedHostSpeakForLessThanWholeQuestions(t *testing.T) {
 	budget := func(stage Stage) float64 {
 		d, out := begin(t)
-		d.grades[0].Reading.Add(3000, 1)
-		d.grades[0].Writing.Add(1, 1)
-		warm, cold := d.hosts[4], d.hosts[5]
+		d.classes[0].Reading.Add(3000, 1)
+		d.classes[0].Writing.Add(1, 1)
+		warm, cold := d.backends[4], d.backends[5]
 		cold.Booted, cold.Restart = out.now, true
 		for range 20 {
 			q := ask(d)
-			q.Trips = []*Trip{{Question: q, Host: warm, Stage: stage, Began: out.now, Next: func(Result) {}}}
-			d.Ended(q.Trips[0], Result{Outcome: Answered, Over: true})
+			q.Attempts = []*Attempt{{Request: q, Backend: warm, Stage: stage, Began: out.now, Next: func(Result) {}}}
+			d.Ended(q.Attempts[0], Result{Outcome: Served, Over: true})
 		}
 		return d.coldBudget(cold)
 	}
@@ -672,48 +672,48 @@
 	}
 }
 
-// Hosts come and go for as long as a dispatcher runs: one that is gone, with nothing out, is walked over by no choice.
+// Backends come and go for as long as a dispatcher runs: one that is gone, with nothing out, is walked over by no choice.
 func TestListedForgetsHostsThatAreGone(t *testing.T) {
 	d, _ := begin(t)
 	q := ask(d)
-	busy := d.hosts[2]
+	busy := d.backends[2]
 	if !d.send(q, busy, Whole, func(Result) {}) {
 		t.Fatal("not sent")
 	}
 	for i := range 300 {
-		h := &Host{ID: uint32(100 + i), Kind: 1}
+		h := &Backend{ID: uint32(100 + i), Kind: 1}
 		d.Listed([]Listing{{Host: h, Standing: Ready, Units: 4}}, false)
 		d.Listed([]Listing{{Host: h, Standing: Gone}}, false)
 	}
-	d.Listed([]Listing{{Host: d.hosts[0], Standing: Ready, Units: 4}}, true)
-	if len(d.hosts) != 2 || !slices.Contains(d.hosts, busy) {
-		t.Errorf("%d hosts are held, of 1 that is there and 1 with a trip out", len(d.hosts))
+	d.Listed([]Listing{{Host: d.backends[0], Standing: Ready, Units: 4}}, true)
+	if len(d.backends) != 2 || !slices.Contains(d.backends, busy) {
+		t.Errorf("%d hosts are held, of 1 that is there and 1 with a trip out", len(d.backends))
 	}
-	d.Ended(q.Trips[0], Result{Outcome: Answered, Over: true})
+	d.Ended(q.Attempts[0], Result{Outcome: Served, Over: true})
 	d.Listed([]Listing{{Host: busy, Standing: Ready, Units: 4}}, false)
 	d.Listed([]Listing{{Host: busy, Standing: Ready, Units: 4}}, false)
-	if len(d.hosts) != 2 {
-		t.Errorf("%d hosts after one came back", len(d.hosts))
+	if len(d.backends) != 2 {
+		t.Errorf("%d hosts after one came back", len(d.backends))
 	}
 }
 
-// What hosts are thought to have kept is forgotten by age, not when a count is passed: with more keys than that in use, all of
-// them were looked through at each trip, and none dropped.
+// What backends are thought to have kept is forgotten by age, not when a count is passed: with more keys than that in use, all of
+// them were looked through at each attempt, and none dropped.
 func TestRefreshForgetsKeptTextsByAge(t *testing.T) {
 	d, out := begin(t)
 	for i := range 5000 {
 		q := ask(d)
 		q.Session, q.Shared = uint64(1000+i), 0
-		d.remember(&Trip{Question: q, Host: d.hosts[2]}, 0)
+		d.remember(&Attempt{Request: q, Backend: d.backends[2]}, 0)
 	}
 	out.now += keptFor + time.Second
 	q := ask(d)
-	d.remember(&Trip{Question: q, Host: d.hosts[2]}, 0)
+	d.remember(&Attempt{Request: q, Backend: d.backends[2]}, 0)
 	d.refresh()
-	if n := len(d.hosts[2].Kept); n != 2 {
+	if n := len(d.backends[2].Kept); n != 2 {
 		t.Errorf("%d texts are held, 2 are fresh", n)
 	}
-	few := d.hosts[3]
+	few := d.backends[3]
 	few.Kept[5] = Kept{10, out.now, 0}
 	out.now += keptFor + time.Second
 	d.refresh()
@@ -722,7 +722,7 @@
 	}
 }
 
-// A question whose client has gone must not stand in front of others, and none is answered twice.
+// A request whose client has gone must not stand in front of others, and none is answered twice.
 func TestWhatIsOverIsNeitherHeldNorAnsweredAgain(t *testing.T) {
 	d, out := begin(t)
 	q := ask(d)
@@ -734,19 +734,19 @@
 	}
 }
 
-// While the gate bars every host, what is held widens the window with each answer that still begins. Without a bound it stood at
+// While the gate bars every backend, what is held widens the window with each answer that still begins. Without a bound it stood at
 // 1e16 when the gate opened, and flooded the fleet.
 func TestTheWindowHasABound(t *testing.T) {
 	d, _ := begin(t)
-	d.queue = []*Question{ask(d)}
+	d.queue = []*Request{ask(d)}
 	for range 200 {
 		q := ask(d)
-		went(q, d.hosts[2], Answered, d.door.Now()).Began = d.door.Now()
-		q.Outstanding, q.Dispatched = true, d.door.Now()
+		went(q, d.backends[2], Served, d.runtime.Now()).Began = d.runtime.Now()
+		q.Outstanding, q.Dispatched = true, d.runtime.Now()
 		d.outstanding = int(d.window) + 1
 		d.settle(q)
 	}
-	if most := perHost * float64(len(d.hosts)); d.window != most {
+	if most := perHost * float64(len(d.backends)); d.window != most {
 		t.Errorf("the window is %g, %g at most", d.window, most)
 	}
 }
--- a/brain/candidates.go
+++ b/brain/candidates.go
@@ -27,43 +27,43 @@
 
 // candidateSet are the candidates of one choice.
 type candidateSet struct {
-	question *Question
+	question *Request
 	at       time.Duration
 	trips    int
-	hosts    []*Host
-	homes    [3][]*Host // of the request's beginning, by role
-	mark     uint64     // that the hosts among them bear
+	hosts    []*Backend
+	homes    [3][]*Backend // of the request's beginning, by role
+	mark     uint64        // that the backends among them bear
 }
 
 // listedHost is a backend of a role, with its number beside it: all of a large fleet are gone through for their ranks.
 type listedHost struct {
 	id   uint64
-	host *Host
+	host *Backend
 }
 
 // ranked is a backend with its place in the order of a key.
 type ranked struct {
-	host *Host
+	host *Backend
 	rank uint64
 }
 
 // large tells whether the fleet is too large for a choice to look at all of it.
-func (d *Dispatcher) large() bool { return len(d.hosts) > smallFleet }
+func (d *Dispatcher) large() bool { return len(d.backends) > smallFleet }
 
 // candidates are the backends that a choice for the request looks at.
-func (d *Dispatcher) candidates(q *Question) []*Host {
+func (d *Dispatcher) candidates(q *Request) []*Backend {
 	if !d.large() {
-		return d.hosts
+		return d.backends
 	}
-	c, now := &d.chosenFrom, d.door.Now()
-	if c.question == q && c.at == now && c.trips == len(q.Trips) {
+	c, now := &d.chosenFrom, d.runtime.Now()
+	if c.question == q && c.at == now && c.trips == len(q.Attempts) {
 		return c.hosts
 	}
-	c.question, c.at, c.trips, c.hosts = q, now, len(q.Trips), c.hosts[:0]
+	c.question, c.at, c.trips, c.hosts = q, now, len(q.Attempts), c.hosts[:0]
 	c.mark++
-	first := int(d.rng.Float() * float64(len(d.hosts)))
+	first := int(d.rng.Float() * float64(len(d.backends)))
 	for i := range stretch {
-		c.add(d.hosts[(first+i)%len(d.hosts)])
+		c.add(d.backends[(first+i)%len(d.backends)])
 	}
 	if q.State != nil {
 		d.addRack(c, q.State) // it only has to be answered
@@ -87,7 +87,7 @@
 }
 
 // add puts a backend among the candidates, once.
-func (c *candidateSet) add(h *Host) {
+func (c *candidateSet) add(h *Backend) {
 	if h.mark != c.mark {
 		h.mark = c.mark
 		c.hosts = append(c.hosts, h)
@@ -95,7 +95,7 @@
 }
 
 // addRack puts the backends of a backend's rack that answer among the candidates, to which a state is moved at least cost.
-func (d *Dispatcher) addRack(c *candidateSet, h *Host) {
+func (d *Dispatcher) addRack(c *candidateSet, h *Backend) {
 	for _, o := range d.racks[h.Rack] {
 		c.add(o)
 	}
@@ -103,9 +103,9 @@
 
 // homesInOrder are the ready backends of a role in the order of the request's beginning, alike in every dispatcher: all of a small
 // fleet, and the first ones of a large one.
-func (d *Dispatcher) homesInOrder(q *Question, role Role) []*Host {
+func (d *Dispatcher) homesInOrder(q *Request, role Role) []*Backend {
 	if !d.large() {
-		all := Only(d.hosts, func(h *Host) bool { return h.Role == role && h.Standing == Ready })
+		all := Only(d.backends, func(h *Backend) bool { return h.Role == role && h.Standing == Ready })
 		Order(all, cmp.Or(q.Shared, q.Session))
 		return all
 	}
@@ -114,7 +114,7 @@
 }
 
 // firstHomes are the first ready backends of a role in the order of a key.
-func (d *Dispatcher) firstHomes(key uint64, role Role) []*Host {
+func (d *Dispatcher) firstHomes(key uint64, role Role) []*Backend {
 	first := d.firstRanks[:0]
 	for _, l := range d.byRole[role] {
 		rank := Mix(key, l.id)
@@ -128,7 +128,7 @@
 		first = slices.Insert(first, i, ranked{l.host, rank})
 	}
 	d.firstRanks = first
-	homes := make([]*Host, len(first))
+	homes := make([]*Backend, len(first))
 	for i, r := range first {
 		homes[i] = r.host
 	}
@@ -136,8 +136,8 @@
 }
 
 // homesWanted is how many homes a beginning has: two, or as many as its share of the requests asks for.
-func (d *Dispatcher) homesWanted(key uint64, role Role, homes []*Host) int {
-	share := d.begins.Sum(key, d.door.Now()) / (d.asked.Sum(d.door.Now()) + 10)
+func (d *Dispatcher) homesWanted(key uint64, role Role, homes []*Backend) int {
+	share := d.begins.Sum(key, d.runtime.Now()) / (d.asked.Sum(d.runtime.Now()) + 10)
 	count := len(homes)
 	if d.large() {
 		count = len(d.byRole[role])
@@ -147,7 +147,7 @@
 
 // withMoreHomes adds, where a beginning of a large fleet has more homes than were ordered, those among the candidates: a home's rank is
 // under the same part of all ranks as homes are of all backends.
-func (d *Dispatcher) withMoreHomes(homes []*Host, key uint64, role Role, wanted int, able []*Host) []*Host {
+func (d *Dispatcher) withMoreHomes(homes []*Backend, key uint64, role Role, wanted int, able []*Backend) []*Backend {
 	if !d.large() || wanted <= homesMost {
 		return homes
 	}
@@ -161,14 +161,14 @@
 }
 
 // keeperOf takes note that a backend of a large fleet keeps a beginning or session.
-func (d *Dispatcher) keeperOf(key uint64, h *Host) {
+func (d *Dispatcher) keeperOf(key uint64, h *Backend) {
 	if key == 0 || !d.large() {
 		return
 	}
 	if d.keepers == nil {
-		d.keepers = map[uint64][]*Host{}
+		d.keepers = map[uint64][]*Backend{}
 	}
-	known := slices.DeleteFunc(d.keepers[key], func(o *Host) bool { return o == h })
+	known := slices.DeleteFunc(d.keepers[key], func(o *Backend) bool { return o == h })
 	if len(known) >= keepersMost {
 		known = known[1:]
 	}
@@ -178,7 +178,7 @@
 // forgetKeepers drops those that keep nothing any more.
 func (d *Dispatcher) forgetKeepers() {
 	for key, known := range d.keepers {
-		known = slices.DeleteFunc(known, func(h *Host) bool { return !h.Held || h.Kept[key] == (Kept{}) })
+		known = slices.DeleteFunc(known, func(h *Backend) bool { return !h.Held || h.Kept[key] == (Kept{}) })
 		if len(known) == 0 || !d.large() {
 			delete(d.keepers, key)
 			continue
@@ -188,18 +188,18 @@
 }
 
 // addHost puts a backend that is new among the others: in a large fleet in this dispatcher's own order, unless many are added at once.
-func (d *Dispatcher) addHost(h *Host, many bool) {
+func (d *Dispatcher) addHost(h *Backend, many bool) {
 	h.Held, h.order = true, Mix(d.own, uint64(h.ID))
 	d.ordered = d.ordered && !many
-	i := len(d.hosts)
+	i := len(d.backends)
 	if d.large() && d.ordered {
-		i, _ = slices.BinarySearchFunc(d.hosts, h.order, func(o *Host, order uint64) int { return cmp.Compare(o.order, order) })
+		i, _ = slices.BinarySearchFunc(d.backends, h.order, func(o *Backend, order uint64) int { return cmp.Compare(o.order, order) })
 	}
-	d.hosts = slices.Insert(d.hosts, i, h)
+	d.backends = slices.Insert(d.backends, i, h)
 	d.byRole[h.Role] = append(d.byRole[h.Role], listedHost{uint64(h.ID), h})
 	if h.Answers() {
 		if d.racks == nil {
-			d.racks = map[int][]*Host{}
+			d.racks = map[int][]*Backend{}
 		}
 		d.racks[h.Rack] = append(d.racks[h.Rack], h)
 	}
@@ -210,17 +210,17 @@
 	if d.large() && d.ordered {
 		return
 	}
-	slices.SortFunc(d.hosts, func(a, b *Host) int { return cmp.Compare(a.order, b.order) })
+	slices.SortFunc(d.backends, func(a, b *Backend) int { return cmp.Compare(a.order, b.order) })
 	d.ordered = d.large()
 }
 
 // dropHosts forgets the backends that are gone and have nothing out.
 func (d *Dispatcher) dropHosts() {
 	gone := func(l listedHost) bool { return !l.host.Held }
-	d.hosts = slices.DeleteFunc(d.hosts, func(h *Host) bool {
+	d.backends = slices.DeleteFunc(d.backends, func(h *Backend) bool {
 		h.Held = h.Standing != Gone || h.Streams > 0 || h.Tokens >= 1 // what is out there still counts
 		if !h.Held && h.Answers() {
-			if d.racks[h.Rack] = slices.DeleteFunc(d.racks[h.Rack], func(o *Host) bool { return o == h }); len(d.racks[h.Rack]) == 0 {
+			if d.racks[h.Rack] = slices.DeleteFunc(d.racks[h.Rack], func(o *Backend) bool { return o == h }); len(d.racks[h.Rack]) == 0 {
 				delete(d.racks, h.Rack)
 			}
 		}
@@ -233,16 +233,16 @@
 
 // compareSizes compares the backends' capacities, less often where the fleet is large.
 func (d *Dispatcher) compareSizes() {
-	now := d.door.Now()
+	now := d.runtime.Now()
 	if d.large() && d.compared > 0 && now-d.compared < sizesAge {
 		return
 	}
 	d.compared = max(now, 1)
-	d.answering = Compare(d.hosts)
+	d.answering = Compare(d.backends)
 }
 
 // freestByRack is the least cost of the backends in each rack.
-func freestByRack(hosts []*Host, cost func(*Host) float64) map[int]float64 {
+func freestByRack(hosts []*Backend, cost func(*Backend) float64) map[int]float64 {
 	freest := map[int]float64{}
 	for _, h := range hosts {
 		least, known := freest[h.Rack]
@@ -255,7 +255,7 @@
 
 // freeMemory is how many tokens this dispatcher may still have at backends that answer, less those that are being read and will need
 // room to be answered. Of a large fleet the candidates stand for all.
-func (d *Dispatcher) freeMemory(q *Question) float64 {
+func (d *Dispatcher) freeMemory(q *Request) float64 {
 	free, looked := 0.0, 0.0
 	candidates := d.candidates(q)
 	for _, h := range candidates {
@@ -279,7 +279,7 @@
 		return d.atReaders
 	}
 	sum := 0.0
-	for _, h := range d.hosts {
+	for _, h := range d.backends {
 		if h.Role == Reads {
 			sum += h.Tokens
 		}
--- a/brain/candidates_test.go
+++ b/brain/candidates_test.go
@@ -16,13 +16,13 @@
 	}
 	var lines []Listing
 	for i := range 2000 {
-		lines = append(lines, Listing{Host: &Host{ID: uint32(i + 1), Kind: i % 2, Rack: i / 6}, Standing: Ready, Units: 1})
+		lines = append(lines, Listing{Host: &Backend{ID: uint32(i + 1), Kind: i % 2, Rack: i / 6}, Standing: Ready, Units: 1})
 	}
 	d.Listed(lines, true)
 	return d, out
 }
 
-func ids(hosts []*Host) (numbers []uint32) {
+func ids(hosts []*Backend) (numbers []uint32) {
 	for _, h := range hosts {
 		numbers = append(numbers, h.ID)
 	}
@@ -37,9 +37,9 @@
 		q := ask(first)
 		q.Shared = beginning + 1
 		other := *q
-		homes := first.homes(q, Reads, first.able(q, (*Host).ReadsOnly))
-		also := second.homes(&other, Reads, second.able(&other, (*Host).ReadsOnly))
-		all := Only(first.hosts, (*Host).ReadsOnly)
+		homes := first.homes(q, Reads, first.able(q, (*Backend).ReadsOnly))
+		also := second.homes(&other, Reads, second.able(&other, (*Backend).ReadsOnly))
+		all := Only(first.backends, (*Backend).ReadsOnly)
 		Order(all, q.Shared)
 		if len(homes) != 2 || !slices.Equal(ids(homes), ids(also)) || !slices.Equal(ids(homes), ids(all[:2])) {
 			t.Errorf("beginning %d: %v and %v, wanted %v", q.Shared, ids(homes), ids(also), ids(all[:2]))
@@ -58,7 +58,7 @@
 	for range 100 {
 		out.now += time.Millisecond
 		q := ask(d)
-		for _, h := range d.homes(q, Reads, d.able(q, (*Host).ReadsOnly)) {
+		for _, h := range d.homes(q, Reads, d.able(q, (*Backend).ReadsOnly)) {
 			used[h.ID] = true
 		}
 	}
@@ -70,9 +70,9 @@
 // What a request has a reason to go to is among its candidates, however few are drawn.
 func TestCandidatesOfALargeFleetHaveWhatSpeaksForThem(t *testing.T) {
 	d, out := largeFleet(t, 1)
-	keeper := Only(d.hosts, (*Host).Answers)[700]
-	d.remember(&Trip{Question: ask(d), Host: keeper}, 0)
-	reader := Only(d.hosts, (*Host).ReadsOnly)[300]
+	keeper := Only(d.backends, (*Backend).Answers)[700]
+	d.remember(&Attempt{Request: ask(d), Backend: keeper}, 0)
+	reader := Only(d.backends, (*Backend).ReadsOnly)[300]
 	for range 50 {
 		out.now += time.Millisecond
 		q := ask(d)
@@ -81,7 +81,7 @@
 		}
 		q.State = reader
 		out.now += time.Millisecond
-		near := Only(d.candidates(q), func(h *Host) bool { return h.Rack == reader.Rack && h.Answers() })
+		near := Only(d.candidates(q), func(h *Backend) bool { return h.Rack == reader.Rack && h.Answers() })
 		if len(near) != 3 {
 			t.Fatalf("%d backends of the state's rack are among them", len(near))
 		}
@@ -94,18 +94,18 @@
 // Over many requests each backend of a large fleet has its turn.
 func TestEveryBackendOfALargeFleetIsUsed(t *testing.T) {
 	d, out := largeFleet(t, 1)
-	used := map[*Host]int{}
+	used := map[*Backend]int{}
 	const requests = 3000
 	for number := range requests {
 		out.now += 10 * time.Millisecond
 		q := ask(d)
 		q.Session, q.Shared = 0, uint64(number+1)
-		q.State = Only(d.hosts, (*Host).ReadsOnly)[number%1000]
-		d.write(q)
+		q.State = Only(d.backends, (*Backend).ReadsOnly)[number%1000]
+		d.pickDecode(q)
 		trip := out.sent[len(out.sent)-1]
-		used[trip.Host]++
+		used[trip.Backend]++
 		d.Began(trip, time.Millisecond)
-		d.Ended(trip, Result{Outcome: Answered, Over: true})
+		d.Ended(trip, Result{Outcome: Served, Over: true})
 	}
 	most := 0
 	for _, n := range used {
@@ -120,18 +120,18 @@
 func TestAFleetGrowsAndShrinksOverTheBound(t *testing.T) {
 	d, _ := largeFleet(t, 1)
 	var lines []Listing
-	for _, h := range d.hosts[100:] {
+	for _, h := range d.backends[100:] {
 		lines = append(lines, Listing{Host: h, Standing: Gone})
 	}
 	d.Listed(lines, false)
-	if len(d.hosts) != 100 || d.large() || len(d.byRole[Reads])+len(d.byRole[Writes]) != 100 {
-		t.Fatalf("%d backends are left, %d and %d by role", len(d.hosts), len(d.byRole[Reads]), len(d.byRole[Writes]))
+	if len(d.backends) != 100 || d.large() || len(d.byRole[Reads])+len(d.byRole[Writes]) != 100 {
+		t.Fatalf("%d backends are left, %d and %d by role", len(d.backends), len(d.byRole[Reads]), len(d.byRole[Writes]))
 	}
 	for i := range 100 {
-		d.Listed([]Listing{{Host: &Host{ID: uint32(5000 + i), Kind: i % 2, Rack: 1000 + i/6}, Standing: Ready, Units: 1}}, false)
+		d.Listed([]Listing{{Host: &Backend{ID: uint32(5000 + i), Kind: i % 2, Rack: 1000 + i/6}, Standing: Ready, Units: 1}}, false)
 	}
-	if !d.large() || !slices.IsSortedFunc(d.hosts, func(a, b *Host) int { return int(a.order>>1) - int(b.order>>1) }) {
-		t.Errorf("%d backends, in order %v", len(d.hosts), d.ordered)
+	if !d.large() || !slices.IsSortedFunc(d.backends, func(a, b *Backend) int { return int(a.order>>1) - int(b.order>>1) }) {
+		t.Errorf("%d backends, in order %v", len(d.backends), d.ordered)
 	}
 	if got := len(d.byRole[Reads]) + len(d.byRole[Writes]); got != 200 {
 		t.Errorf("%d backends by role", got)
--- a/brain/cost_test.go
+++ b/brain/cost_test.go
@@ -32,7 +32,7 @@
 	}
 	var lines []Listing
 	for i := range backends {
-		l := Listing{Host: &Host{ID: uint32(i + 1), Kind: i % 2, Rack: i / 5, Zone: i % 3}, Standing: Ready, Units: 1}
+		l := Listing{Host: &Backend{ID: uint32(i + 1), Kind: i % 2, Rack: i / 5, Zone: i % 3}, Standing: Ready, Units: 1}
 		if state == allInSlowStart || state == mostInSlowStart && i%10 < 6 {
 			l.Restart, l.Booted = true, out.now-time.Second
 		}
@@ -47,14 +47,14 @@
 			}
 		}
 	}
-	for i, h := range d.hosts {
+	for i, h := range d.backends {
 		if i%8 == 0 {
 			h.Carried.Add(out.now, 50000)
 		}
 	}
 	d.window, d.credit = 0, 0
 	for i := range waiting {
-		d.Arrive(&Question{ID: uint64(1e6 + i), Session: uint64(i%50 + 1), Prompt: 2000, Most: 400, Left: time.Hour}, 0, 0)
+		d.Submit(&Request{ID: uint64(1e6 + i), Session: uint64(i%50 + 1), Prompt: 2000, Most: 400, Left: time.Hour}, 0, 0)
 	}
 	return d, out
 }
@@ -63,7 +63,7 @@
 func serve(d *Dispatcher, out *door, number int) {
 	out.now += 10 * time.Millisecond
 	d.window, d.credit = 2, 0
-	d.Arrive(&Question{ID: uint64(number), Session: uint64(number%200 + 1), Shared: uint64(number%20 + 1), Prompt: 2000, Prefix: 1500, Most: 400, Left: time.Hour}, 0, 0)
+	d.Submit(&Request{ID: uint64(number), Session: uint64(number%200 + 1), Shared: uint64(number%20 + 1), Prompt: 2000, Prefix: 1500, Most: 400, Left: time.Hour}, 0, 0)
 	for served := false; !served && len(out.sent) > 0; {
 		t := out.sent[0]
 		out.sent = out.sent[1:]
@@ -72,7 +72,7 @@
 			continue
 		}
 		d.Began(t, 5*time.Millisecond)
-		d.Ended(t, Result{Outcome: Answered, Took: 50 * time.Millisecond, Over: true})
+		d.Ended(t, Result{Outcome: Served, Took: 50 * time.Millisecond, Over: true})
 		served = true
 	}
 	out.wakes, out.delays, out.waits = out.wakes[:0], out.delays[:0], out.waits[:0]
@@ -117,7 +117,7 @@
 	began := time.Now()
 	for i := range rounds {
 		out.now += time.Millisecond
-		d.Listed([]Listing{{Host: d.hosts[i], Standing: Ready, Units: 1, Restart: true, Booted: out.now}}, false)
+		d.Listed([]Listing{{Host: d.backends[i], Standing: Ready, Units: 1, Restart: true, Booted: out.now}}, false)
 	}
 	if took := time.Since(began) / rounds; took > costMost/10 {
 		t.Errorf("a change costs %v", took)
--- a/brain/ends_test.go
+++ b/brain/ends_test.go
@@ -8,21 +8,21 @@
 	"time"
 )
 
-// played is a dispatcher in a world of chance: trips begin, end in any way or late, clients leave, hosts come, drain and go, and
-// siblings tell of failures. It keeps, from outside, what the rules are about.
+// played is a dispatcher in a world of chance: attempts begin, end in any way or late, clients leave, backends come, drain and go, and
+// peers tell of failures. It keeps, from outside, what the rules are about.
 type played struct {
 	*door
 	t      *testing.T
 	d      *Dispatcher
 	rng    *rand.Rand
 	due    []due
-	final  map[*Question]int
-	out    map[*Question]*Trip
-	state  map[*Question]*Host // held for it, as its host knows
-	drains map[*Host]bool
-	may    map[*Question]bool          // it may have run
-	silent map[*Trip]bool              // it never arrives
-	since  map[*Question]time.Duration // when its state began to wait with no attempt that has arrived
+	final  map[*Request]int
+	out    map[*Request]*Attempt
+	state  map[*Request]*Backend // held for it, as its backend knows
+	drains map[*Backend]bool
+	may    map[*Request]bool          // it may have run
+	silent map[*Attempt]bool          // it never arrives
+	since  map[*Request]time.Duration // when its state began to wait with no attempt that has arrived
 }
 
 const playedHold = 60 * time.Millisecond
@@ -45,21 +45,21 @@
 }
 
 func (p *played) Wake(after time.Duration, do func()) { p.due = append(p.due, due{p.now + after, do}) }
-func (p *played) Tell(int, News)                      {}
+func (p *played) Tell(int, PeerUpdate)                {}
 
-func (p *played) Send(t *Trip, wait time.Duration) {
-	q := t.Question
-	g := q.Grade.Effect
+func (p *played) Send(t *Attempt, wait time.Duration) {
+	q := t.Request
+	g := q.Class.Effect
 	switch {
 	case p.final[q] > 0:
 		p.t.Errorf("a trip after the final answer")
 	case p.out[q] != nil:
 		p.t.Errorf("two trips out")
-	case p.drains[t.Host]:
+	case p.drains[t.Backend]:
 		p.t.Errorf("a trip to a host that is not ready")
 	case t.Stage != ToRead && p.may[q] && g == Unrepeatable:
 		p.t.Errorf("an unrepeatable question that may have run goes out again")
-	case p.now >= q.Expiry || wait > q.Expiry-p.now:
+	case p.now >= q.Deadline || wait > q.Deadline-p.now:
 		p.t.Errorf("a trip past the client's time")
 	case t.Stage == ToWrite && p.state[q] == nil:
 		p.t.Errorf("a write without a state")
@@ -98,35 +98,35 @@
 }
 
 // Release lets go of a state that no attempt waits for.
-func (p *played) Release(q *Question) {
+func (p *played) Release(q *Request) {
 	if t := p.out[q]; t == nil || p.silent[t] {
 		delete(p.state, q)
 	}
 }
 
-func (p *played) end(q *Question, word string) {
+func (p *played) end(q *Request, word string) {
 	if p.final[q]++; p.final[q] > 1 {
 		p.t.Errorf("two final answers, the last %s", word)
 	}
 	if p.out[q] != nil {
 		p.t.Errorf("%s while a trip is out", word)
 	}
-	if p.now > q.Expiry {
-		p.t.Errorf("%s %v after the client's time", word, p.now-q.Expiry)
+	if p.now > q.Deadline {
+		p.t.Errorf("%s %v after the client's time", word, p.now-q.Deadline)
 	}
 }
 
-func (p *played) Decline(q *Question, _ time.Duration) {
+func (p *played) Reject(q *Request, _ time.Duration) {
 	p.end(q, "declined")
-	if p.may[q] && q.Grade.Effect == Unrepeatable {
+	if p.may[q] && q.Class.Effect == Unrepeatable {
 		p.t.Errorf("a decline of what may have run")
 	}
 }
-func (p *played) Forfeit(q *Question) { p.end(q, "forfeited") }
+func (p *played) Fail(q *Request) { p.end(q, "forfeited") }
 
-// finish ends the trip that is out for a question.
-func (p *played) finish(t *Trip, o Outcome) {
-	q := t.Question
+// finish ends the attempt that is out for a request.
+func (p *played) finish(t *Attempt, o Outcome) {
+	q := t.Request
 	delete(p.out, q)
 	if _, waits := p.since[q]; !waits {
 		p.since[q] = p.now
@@ -137,15 +137,15 @@
 	note := 0
 	switch {
 	case o == Read:
-		p.state[q], p.since[q] = t.Host, p.now
+		p.state[q], p.since[q] = t.Backend, p.now
 		note = int(q.Prompt / 2)
-	case t.Stage == ToWrite && (t.Began > 0 || o == Answered):
+	case t.Stage == ToWrite && (t.Began > 0 || o == Served):
 		delete(p.state, q)
-	case o == Full && t.Stage == ToWrite && (p.state[q] == nil || p.rng.IntN(2) == 0):
-		delete(p.state, q) // the reader had none
+	case o == Rejected && t.Stage == ToWrite && (p.state[q] == nil || p.rng.IntN(2) == 0):
+		delete(p.state, q) // the prefill backend had none
 		note = 1
 	}
-	over := o == Answered || t.Began > 0
+	over := o == Served || t.Began > 0
 	if over && p.final[q] == 0 {
 		p.final[q]++
 	}
@@ -155,12 +155,12 @@
 	}
 }
 
-// Whatever happens in whatever order, the gate holds, and in the end nothing is left: no question, no place in a count, no state.
+// Whatever happens in whatever order, the gate holds, and in the end nothing is left: no request, no place in a count, no state.
 func TestNothingIsLeftBehindWhateverHappens(t *testing.T) {
 	for seed := range uint64(150) {
-		p := &played{door: &door{now: time.Second}, t: t, rng: rand.New(rand.NewPCG(seed, 3)), final: map[*Question]int{}, out: map[*Question]*Trip{},
-			state: map[*Question]*Host{}, drains: map[*Host]bool{}, may: map[*Question]bool{},
-			silent: map[*Trip]bool{}, since: map[*Question]time.Duration{}}
+		p := &played{door: &door{now: time.Second}, t: t, rng: rand.New(rand.NewPCG(seed, 3)), final: map[*Request]int{}, out: map[*Request]*Attempt{},
+			state: map[*Request]*Backend{}, drains: map[*Backend]bool{}, may: map[*Request]bool{},
+			silent: map[*Attempt]bool{}, since: map[*Request]time.Duration{}}
 		f := facts()
 		f["requestClasses"], f["siblings"], f["policyLimits.retryAfter"], f["report.fields.0"], f["report.fields.1"] = 3.0, 1.0, true, "util", "queue"
 		f["familyInfo.pinLimitUs"] = float64(playedHold.Microseconds())
@@ -173,55 +173,55 @@
 			t.Fatal(err)
 		}
 		p.d = d
-		var hosts []*Host
+		var hosts []*Backend
 		for i := range 9 {
-			hosts = append(hosts, &Host{ID: uint32(i + 1), Kind: i / 3, Rack: i % 2})
+			hosts = append(hosts, &Backend{ID: uint32(i + 1), Kind: i / 3, Rack: i % 2})
 		}
-		list := func(h *Host, s Standing) {
+		list := func(h *Backend, s BackendState) {
 			p.drains[h] = s != Ready
 			d.Listed([]Listing{{Host: h, Standing: s, Units: 1, Booted: p.now, Restart: s == Ready && p.rng.IntN(3) == 0}}, false)
 		}
 		for _, h := range hosts {
 			list(h, Ready)
 		}
-		var asked []*Question
+		var asked []*Request
 		for step := range 1500 {
 			p.pass(time.Duration(p.rng.IntN(4)) * time.Millisecond)
 			if step < 1000 && p.rng.IntN(3) == 0 {
-				q := &Question{ID: uint64(len(asked) + 1), Session: uint64(p.rng.IntN(30)), Shared: uint64(p.rng.IntN(5)), Prompt: float64(p.rng.IntN(4000)),
+				q := &Request{ID: uint64(len(asked) + 1), Session: uint64(p.rng.IntN(30)), Shared: uint64(p.rng.IntN(5)), Prompt: float64(p.rng.IntN(4000)),
 					Most: float64(p.rng.IntN(200)), Again: p.rng.IntN(5) == 0, Left: time.Duration(100+p.rng.IntN(1500)) * time.Millisecond}
 				asked = append(asked, q)
-				d.Arrive(q, p.rng.IntN(3), 0)
+				d.Submit(q, p.rng.IntN(3), 0)
 			}
 			if p.rng.IntN(40) == 0 {
-				list(hosts[p.rng.IntN(len(hosts))], Standing(p.rng.IntN(3)))
+				list(hosts[p.rng.IntN(len(hosts))], BackendState(p.rng.IntN(3)))
 			}
 			if p.rng.IntN(40) == 0 {
-				d.Heard(News{Host: hosts[p.rng.IntN(len(hosts))], Grade: p.rng.IntN(3), Verdict: Verdict(p.rng.IntN(5))})
+				d.Heard(PeerUpdate{Host: hosts[p.rng.IntN(len(hosts))], Grade: p.rng.IntN(3), Verdict: Verdict(p.rng.IntN(5))})
 			}
 			for _, q := range asked {
 				trip := p.out[q]
 				switch {
 				case trip == nil:
 				case trip.Began > 0 && p.rng.IntN(30) == 0:
-					p.finish(trip, []Outcome{Answered, Answered, Answered, Broken}[p.rng.IntN(4)])
+					p.finish(trip, []Outcome{Served, Served, Served, Broken}[p.rng.IntN(4)])
 				case trip.Began > 0:
 				case p.rng.IntN(25) > 0:
 				case p.silent[trip]:
 					if p.rng.IntN(4) == 0 {
-						p.finish(trip, []Outcome{Unreached, Broken}[p.rng.IntN(2)])
+						p.finish(trip, []Outcome{Unreachable, Broken}[p.rng.IntN(2)])
 					}
 				case trip.Stage == ToWrite && p.state[q] == nil:
-					p.finish(trip, Full) // it arrives behind the release
+					p.finish(trip, Rejected) // it arrives behind the release
 				case trip.Stage == ToRead:
-					p.finish(trip, []Outcome{Read, Read, Read, Read, Failed, Full, TimedOut, Unreached, Broken}[p.rng.IntN(9)])
+					p.finish(trip, []Outcome{Read, Read, Read, Read, Failed, Rejected, TimedOut, Unreachable, Broken}[p.rng.IntN(9)])
 				case p.rng.IntN(3) > 0:
 					d.Began(trip, p.now-trip.Sent)
 					if trip.Stage == ToWrite {
 						delete(p.state, q)
 					}
 				default:
-					p.finish(trip, []Outcome{Failed, Full, TimedOut, Unreached, Broken}[p.rng.IntN(5)])
+					p.finish(trip, []Outcome{Failed, Rejected, TimedOut, Unreachable, Broken}[p.rng.IntN(5)])
 				}
 				if p.final[q] == 0 && p.rng.IntN(400) == 0 {
 					p.final[q]++ // its client leaves
@@ -232,7 +232,7 @@
 		for range 3000 {
 			p.pass(2 * time.Millisecond)
 			for _, q := range asked {
-				if trip := p.out[q]; trip != nil && p.now < q.Expiry {
+				if trip := p.out[q]; trip != nil && p.now < q.Deadline {
 					p.finish(trip, Broken)
 				} else if trip != nil {
 					p.finish(trip, Cancelled)
@@ -258,7 +258,7 @@
 	}
 }
 
-// Trips that time out tell how long first tokens take as well as those that had one: in a jam only the quick ones have.
+// Attempts that time out tell how long first tokens take as well as those that had one: in a jam only the quick ones have.
 func TestTimedOutTripsTellOfAJam(t *testing.T) {
 	d, out := begin(t)
 	d.firstToken.Add(0.1, 0.1)
@@ -275,7 +275,7 @@
 	if ahead := d.firstToken.Or(0); ahead < 0.5 || ahead > 0.7 {
 		t.Errorf("first tokens are taken to come after %.2f s, where none comes within 0.7 s", ahead)
 	}
-	trip := &Trip{Question: &Question{Grade: d.grades[0], Expiry: out.now + 2*time.Second}, Sent: out.now, Stage: ToRead}
+	trip := &Attempt{Request: &Request{Class: d.classes[0], Deadline: out.now + 2*time.Second}, Sent: out.now, Stage: ToRead}
 	if got := d.patience(trip); got != 2*time.Second {
 		t.Errorf("a trip leaves time for another into the jam: %v", got)
 	}
--- a/brain/facts.go
+++ b/brain/facts.go
@@ -93,7 +93,7 @@
 	{"prices.crossZone", 0, 1e9, 0, false},
 }
 
-// Complete returns the facts with what they do not state. Without the rule on cold hosts, none is cold.
+// Complete returns the facts with what they do not state. Without the rule on cold backends, none is cold.
 func (f Facts) Complete() Facts {
 	whole := maps.Clone(f)
 	if f.Num("rules.tipMultiple", 0) == 0 || f.Num("rules.tipAfterUs", 0) == 0 {
@@ -129,9 +129,9 @@
 	return nil
 }
 
-// Grades reads the service grades.
-func (f Facts) Grades() ([]*Grade, error) {
-	var grades []*Grade
+// Grades reads the service classes.
+func (f Facts) Grades() ([]*Class, error) {
+	var grades []*Class
 	for i := range int(f.Num("requestClasses", 0)) {
 		at := fmt.Sprintf("requestClasses.%d.", i)
 		effect, known := map[string]Effect{
@@ -140,7 +140,7 @@
 		if !known {
 			return nil, fmt.Errorf("setting %seffect is missing or unknown", at)
 		}
-		// A grade without a target has its deadline for one, and one without a window is never repeated.
+		// A class without a target has its deadline for one, and one without a window is never repeated.
 		target := at + "aimUs"
 		if f.Num(target, 0) == 0 {
 			target = at + "giveUpUs"
@@ -153,17 +153,17 @@
 				return nil, fmt.Errorf("setting %s is %g, which makes no sense", name, v)
 			}
 		}
-		grades = append(grades, &Grade{
-			Index:     i,
-			Effect:    effect,
-			Reach:     map[string]Reach{"zone": SameZone, "cell": SameRack}[f.Text(at+"group")],
-			Window:    f.Span(at + "windowUs"),
-			Promise:   f.Span(target),
-			PromisePK: f.Span(fmt.Sprintf("familyInfo.aimUsPer1000PromptTokens.%d", i)),
-			Benefit:   f.Num(at+"worth", 1),
-			Late:      f.Num(at+"lateWorth", 1),
-			Offered:   Ring{Width: admittedWidth},
-			Admitted:  Ring{Width: admittedWidth},
+		grades = append(grades, &Class{
+			Index:      i,
+			Effect:     effect,
+			Reach:      map[string]Reach{"zone": SameZone, "cell": SameRack}[f.Text(at+"group")],
+			Window:     f.Span(at + "windowUs"),
+			Target:     f.Span(target),
+			TargetPerK: f.Span(fmt.Sprintf("familyInfo.aimUsPer1000PromptTokens.%d", i)),
+			Value:      f.Num(at+"worth", 1),
+			Late:       f.Num(at+"lateWorth", 1),
+			Offered:    Ring{Width: admittedWidth},
+			Admitted:   Ring{Width: admittedWidth},
 		})
 	}
 	return grades, nil
@@ -188,11 +188,11 @@
 }
 
 // Channels reads the tenants.
-func (f Facts) Channels() []*Channel {
-	var channels []*Channel
+func (f Facts) Channels() []*Tenant {
+	var channels []*Tenant
 	for i := range int(f.Num("tenants", 0)) {
 		quota := f.Num(fmt.Sprintf("tenants.%d.quotaPerS", i), math.Inf(1))
-		channels = append(channels, &Channel{Quota: quota, Taken: Ring{Width: 500 * time.Millisecond}})
+		channels = append(channels, &Tenant{Quota: quota, Taken: Ring{Width: 500 * time.Millisecond}})
 	}
 	return channels
 }
--- a/brain/facts_test.go
+++ b/brain/facts_test.go
@@ -19,7 +19,7 @@
 	return f
 }
 
-// Without the rule on cold hosts none is cold, one that starts neither, and the module divides by nothing.
+// Without the rule on cold backends none is cold, one that starts neither, and the module divides by nothing.
 func TestWithoutTheRuleOnColdHostsNoneIsCold(t *testing.T) {
 	for _, name := range []string{"rules.tipMultiple", "rules.tipAfterUs", "rules.rampTimeUs"} {
 		for _, value := range []any{nil, 0.0} {
@@ -28,8 +28,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			d.Listed([]Listing{{Host: &Host{ID: 1}, Standing: Ready, Units: 1, Restart: true, Booted: time.Second}}, true)
-			d.Arrive(&Question{ID: 1, Prompt: 100, Most: 10, Left: 4 * time.Second}, 0, 0)
+			d.Listed([]Listing{{Host: &Backend{ID: 1}, Standing: Ready, Units: 1, Restart: true, Booted: time.Second}}, true)
+			d.Submit(&Request{ID: 1, Prompt: 100, Most: 10, Left: 4 * time.Second}, 0, 0)
 			if len(out.sent) != 1 {
 				t.Errorf("%s = %v: a host that has just started gets nothing", name, value)
 			}
@@ -72,10 +72,10 @@
 			}
 			continue
 		}
-		h := &Host{ID: 1}
+		h := &Backend{ID: 1}
 		d.Listed([]Listing{{Host: h, Standing: Ready, Units: 1, Restart: true}}, true)
-		q := &Question{ID: 1, Prompt: 100, Most: 10, Left: 4e9}
-		d.Arrive(q, 0, 0)
+		q := &Request{ID: 1, Prompt: 100, Most: 10, Left: 4e9}
+		d.Submit(q, 0, 0)
 		if math.IsNaN(d.window) || math.IsNaN(h.Room) {
 			t.Errorf("%s = %v: window %g, room %g", c.name, c.value, d.window, h.Room)
 		}
@@ -89,10 +89,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	hosts := []Listing{{Host: &Host{ID: 1}, Standing: Ready, Units: 1}, {Host: &Host{ID: 2}, Standing: Ready, Units: 1}}
+	hosts := []Listing{{Host: &Backend{ID: 1}, Standing: Ready, Units: 1}, {Host: &Backend{ID: 2}, Standing: Ready, Units: 1}}
 	d.Listed(hosts, true)
-	q := &Question{ID: 1, Prompt: 100, Most: 10, Left: 4 * time.Second}
-	d.Arrive(q, 0, 0)
+	q := &Request{ID: 1, Prompt: 100, Most: 10, Left: 4 * time.Second}
+	d.Submit(q, 0, 0)
 	d.Ended(out.sent[0], Result{Outcome: Broken})
 	if len(out.sent) != 2 {
 		t.Fatalf("%d trips", len(out.sent))
@@ -101,16 +101,16 @@
 	if d.MaySend(repeat) != Allowed {
 		t.Error("a repeat within the window does not stand")
 	}
-	out.now = out.sent[0].Sent + q.Grade.Window
+	out.now = out.sent[0].Sent + q.Class.Window
 	if d.MaySend(repeat) == Allowed {
 		t.Error("a repeat stands after the window")
 	}
-	out.now = out.sent[0].Sent + q.Grade.Window/2
-	repeat.Host.Standing = Draining
+	out.now = out.sent[0].Sent + q.Class.Window/2
+	repeat.Backend.Standing = Draining
 	if d.MaySend(repeat) == Allowed {
 		t.Error("a trip to a host that drains stands")
 	}
-	repeat.Host.Standing, q.Over = Ready, true
+	repeat.Backend.Standing, q.Over = Ready, true
 	if d.MaySend(repeat) == Allowed {
 		t.Error("a trip stands after its question is over")
 	}
--- a/brain/help_test.go
+++ b/brain/help_test.go
@@ -10,9 +10,9 @@
 // door records what the module does; its clock is set by the test.
 type door struct {
 	now                      time.Duration
-	sent                     []*Trip
-	cancelled                []*Trip
-	released, declined, lost []*Question
+	sent                     []*Attempt
+	cancelled                []*Attempt
+	released, declined, lost []*Request
 	wakes                    []func()
 	delays                   []time.Duration // of the wakes
 	waits                    []time.Duration
@@ -20,19 +20,19 @@
 }
 
 func (d *door) Now() time.Duration { return d.now }
-func (d *door) Send(t *Trip, wait time.Duration) {
+func (d *door) Send(t *Attempt, wait time.Duration) {
 	d.sent, d.waits = append(d.sent, t), append(d.waits, wait)
 }
-func (d *door) Cancel(t *Trip)                       { d.cancelled = append(d.cancelled, t) }
-func (d *door) Release(q *Question)                  { d.released = append(d.released, q) }
-func (d *door) Decline(q *Question, _ time.Duration) { d.declined = append(d.declined, q) }
-func (d *door) Forfeit(q *Question)                  { d.lost = append(d.lost, q) }
+func (d *door) Cancel(t *Attempt)                  { d.cancelled = append(d.cancelled, t) }
+func (d *door) Release(q *Request)                 { d.released = append(d.released, q) }
+func (d *door) Reject(q *Request, _ time.Duration) { d.declined = append(d.declined, q) }
+func (d *door) Fail(q *Request)                    { d.lost = append(d.lost, q) }
 func (d *door) Wake(after time.Duration, do func()) {
 	d.wakes, d.delays = append(d.wakes, do), append(d.delays, after)
 }
-func (d *door) Watch(bool)            {}
-func (d *door) Tell(peer int, _ News) { d.told = append(d.told, peer) }
-func (d *door) Note(string)           {}
+func (d *door) Watch(bool)                  {}
+func (d *door) Tell(peer int, _ PeerUpdate) { d.told = append(d.told, peer) }
+func (d *door) Note(string)                 {}
 
 func facts() Facts {
 	return Facts{
@@ -45,7 +45,7 @@
 	}
 }
 
-// fleetOf makes a dispatcher of so many, at 100 s, with the hosts of begin in its own order.
+// fleetOf makes a dispatcher of so many, at 100 s, with the backends of begin in its own order.
 func fleetOf(t *testing.T, dispatchers float64) (*Dispatcher, *door) {
 	t.Helper()
 	f := facts()
@@ -57,31 +57,31 @@
 	}
 	var lines []Listing
 	for i := range 6 {
-		lines = append(lines, Listing{Host: &Host{ID: uint32(i + 1), Kind: i / 2, Rack: i % 2}, Standing: Ready, Units: 4})
+		lines = append(lines, Listing{Host: &Backend{ID: uint32(i + 1), Kind: i / 2, Rack: i % 2}, Standing: Ready, Units: 4})
 	}
 	d.Listed(lines, true)
 	return d, out
 }
 
-// begin makes a dispatcher at 100 s that knows two hosts of each role (readers 1 and 2, writers 3 and
+// begin makes a dispatcher at 100 s that knows two backends of each role (prefill backends 1 and 2, decode backends 3 and
 // 4, mixed 5 and 6), in the order of their numbers.
 func begin(t *testing.T) (*Dispatcher, *door) {
 	t.Helper()
 	d, out := fleetOf(t, 1)
-	slices.SortFunc(d.hosts, func(a, b *Host) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(d.backends, func(a, b *Backend) int { return cmp.Compare(a.ID, b.ID) })
 	return d, out
 }
 
-// ask makes a question of 2,000 tokens that was taken now.
-func ask(d *Dispatcher) *Question {
-	now := d.door.Now()
-	return &Question{ID: 1, Session: 7, Shared: 9, Prompt: 2000, Prefix: 1500, Most: 400, Memory: 2100, Grade: d.grades[0],
-		Taken: now, Left: 4 * time.Second, Promised: now + time.Second, Expiry: now + 4*time.Second}
+// ask makes a request of 2,000 tokens that was taken now.
+func ask(d *Dispatcher) *Request {
+	now := d.runtime.Now()
+	return &Request{ID: 1, Session: 7, Shared: 9, Prompt: 2000, Prefix: 1500, Most: 400, Memory: 2100, Class: d.classes[0],
+		Taken: now, Left: 4 * time.Second, TargetAt: now + time.Second, Deadline: now + 4*time.Second}
 }
 
-// went gives the question an ended trip.
-func went(q *Question, h *Host, o Outcome, sent time.Duration) *Trip {
-	t := &Trip{Question: q, Host: h, Number: len(q.Trips), Sent: sent, Ended: true, Outcome: o, Next: func(Result) {}}
-	q.Trips = append(q.Trips, t)
+// went gives the request an ended attempt.
+func went(q *Request, h *Backend, o Outcome, sent time.Duration) *Attempt {
+	t := &Attempt{Request: q, Backend: h, Number: len(q.Attempts), Sent: sent, Ended: true, Outcome: o, Next: func(Result) {}}
+	q.Attempts = append(q.Attempts, t)
 	return t
 }
--- a/brain/policy.go
+++ b/brain/policy.go
@@ -44,7 +44,7 @@
 const repeatSlack = 10 * time.Millisecond
 
 // mayChoose tells whether a further attempt of the request may be made at the backend.
-func (d *Dispatcher) mayChoose(q *Question, h *Host) Permission {
+func (d *Dispatcher) mayChoose(q *Request, h *Backend) Permission {
 	switch {
 	case q.Over:
 		return RequestOver
@@ -52,23 +52,23 @@
 		return NoFurtherAttempt
 	case q.Out() != nil:
 		return OtherAttemptOut
-	case len(q.Trips) >= d.parameters.maxAttempts:
+	case len(q.Attempts) >= d.parameters.maxAttempts:
 		return AttemptsSpent
 	}
-	if v := d.mayReach(q, h, len(q.Trips)); v != Allowed {
+	if v := d.mayReach(q, h, len(q.Attempts)); v != Allowed {
 		return v
 	}
 	work := d.weight(q, h, Whole)
-	return d.mayUseSlowStart(h, work, h.Sent.Sum(d.door.Now())+work)
+	return d.mayUseSlowStart(h, work, h.Sent.Sum(d.runtime.Now())+work)
 }
 
 // barred tells whether no attempt of the request may be made at the backend.
-func (d *Dispatcher) barred(q *Question, h *Host) bool { return d.mayChoose(q, h) != Allowed }
+func (d *Dispatcher) barred(q *Request, h *Backend) bool { return d.mayChoose(q, h) != Allowed }
 
 // MaySend tells, right before an attempt's first byte, whether it may still go out. While its connection was made its client may have
 // gone, its backend may drain or have started anew, and the window for repeats may have closed (rules 1 to 4).
-func (d *Dispatcher) MaySend(t *Trip) Permission {
-	q, h := t.Question, t.Host
+func (d *Dispatcher) MaySend(t *Attempt) Permission {
+	q, h := t.Request, t.Backend
 	switch {
 	case t.Ended:
 		return AttemptEnded
@@ -80,13 +80,13 @@
 	if v := d.mayReach(q, h, t.Number); v != Allowed || t.SlowStart {
 		return v
 	}
-	return d.mayUseSlowStart(h, d.weight(q, h, Whole), h.Sent.Sum(d.door.Now()))
+	return d.mayUseSlowStart(h, d.weight(q, h, Whole), h.Sent.Sum(d.runtime.Now()))
 }
 
 // mayReach tells whether the attempt of that number may reach the backend now.
-func (d *Dispatcher) mayReach(q *Question, h *Host, number int) Permission {
+func (d *Dispatcher) mayReach(q *Request, h *Backend, number int) Permission {
 	switch {
-	case d.door.Now() >= q.Expiry:
+	case d.runtime.Now() >= q.Deadline:
 		return DeadlinePassed
 	case h.Standing != Ready:
 		return BackendNotReady
@@ -95,24 +95,24 @@
 }
 
 // mayRepeat tells whether the attempt of that number at the backend has no effect a second time (rule 2).
-func (d *Dispatcher) mayRepeat(q *Question, h *Host, number int) Permission {
-	t, g := q.MayHaveRunBefore(number), q.Grade
+func (d *Dispatcher) mayRepeat(q *Request, h *Backend, number int) Permission {
+	t, g := q.MayHaveRunBefore(number), q.Class
 	switch {
 	case t == nil || h.Role == Reads || g.Effect == Idempotent:
 		return Allowed
 	case g.Effect == Unrepeatable:
 		return MayHaveRun
-	case d.door.Now() >= t.Sent+g.Window-repeatSlack:
+	case d.runtime.Now() >= t.Sent+g.Window-repeatSlack:
 		return RepeatWindowClosed
-	case !g.Reach.Joins(h, t.Host):
+	case !g.Reach.Joins(h, t.Backend):
 		return OtherGroup
 	}
 	return Allowed
 }
 
 // MayReject tells whether a request may be answered with the promise that trying again is harmless (rule 2).
-func MayReject(q *Question) Permission {
-	g := q.Grade
+func MayReject(q *Request) Permission {
+	g := q.Class
 	anywhere := g.Effect == Idempotent || g.Effect == Deduplicated && g.Reach == Everywhere
 	if !anywhere && q.MayHaveRun() != nil {
 		return MayHaveRun
--- a/brain/policy_test.go
+++ b/brain/policy_test.go
@@ -10,38 +10,38 @@
 // byte agree wherever both look.
 func TestEachReasonHasItsPermission(t *testing.T) {
 	for name, c := range map[string]struct {
-		change         func(d *Dispatcher, q *Question, h *Host)
+		change         func(d *Dispatcher, q *Request, h *Backend)
 		choice, before Permission
 	}{
-		"nothing speaks against it": {func(*Dispatcher, *Question, *Host) {}, Allowed, Allowed},
-		"the request is over":       {func(_ *Dispatcher, q *Question, _ *Host) { q.Over = true }, RequestOver, RequestOver},
-		"the stop has begun":        {func(_ *Dispatcher, q *Question, _ *Host) { q.Last = true }, NoFurtherAttempt, Allowed},
-		"its time is up":            {func(d *Dispatcher, q *Question, _ *Host) { q.Expiry = d.door.Now() }, DeadlinePassed, DeadlinePassed},
-		"the backend drains":        {func(_ *Dispatcher, _ *Question, h *Host) { h.Standing = Draining }, BackendNotReady, BackendNotReady},
-		"it may have run, and must not run twice": {func(d *Dispatcher, q *Question, h *Host) {
-			q.Grade.Effect = Unrepeatable
-			went(q, h, Broken, d.door.Now())
+		"nothing speaks against it": {func(*Dispatcher, *Request, *Backend) {}, Allowed, Allowed},
+		"the request is over":       {func(_ *Dispatcher, q *Request, _ *Backend) { q.Over = true }, RequestOver, RequestOver},
+		"the stop has begun":        {func(_ *Dispatcher, q *Request, _ *Backend) { q.Last = true }, NoFurtherAttempt, Allowed},
+		"its time is up":            {func(d *Dispatcher, q *Request, _ *Backend) { q.Deadline = d.runtime.Now() }, DeadlinePassed, DeadlinePassed},
+		"the backend drains":        {func(_ *Dispatcher, _ *Request, h *Backend) { h.Standing = Draining }, BackendNotReady, BackendNotReady},
+		"it may have run, and must not run twice": {func(d *Dispatcher, q *Request, h *Backend) {
+			q.Class.Effect = Unrepeatable
+			went(q, h, Broken, d.runtime.Now())
 		}, MayHaveRun, MayHaveRun},
-		"it may have run, too long ago": {func(d *Dispatcher, q *Question, h *Host) {
-			q.Grade.Effect, q.Grade.Window = Deduplicated, time.Second
-			went(q, h, Broken, d.door.Now()-time.Second)
+		"it may have run, too long ago": {func(d *Dispatcher, q *Request, h *Backend) {
+			q.Class.Effect, q.Class.Window = Deduplicated, time.Second
+			went(q, h, Broken, d.runtime.Now()-time.Second)
 		}, RepeatWindowClosed, RepeatWindowClosed},
-		"it may have run elsewhere": {func(d *Dispatcher, q *Question, h *Host) {
-			q.Grade.Effect, q.Grade.Window, q.Grade.Reach = Deduplicated, time.Minute, SameRack
-			went(q, &Host{Role: Writes, Rack: h.Rack + 1}, Broken, d.door.Now())
+		"it may have run elsewhere": {func(d *Dispatcher, q *Request, h *Backend) {
+			q.Class.Effect, q.Class.Window, q.Class.Reach = Deduplicated, time.Minute, SameRack
+			went(q, &Backend{Role: Writes, Rack: h.Rack + 1}, Broken, d.runtime.Now())
 		}, OtherGroup, OtherGroup},
-		"the backend started anew meanwhile": {func(d *Dispatcher, _ *Question, h *Host) {
-			h.Restart, h.Booted = true, d.door.Now()
-			h.Sent.Add(d.door.Now(), 1e9)
+		"the backend started anew meanwhile": {func(d *Dispatcher, _ *Request, h *Backend) {
+			h.Restart, h.Booted = true, d.runtime.Now()
+			h.Sent.Add(d.runtime.Now(), 1e9)
 		}, SlowStartSpent, SlowStartSpent},
 	} {
 		d, _ := begin(t)
-		h, q := d.hosts[2], ask(d)
+		h, q := d.backends[2], ask(d)
 		c.change(d, q, h)
 		if got := d.mayChoose(q, h); got != c.choice {
 			t.Errorf("%s: the choice is %v, wanted %v", name, got, c.choice)
 		}
-		trip := &Trip{Question: q, Host: h, Number: len(q.Trips), Sent: d.door.Now()}
+		trip := &Attempt{Request: q, Backend: h, Number: len(q.Attempts), Sent: d.runtime.Now()}
 		if got := d.MaySend(trip); got != c.before {
 			t.Errorf("%s: before the first byte it is %v, wanted %v", name, got, c.before)
 		}
@@ -51,10 +51,10 @@
 // An attempt that was counted against the slow-start budget when it was chosen is not held to it a second time.
 func TestAnAttemptIsHeldToSlowStartOnce(t *testing.T) {
 	d, _ := begin(t)
-	h := d.hosts[2]
-	h.Restart, h.Booted = true, d.door.Now()
-	h.Sent.Add(d.door.Now(), 1e9)
-	if got := d.MaySend(&Trip{Question: ask(d), Host: h, SlowStart: true}); got != Allowed {
+	h := d.backends[2]
+	h.Restart, h.Booted = true, d.runtime.Now()
+	h.Sent.Add(d.runtime.Now(), 1e9)
+	if got := d.MaySend(&Attempt{Request: ask(d), Backend: h, SlowStart: true}); got != Allowed {
 		t.Errorf("%v", got)
 	}
 }
@@ -71,14 +71,14 @@
 		"deduplicated everywhere, may have run":     {Deduplicated, Everywhere, TimedOut, Allowed},
 		"deduplicated in a zone, may have run":      {Deduplicated, SameZone, TimedOut, MayHaveRun},
 		"non-idempotent, may have run":              {Unrepeatable, Everywhere, Cancelled, MayHaveRun},
-		"non-idempotent, a rejection by a backend":  {Unrepeatable, Everywhere, Full, Allowed},
-		"non-idempotent, never reached its backend": {Unrepeatable, Everywhere, Unreached, Allowed},
-		"non-idempotent, not sent":                  {Unrepeatable, Everywhere, Moot, Allowed},
+		"non-idempotent, a rejection by a backend":  {Unrepeatable, Everywhere, Rejected, Allowed},
+		"non-idempotent, never reached its backend": {Unrepeatable, Everywhere, Unreachable, Allowed},
+		"non-idempotent, not sent":                  {Unrepeatable, Everywhere, NotSent, Allowed},
 	} {
 		d, _ := begin(t)
 		q := ask(d)
-		q.Grade.Effect, q.Grade.Reach = c.effect, c.reach
-		went(q, d.hosts[2], c.outcome, d.door.Now())
+		q.Class.Effect, q.Class.Reach = c.effect, c.reach
+		went(q, d.backends[2], c.outcome, d.runtime.Now())
 		if got := MayReject(q); got != c.want {
 			t.Errorf("%s: %v, wanted %v", name, got, c.want)
 		}
--- a/brain/release.go
+++ b/brain/release.go
@@ -17,9 +17,9 @@
 )
 
 // mayHold tells whether a state may go on waiting for a backend to be chosen.
-func (d *Dispatcher) mayHold(q *Question) Permission {
+func (d *Dispatcher) mayHold(q *Request) Permission {
 	limit := d.parameters.holdLimit
-	if q.Released || limit > 0 && d.door.Now()-q.Waits > part(limit, holdForChoice) {
+	if q.Released || limit > 0 && d.runtime.Now()-q.Waits > part(limit, holdForChoice) {
 		return StateDue
 	}
 	return Allowed
@@ -36,36 +36,36 @@
 }
 
 // releaseWhenDue has the state of an attempt that is being sent released at its time, unless the attempt has its first token by then.
-func (d *Dispatcher) releaseWhenDue(t *Trip) {
+func (d *Dispatcher) releaseWhenDue(t *Attempt) {
 	limit := d.parameters.holdLimit
 	if t.Stage != ToWrite || limit <= 0 {
 		return
 	}
-	q := t.Question
-	d.door.Wake(q.Waits+limit-d.door.Now(), func() {
+	q := t.Request
+	d.runtime.Wake(q.Waits+limit-d.runtime.Now(), func() {
 		if t.Ended || t.Began > 0 || q.State == nil || q.Released {
 			return
 		}
 		q.Released = true
-		d.door.Release(q)
+		d.runtime.Release(q)
 	})
 }
 
 // letGo releases a state that waits for the request. Every end of a step comes through here. What was released beside an attempt is
 // released once more behind it: the attempt may have arrived, and have left the state where it was.
-func (d *Dispatcher) letGo(q *Question) {
+func (d *Dispatcher) letGo(q *Request) {
 	if q.State == nil || q.Out() != nil {
 		return
 	}
 	q.State, q.Released = nil, false
-	d.door.Release(q)
+	d.runtime.Release(q)
 }
 
 // arrived tells whether the outcome proves that the attempt came to its backend. A connection that broke, or a time that was up, does
 // not: the state has waited all the while.
 func (o Outcome) arrived() bool {
 	switch o {
-	case Answered, Read, Failed, Full:
+	case Served, Read, Failed, Rejected:
 		return true
 	}
 	return false
--- a/brain/release_test.go
+++ b/brain/release_test.go
@@ -9,12 +9,12 @@
 
 // waiting makes a dispatcher with a limit on held state, and a request of which a read has just ended and a decode attempt is out. due
 // passes the time until its state is due.
-func waiting(t *testing.T) (d *Dispatcher, out *door, q *Question, decode *Trip, due func()) {
+func waiting(t *testing.T) (d *Dispatcher, out *door, q *Request, decode *Attempt, due func()) {
 	t.Helper()
 	d, out = begin(t)
 	d.parameters.holdLimit = holdLimit
 	q = ask(d)
-	read := went(q, d.hosts[0], 0, out.now)
+	read := went(q, d.backends[0], 0, out.now)
 	read.Ended, read.Next = false, d.onward(q)
 	d.Ended(read, Result{Outcome: Read})
 	if len(out.sent) != 1 || out.sent[0].Stage != ToWrite {
@@ -48,7 +48,7 @@
 
 // Nothing takes a released state for one that is there: what comes next is a read, whatever the attempt's end says.
 func TestAReleasedStateIsNotUsedAgain(t *testing.T) {
-	for _, outcome := range []Outcome{Full, Failed, TimedOut, Unreached, Broken, Moot} {
+	for _, outcome := range []Outcome{Rejected, Failed, TimedOut, Unreachable, Broken, NotSent} {
 		d, out, q, decode, due := waiting(t)
 		due()
 		d.Ended(decode, Result{Outcome: outcome})
@@ -77,7 +77,7 @@
 		outcome Outcome
 		again   Stage
 	}{
-		{Full, ToWrite}, {Failed, ToWrite}, {TimedOut, ToRead}, {Broken, ToRead}, {Unreached, ToRead}, {Moot, ToRead},
+		{Rejected, ToWrite}, {Failed, ToWrite}, {TimedOut, ToRead}, {Broken, ToRead}, {Unreachable, ToRead}, {NotSent, ToRead},
 	} {
 		d, out, _, decode, _ := waiting(t)
 		out.now += holdLimit * 4 / 5
@@ -93,7 +93,7 @@
 	d, out := begin(t)
 	d.parameters.holdLimit = holdLimit
 	q := ask(d)
-	read := went(q, d.hosts[0], 0, out.now)
+	read := went(q, d.backends[0], 0, out.now)
 	read.Ended, read.Next = false, d.onward(q)
 	d.Ended(read, Result{Outcome: Read, Ago: 100 * time.Millisecond})
 	if got := out.delays[len(out.delays)-1]; got != holdLimit-100*time.Millisecond {
--- a/cmd/benchlink/instance.go
+++ b/cmd/benchlink/instance.go
@@ -17,21 +17,21 @@
 	began     uint64
 	reply     *wire.Reply
 	module    *brain.Dispatcher
-	hosts     map[uint32]*brain.Host
-	questions map[uint64]*brain.Question
+	hosts     map[uint32]*brain.Backend
+	questions map[uint64]*brain.Request
 	wakes     map[uint32]func()
 	lastWake  uint32
 }
 
 // outcomes gives the module's word for each status code of the wire.
 var outcomes = map[uint16]brain.Outcome{
-	200: brain.Answered,
+	200: brain.Served,
 	210: brain.Read,
-	410: brain.Moot,
+	410: brain.NotSent,
 	499: brain.Cancelled,
 	500: brain.Failed,
-	502: brain.Unreached,
-	503: brain.Full,
+	502: brain.Unreachable,
+	503: brain.Rejected,
 	504: brain.TimedOut,
 	598: brain.Broken,
 }
@@ -47,7 +47,7 @@
 func start(e wire.Event, clock uint64, reply *wire.Reply) *instance {
 	in := &instance{
 		who: e.Who(), clock: clock, began: clock, reply: reply,
-		hosts: map[uint32]*brain.Host{}, questions: map[uint64]*brain.Question{}, wakes: map[uint32]func(){},
+		hosts: map[uint32]*brain.Backend{}, questions: map[uint64]*brain.Request{}, wakes: map[uint32]func(){},
 	}
 	var info map[string]any
 	if err := json.Unmarshal(e.Span(11), &info); err != nil {
@@ -83,12 +83,12 @@
 		}
 		in.module.Listed(in.listings(e.Entries()), e.U8(11) != 0)
 	case wire.Incoming:
-		q := &brain.Question{
+		q := &brain.Request{
 			ID: e.U64(3), Session: e.U64(11), Shared: e.U64(24), Prompt: figure(e.F32(32)), Prefix: figure(e.F32(45)), Most: figure(e.F32(20)),
 			Again: e.U8(19)&2 != 0, Left: micros(e.U32(41)),
 		}
 		in.questions[q.ID] = q
-		in.module.Arrive(q, int(e.U8(36)), int(e.U16(49)))
+		in.module.Submit(q, int(e.U8(36)), int(e.U16(49)))
 	case wire.First:
 		if t := in.trip(e); t != nil {
 			in.module.Began(t, micros(e.U32(16)))
@@ -103,7 +103,7 @@
 				Outcome: outcomeOf(e.U16(16)), Took: micros(e.U32(18)), Over: e.U8(22) != 0,
 				Note: int(e.U32(23)), Load: load,
 			})
-			in.forget(t.Question)
+			in.forget(t.Request)
 		}
 	case wire.Aborted:
 		if q := in.questions[e.U64(3)]; q != nil {
@@ -124,15 +124,15 @@
 	}
 }
 
-func (in *instance) trip(e wire.Event) *brain.Trip {
+func (in *instance) trip(e wire.Event) *brain.Attempt {
 	q := in.questions[e.U64(3)]
-	if q == nil || int(e.U8(11)) >= len(q.Trips) {
+	if q == nil || int(e.U8(11)) >= len(q.Attempts) {
 		return nil
 	}
-	return q.Trips[e.U8(11)]
+	return q.Attempts[e.U8(11)]
 }
 
-func (in *instance) forget(q *brain.Question) {
+func (in *instance) forget(q *brain.Request) {
 	if q.Over && q.Out() == nil {
 		delete(in.questions, q.ID)
 	}
@@ -143,11 +143,11 @@
 	for i, e := range entries {
 		h := in.hosts[e.Host]
 		if h == nil {
-			h = &brain.Host{ID: e.Host, Zone: int(e.Zone), Rack: int(e.Rack), Kind: int(e.Machine)}
+			h = &brain.Backend{ID: e.Host, Zone: int(e.Zone), Rack: int(e.Rack), Kind: int(e.Machine)}
 			in.hosts[e.Host] = h
 		}
 		lines[i] = brain.Listing{
-			Host: h, Standing: brain.Standing(e.Readiness), Units: figure(e.Units), Restart: e.BootUs != 0,
+			Host: h, Standing: brain.BackendState(e.Readiness), Units: figure(e.Units), Restart: e.BootUs != 0,
 			Booted: time.Duration(int64(e.BootUs)-int64(in.began)) * time.Microsecond,
 		}
 	}
@@ -156,20 +156,20 @@
 
 func (in *instance) Now() time.Duration { return time.Duration(in.clock-in.began) * time.Microsecond }
 
-func (in *instance) Send(t *brain.Trip, wait time.Duration) {
-	in.reply.PassOn(in.who, t.Question.ID, t.Host.ID, uint32(max(wait.Microseconds(), 0)))
+func (in *instance) Send(t *brain.Attempt, wait time.Duration) {
+	in.reply.PassOn(in.who, t.Request.ID, t.Backend.ID, uint32(max(wait.Microseconds(), 0)))
 }
 
-func (in *instance) Cancel(t *brain.Trip) { in.reply.Retract(in.who, t.Question.ID, uint8(t.Number)) }
+func (in *instance) Cancel(t *brain.Attempt) { in.reply.Retract(in.who, t.Request.ID, uint8(t.Number)) }
 
-func (in *instance) Release(q *brain.Question) { in.reply.Discard(in.who, q.ID) }
+func (in *instance) Release(q *brain.Request) { in.reply.Discard(in.who, q.ID) }
 
-func (in *instance) Decline(q *brain.Question, after time.Duration) {
+func (in *instance) Reject(q *brain.Request, after time.Duration) {
 	in.reply.TurnAway(in.who, q.ID, uint32(after.Microseconds()))
 	in.forget(q)
 }
 
-func (in *instance) Forfeit(q *brain.Question) {
+func (in *instance) Fail(q *brain.Request) {
 	in.reply.Lose(in.who, q.ID)
 	in.forget(q)
 }
@@ -182,6 +182,8 @@
 
 func (in *instance) Watch(on bool) { in.reply.Tail(in.who, on) }
 
-func (in *instance) Tell(peer int, n brain.News) { in.reply.Post(in.who, uint32(peer), news.Encode(n)) }
+func (in *instance) Tell(peer int, n brain.PeerUpdate) {
+	in.reply.Post(in.who, uint32(peer), news.Encode(n))
+}
 
 func (in *instance) Note(text string) { in.reply.NoteDown(in.who, text) }
--- a/cmd/benchlink/same_test.go
+++ b/cmd/benchlink/same_test.go
@@ -113,21 +113,21 @@
 type carrier struct {
 	now     time.Duration
 	actions []string
-	flights map[uint64]*dispatch.Flight
+	flights map[uint64]*dispatch.Attempt
 }
 
 func (c *carrier) note(format string, args ...any) {
 	c.actions = append(c.actions, fmt.Sprintf("%d ", c.now.Microseconds())+fmt.Sprintf(format, args...))
 }
 
-func (c *carrier) Carry(f *dispatch.Flight) {
-	c.flights[f.Trip.Question.ID] = f
+func (c *carrier) Start(f *dispatch.Attempt) {
+	c.flights[f.Planned.Request.ID] = f
 	f.Off = func(error) {}
-	c.note("send %d to %d for %d", f.Trip.Question.ID, f.Trip.Host.ID, f.Wait.Microseconds())
+	c.note("send %d to %d for %d", f.Planned.Request.ID, f.Planned.Backend.ID, f.Wait.Microseconds())
 }
-func (c *carrier) Release(*dispatch.Box, *dispatch.Asked) {}
-func (c *carrier) Tell(int, brain.News)                   {}
-func (c *carrier) Reach(*dispatch.Box, []addresses.Spec)  {}
+func (c *carrier) Release(*dispatch.Backend, *dispatch.ClientRequest) {}
+func (c *carrier) Tell(int, brain.PeerUpdate)                         {}
+func (c *carrier) Reach(*dispatch.Backend, []addresses.Spec)          {}
 
 // The bench is a regression test of the running dispatcher only as long as both hosts of the module get the same
 // decisions out of the same sequence.
@@ -144,7 +144,7 @@
 		t.Fatal(err)
 	}
 	const seed = 99
-	c := &carrier{flights: map[uint64]*dispatch.Flight{}}
+	c := &carrier{flights: map[uint64]*dispatch.Attempt{}}
 	loop, err := dispatch.NewLoop(d.Facts(), seed, dispatch.Places{Zone: d.ZoneNumber, Kind: d.KindNumber}, c,
 		func() time.Duration { return c.now }, "d", slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
@@ -190,19 +190,19 @@
 		loop.Due()
 	}
 	rng := rand.New(rand.NewPCG(seed, 1))
-	asked := map[uint64]*dispatch.Asked{}
-	codes := map[brain.Outcome]uint16{brain.Answered: 200, brain.Read: 210, brain.Failed: 500, brain.Full: 503, brain.TimedOut: 504, brain.Unreached: 502, brain.Broken: 598}
-	end := func(id uint64, f *dispatch.Flight, o brain.Outcome, note int) {
-		took := (c.now - f.Trip.Sent).Microseconds()
-		over := o == brain.Answered || f.Trip.Began > 0
+	asked := map[uint64]*dispatch.ClientRequest{}
+	codes := map[brain.Outcome]uint16{brain.Served: 200, brain.Read: 210, brain.Failed: 500, brain.Rejected: 503, brain.TimedOut: 504, brain.Unreachable: 502, brain.Broken: 598}
+	end := func(id uint64, f *dispatch.Attempt, o brain.Outcome, note int) {
+		took := (c.now - f.Planned.Sent).Microseconds()
+		over := o == brain.Served || f.Planned.Began > 0
 		load := []float64{0.5, 3}
 		var r rec
-		r[0], r[11] = wire.Resolved, byte(f.Trip.Number)
+		r[0], r[11] = wire.Resolved, byte(f.Planned.Number)
 		r.u64(3, id)
-		r.u32(12, f.Trip.Host.ID)
+		r.u32(12, f.Planned.Backend.ID)
 		binary.BigEndian.PutUint16(r[16:], codes[o])
 		r.u32(18, uint32(took))
-		if over || f.Trip.Question.Over {
+		if over || f.Planned.Request.Over {
 			r[22] = 1
 		}
 		r.u32(23, uint32(note))
@@ -221,7 +221,7 @@
 			id := uint64(len(asked) + 1)
 			grade, tokens := rng.IntN(3), 200+rng.IntN(4000)
 			session, shared := fmt.Sprint("s", rng.IntN(200)), fmt.Sprint("b", rng.IntN(9))
-			a := &dispatch.Asked{Ask: kserve.Ask{Tokens: tokens, Prefix: 100, Most: 60, Session: session, Shared: shared}}
+			a := &dispatch.ClientRequest{Ask: kserve.Ask{Tokens: tokens, Prefix: 100, Most: 60, Session: session, Shared: shared}}
 			asked[id] = a
 			var r rec
 			r[0], r[36] = wire.Incoming, byte(grade)
@@ -233,7 +233,7 @@
 			r.u32(41, 3_000_000)
 			r.f32(45, 100)
 			b.take(r, nil)
-			loop.Do(func() { loop.Arrive(a, grade, 0, 3*time.Second) })
+			loop.Do(func() { loop.Submit(a, grade, 0, 3*time.Second) })
 		}
 		if step == 7000 {
 			list(func(i int) int { return []int{1, 0, 1, 1, 2, 1, 1}[i] })
@@ -245,32 +245,32 @@
 		slices.Sort(ids)
 		for _, id := range ids {
 			f := c.flights[id]
-			age := c.now - f.Trip.Sent
+			age := c.now - f.Planned.Sent
 			switch p := rng.Float64(); {
-			case age >= f.Wait && f.Trip.Began == 0:
+			case age >= f.Wait && f.Planned.Began == 0:
 				end(id, f, brain.TimedOut, 0)
 			case p < 0.001:
 				end(id, f, brain.Failed, 0)
 			case p < 0.002:
 				end(id, f, brain.Broken, 0)
-			case f.Trip.Began > 0 && p < 0.05:
-				end(id, f, brain.Answered, 40)
-			case f.Trip.Began > 0:
+			case f.Planned.Began > 0 && p < 0.05:
+				end(id, f, brain.Served, 40)
+			case f.Planned.Began > 0:
 			case p < 0.0021:
-				end(id, f, brain.Unreached, 0)
+				end(id, f, brain.Unreachable, 0)
 			case p < 0.003:
-				end(id, f, brain.Full, 0)
-			case p < 0.12 && f.Trip.Stage == brain.ToRead:
+				end(id, f, brain.Rejected, 0)
+			case p < 0.12 && f.Planned.Stage == brain.ToRead:
 				end(id, f, brain.Read, 100)
 			case p < 0.12:
 				var r rec
-				r[0], r[11] = wire.First, byte(f.Trip.Number)
+				r[0], r[11] = wire.First, byte(f.Planned.Number)
 				r.u64(3, id)
-				r.u32(12, f.Trip.Host.ID)
+				r.u32(12, f.Planned.Backend.ID)
 				r.u32(16, uint32(age.Microseconds()))
 				b.take(r, nil)
 				loop.Do(func() { loop.Began(f) })
-			case p < 0.122 && !f.Trip.Question.Over:
+			case p < 0.122 && !f.Planned.Request.Over:
 				var r rec
 				r[0] = wire.Aborted
 				r.u64(3, id)
@@ -314,7 +314,7 @@
 	if got := outcomeOf(777); got != brain.Failed {
 		t.Errorf("777 is taken for %d", got)
 	}
-	if got := outcomeOf(200); got != brain.Answered {
+	if got := outcomeOf(200); got != brain.Served {
 		t.Errorf("200 is taken for %d", got)
 	}
 }
--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -17,16 +17,16 @@
 type Policy struct {
 	View  View // what Informed sees
 	name  string
-	door  brain.Door
+	door  brain.Runtime
 	rng   *brain.PCG
 	facts brain.Facts
-	hosts []*brain.Host
+	hosts []*brain.Backend
 	next  int
-	grade []*brain.Grade
+	grade []*brain.Class
 }
 
 // New makes a policy by its name.
-func New(name string, facts brain.Facts, seed uint64, door brain.Door) (*Policy, error) {
+func New(name string, facts brain.Facts, seed uint64, door brain.Runtime) (*Policy, error) {
 	known := false
 	for _, n := range Names {
 		known = known || n == name
@@ -57,36 +57,36 @@
 	}
 }
 
-func (p *Policy) Arrive(q *brain.Question, grade, _ int) {
-	q.Grade = p.grade[min(grade, len(p.grade)-1)]
-	q.Taken, q.Expiry = p.door.Now(), p.door.Now()+q.Left
+func (p *Policy) Submit(q *brain.Request, grade, _ int) {
+	q.Class = p.grade[min(grade, len(p.grade)-1)]
+	q.Taken, q.Deadline = p.door.Now(), p.door.Now()+q.Left
 	q.Memory = q.Prompt + q.Most
 	p.begin(q)
 }
 
 // MaySend tells whether a trip that was chosen may still go out.
-func (p *Policy) MaySend(t *brain.Trip) brain.Permission {
+func (p *Policy) MaySend(t *brain.Attempt) brain.Permission {
 	switch {
 	case t.Ended:
 		return brain.AttemptEnded
-	case t.Question.Over:
+	case t.Request.Over:
 		return brain.RequestOver
-	case p.door.Now() >= t.Question.Expiry:
+	case p.door.Now() >= t.Request.Deadline:
 		return brain.DeadlinePassed
-	case t.Host.Standing != brain.Ready:
+	case t.Backend.Standing != brain.Ready:
 		return brain.BackendNotReady
 	}
 	return brain.Allowed
 }
 
 // begin takes the first step: apart, in place, or at a mixed host, as the policy has it.
-func (p *Policy) begin(q *brain.Question) {
+func (p *Policy) begin(q *brain.Request) {
 	if p.name == Informed {
 		p.beginInformed(q)
 		return
 	}
 	mixed, writers, readers := p.able(q, brain.Both), p.able(q, brain.Writes), p.able(q, brain.Reads)
-	whole := append(append([]*brain.Host(nil), mixed...), writers...)
+	whole := append(append([]*brain.Backend(nil), mixed...), writers...)
 	switch {
 	case p.name == "always_in_place" && len(whole) > 0 && p.facts.Yes("familyInfo.localRead"):
 		p.send(q, p.pick(whole), brain.Whole)
@@ -102,17 +102,17 @@
 }
 
 // able lists hosts of a role that may take the question now.
-func (p *Policy) able(q *brain.Question, role brain.Role) []*brain.Host {
-	if p.door.Now() >= q.Expiry || len(q.Trips) >= int(p.facts.Num("policyLimits.maxAttempts", 1)) {
+func (p *Policy) able(q *brain.Request, role brain.Role) []*brain.Backend {
+	if p.door.Now() >= q.Deadline || len(q.Attempts) >= int(p.facts.Num("policyLimits.maxAttempts", 1)) {
 		return nil
 	}
-	if t := q.MayHaveRun(); t != nil && role != brain.Reads && q.Grade.Effect != brain.Idempotent {
+	if t := q.MayHaveRun(); t != nil && role != brain.Reads && q.Class.Effect != brain.Idempotent {
 		return nil
 	}
-	return brain.Only(p.hosts, func(h *brain.Host) bool { return h.Role == role && h.Standing == brain.Ready && !q.FailedAt(h) })
+	return brain.Only(p.hosts, func(h *brain.Backend) bool { return h.Role == role && h.Standing == brain.Ready && !q.FailedAt(h) })
 }
 
-func (p *Policy) pick(hosts []*brain.Host) *brain.Host {
+func (p *Policy) pick(hosts []*brain.Backend) *brain.Backend {
 	switch p.name {
 	case "round_robin":
 		p.next++
@@ -131,30 +131,30 @@
 	return hosts[int(p.rng.Float()*float64(len(hosts)))]
 }
 
-func (p *Policy) send(q *brain.Question, h *brain.Host, stage brain.Stage) {
-	t := &brain.Trip{Question: q, Host: h, Number: len(q.Trips), Sent: p.door.Now(), Stage: stage}
+func (p *Policy) send(q *brain.Request, h *brain.Backend, stage brain.Stage) {
+	t := &brain.Attempt{Request: q, Backend: h, Number: len(q.Attempts), Sent: p.door.Now(), Stage: stage}
 	if stage != brain.ToWrite {
 		t.Left = q.Prompt
 	}
 	t.Weigh(1)
-	q.Trips = append(q.Trips, t)
-	p.door.Send(t, q.Expiry-t.Sent)
+	q.Attempts = append(q.Attempts, t)
+	p.door.Send(t, q.Deadline-t.Sent)
 }
 
-func (p *Policy) Began(t *brain.Trip, _ time.Duration) {
+func (p *Policy) Began(t *brain.Attempt, _ time.Duration) {
 	t.Began = p.door.Now()
-	t.Question.State = nil
+	t.Request.State = nil
 }
 
-func (p *Policy) Ended(t *brain.Trip, r brain.Result) {
-	q := t.Question
+func (p *Policy) Ended(t *brain.Attempt, r brain.Result) {
+	q := t.Request
 	t.Ended, t.Outcome = true, r.Outcome
 	t.Weigh(-1)
 	q.Over = q.Over || r.Over
 	switch {
 	case r.Outcome == brain.Read:
-		q.State = t.Host
-	case r.Outcome == brain.Full && r.Note == 1:
+		q.State = t.Backend
+	case r.Outcome == brain.Rejected && r.Note == 1:
 		q.State = nil
 	}
 	if q.Over {
@@ -171,23 +171,23 @@
 	p.begin(q)
 }
 
-func (p *Policy) letGo(q *brain.Question) {
+func (p *Policy) letGo(q *brain.Request) {
 	if q.State != nil && q.Out() == nil {
 		q.State = nil
 		p.door.Release(q)
 	}
 }
 
-func (p *Policy) giveUp(q *brain.Question) {
+func (p *Policy) giveUp(q *brain.Request) {
 	q.Over = true
-	if q.Grade.Effect != brain.Idempotent && q.MayHaveRun() != nil {
-		p.door.Forfeit(q)
+	if q.Class.Effect != brain.Idempotent && q.MayHaveRun() != nil {
+		p.door.Fail(q)
 		return
 	}
-	p.door.Decline(q, p.facts.Span("policyLimits.maxRetryAfterUs"))
+	p.door.Reject(q, p.facts.Span("policyLimits.maxRetryAfterUs"))
 }
 
-func (p *Policy) Left(q *brain.Question) {
+func (p *Policy) Left(q *brain.Request) {
 	if q.Over {
 		return
 	}
@@ -198,4 +198,4 @@
 	p.letGo(q)
 }
 
-func (p *Policy) Heard(brain.News) {}
+func (p *Policy) Heard(brain.PeerUpdate) {}
--- a/internal/baseline/informed.go
+++ b/internal/baseline/informed.go
@@ -22,27 +22,27 @@
 
 // View shows Informed the backends.
 type View interface {
-	Load(h *brain.Host, q *brain.Question) Load
-	Sent(t *brain.Trip, tokens float64) // an attempt, with what is to be read for it
+	Load(h *brain.Backend, q *brain.Request) Load
+	Sent(t *brain.Attempt, tokens float64) // an attempt, with what is to be read for it
 }
 
 // prefillTime is how long a backend would take until the request's prompt is read.
-func (l Load) prefillTime(q *brain.Question) time.Duration {
+func (l Load) prefillTime(q *brain.Request) time.Duration {
 	return time.Duration((l.Backlog + q.Prompt - l.Cached) / l.Rate * float64(time.Second))
 }
 
 // up lists the backends that are seen to work.
-func (p *Policy) up(q *brain.Question, hosts []*brain.Host) []*brain.Host {
-	return brain.Only(hosts, func(h *brain.Host) bool { return p.View.Load(h, q).Up })
+func (p *Policy) up(q *brain.Request, hosts []*brain.Backend) []*brain.Backend {
+	return brain.Only(hosts, func(h *brain.Backend) bool { return p.View.Load(h, q).Up })
 }
 
 // beginInformed sends a request to the backend that will have read it first, or rejects it.
-func (p *Policy) beginInformed(q *brain.Question) {
-	best := brain.Least(p.up(q, p.able(q, brain.Reads)), func(h *brain.Host) float64 {
+func (p *Policy) beginInformed(q *brain.Request) {
+	best := brain.Least(p.up(q, p.able(q, brain.Reads)), func(h *brain.Backend) float64 {
 		return p.View.Load(h, q).prefillTime(q).Seconds()
 	})
-	target := q.Taken + q.Grade.Promise + time.Duration(q.Prompt/1000*float64(q.Grade.PromisePK))
-	if best == nil || p.door.Now()+p.View.Load(best, q).prefillTime(q) > min(target, q.Expiry) {
+	target := q.Taken + q.Class.Target + time.Duration(q.Prompt/1000*float64(q.Class.TargetPerK))
+	if best == nil || p.door.Now()+p.View.Load(best, q).prefillTime(q) > min(target, q.Deadline) {
 		p.giveUp(q)
 		return
 	}
@@ -51,11 +51,11 @@
 }
 
 // pickDecode takes the backend that answers: of Informed the one with the fewest running answers.
-func (p *Policy) pickDecode(q *brain.Question, able []*brain.Host) *brain.Host {
+func (p *Policy) pickDecode(q *brain.Request, able []*brain.Backend) *brain.Backend {
 	if p.name != Informed {
 		return p.pick(able)
 	}
-	best := brain.Least(p.up(q, able), func(h *brain.Host) float64 { return p.View.Load(h, q).Streams })
+	best := brain.Least(p.up(q, able), func(h *brain.Backend) float64 { return p.View.Load(h, q).Streams })
 	if best == nil {
 		return able[0]
 	}
--- a/internal/chat/answer.go
+++ b/internal/chat/answer.go
@@ -38,9 +38,9 @@
 		}
 		return brain.Read, kept(said.Kept)
 	case never && (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout):
-		return brain.Full, 0
+		return brain.Rejected, 0
 	case never && code == http.StatusGone:
-		return brain.Full, 1
+		return brain.Rejected, 1
 	}
 	return brain.Failed, 0
 }
--- a/internal/chat/answer_test.go
+++ b/internal/chat/answer_test.go
@@ -83,10 +83,10 @@
 		{brain.ToRead, 202, "", `{"cached_tokens":-1}`, brain.Read, 0},
 		{brain.Whole, 202, "", `{}`, brain.Failed, 0},
 		{brain.Whole, 500, "1", ``, brain.Failed, 0},
-		{brain.Whole, 503, "1", ``, brain.Full, 0},
-		{brain.Whole, 504, "1", ``, brain.Full, 0},
+		{brain.Whole, 503, "1", ``, brain.Rejected, 0},
+		{brain.Whole, 504, "1", ``, brain.Rejected, 0},
 		{brain.Whole, 503, "", ``, brain.Failed, 0},
-		{brain.ToWrite, 410, "1", ``, brain.Full, 1},
+		{brain.ToWrite, 410, "1", ``, brain.Rejected, 1},
 		{brain.ToWrite, 410, "", ``, brain.Failed, 0},
 		{brain.ToWrite, 400, "", ``, brain.Failed, 0},
 	} {
@@ -162,7 +162,7 @@
 		resp := &http.Response{StatusCode: status, Header: http.Header{"X-Not-Processed": {mark}}}
 		for _, stage := range []brain.Stage{brain.ToRead, brain.ToWrite, brain.Whole} {
 			o, note := Outcome(stage, resp, body)
-			if o == brain.Answered || o == brain.Full && mark != "1" || o == brain.Read && stage != brain.ToRead || note < 0 || note > tokensMost {
+			if o == brain.Served || o == brain.Rejected && mark != "1" || o == brain.Read && stage != brain.ToRead || note < 0 || note > tokensMost {
 				t.Errorf("%d %q at stage %d: %d, %d", status, mark, stage, o, note)
 			}
 		}
--- a/internal/dispatch/accounts.go
+++ b/internal/dispatch/accounts.go
@@ -212,7 +212,7 @@
 	return b
 }
 
-// settleAccount waits until the cost of every trip is known, or for so long, and closes the account of this start if it is whole.
+// settleAccount waits until the cost of every attempt is known, or for so long, and closes the account of this start if it is whole.
 func (l *Loop) settleAccount(ctx context.Context, most time.Duration) {
 	if l.books == nil || l.books.Account == nil {
 		return
--- a/internal/dispatch/backends.go
+++ b/internal/dispatch/backends.go
@@ -12,11 +12,11 @@
 	"sloetrestle/internal/reach"
 )
 
-// Box is one model host as the program knows it: the module's host and where it listens.
-type Box struct {
+// Backend is one model backend as the program knows it: the module's backend and where it listens.
+type Backend struct {
 	Name    string
 	At      []addresses.Spec // where it listens, as far as that is allowed
-	Host    *brain.Host
+	Known   *brain.Backend
 	Start   uint64
 	Drained chan struct{} // closed when the list says that it is gone
 	reach   *reach.Host
@@ -24,23 +24,23 @@
 	booted  time.Duration // when Start was, as first told
 	dated   bool          // it was told
 	gone    time.Duration // since when it is
-	out     int           // trips that are
+	out     int           // attempts that are
 }
 
-// HostID is a box's number, alike at all dispatchers.
+// HostID is a backend's number, alike at all dispatchers.
 func HostID(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-// Listed takes lines of the box list.
+// Listed takes lines of the backend list.
 func (l *Loop) Listed(lines []boxlist.Box, whole bool) {
 	var out []brain.Listing
 	named := map[string]bool{}
 	for _, line := range lines {
 		named[line.Name] = true
-		b, place := l.boxes[line.Name], [3]string{line.Kind, line.Zone, line.Rack}
+		b, place := l.backends[line.Name], [3]string{line.Kind, line.Zone, line.Rack}
 		if b != nil && b.place != place && line.Standing != boxlist.Gone {
 			// Another machine under the old name: what is known of that one says nothing of this.
 			l.retire(b)
-			out = append(out, brain.Listing{Host: b.Host, Standing: brain.Gone})
+			out = append(out, brain.Listing{Host: b.Known, Standing: brain.Gone})
 			l.forgetBox(b)
 			b = nil
 		}
@@ -54,14 +54,14 @@
 				l.Log.Warn("box left out", "box", line.Name, "kind", line.Kind, "id", id, "why", "unknown kind, or another box has its number")
 				continue
 			}
-			b = &Box{Name: line.Name, Drained: make(chan struct{}), place: place}
-			b.Host = &brain.Host{ID: id, Kind: kind, Zone: max(l.places.Zone(line.Zone), 0), Rack: int(HostID(line.Rack))}
-			l.boxes[line.Name], l.byHost[b.Host], l.hosts[id] = b, b, b.Host
+			b = &Backend{Name: line.Name, Drained: make(chan struct{}), place: place}
+			b.Known = &brain.Backend{ID: id, Kind: kind, Zone: max(l.places.Zone(line.Zone), 0), Rack: int(HostID(line.Rack))}
+			l.backends[line.Name], l.byHost[b.Known], l.hosts[id] = b, b, b.Known
 		}
 		out = append(out, l.listing(b, line))
 	}
 	if whole {
-		for _, b := range l.boxes {
+		for _, b := range l.backends {
 			if !named[b.Name] {
 				l.retire(b)
 			}
@@ -71,11 +71,11 @@
 	l.forgetGone()
 }
 
-// forgetGone drops the boxes that are gone for long, and those that came back from the list of them.
+// forgetGone drops the backends that are gone for long, and those that came back from the list of them.
 func (l *Loop) forgetGone() {
-	l.gone = slices.DeleteFunc(l.gone, func(b *Box) bool {
+	l.gone = slices.DeleteFunc(l.gone, func(b *Backend) bool {
 		switch {
-		case b.Host.Standing != brain.Gone || l.boxes[b.Name] != b:
+		case b.Known.Standing != brain.Gone || l.backends[b.Name] != b:
 			return true
 		case b.out == 0 && l.now-b.gone >= goneKept:
 			l.forgetBox(b)
@@ -85,21 +85,21 @@
 	})
 }
 
-// goneKept is how long a box that is gone is still known: it may come back within its cold start, and what it was sent in
+// goneKept is how long a backend that is gone is still known: it may come back within its cold start, and what it was sent in
 // that counts.
 const goneKept = time.Minute
 
-// forgetBox drops a box; trips that are out there keep their own way to it.
-func (l *Loop) forgetBox(b *Box) {
-	delete(l.boxes, b.Name)
-	delete(l.hosts, b.Host.ID)
+// forgetBox drops a backend; attempts that are out there keep their own way to it.
+func (l *Loop) forgetBox(b *Backend) {
+	delete(l.backends, b.Name)
+	delete(l.hosts, b.Known.ID)
 	if b.out == 0 {
-		delete(l.byHost, b.Host)
+		delete(l.byHost, b.Known)
 	}
 }
 
-// retire ends what is still tried at a box that is gone.
-func (l *Loop) retire(b *Box) {
+// retire ends what is still tried at a backend that is gone.
+func (l *Loop) retire(b *Backend) {
 	select {
 	case <-b.Drained:
 	default:
@@ -111,8 +111,8 @@
 	}
 }
 
-func (l *Loop) listing(b *Box, line boxlist.Box) brain.Listing {
-	standing := map[string]brain.Standing{boxlist.Ready: brain.Ready, boxlist.Draining: brain.Draining, boxlist.Gone: brain.Gone}[line.Standing]
+func (l *Loop) listing(b *Backend, line boxlist.Box) brain.Listing {
+	standing := map[string]brain.BackendState{boxlist.Ready: brain.Ready, boxlist.Draining: brain.Draining, boxlist.Gone: brain.Gone}[line.Standing]
 	if standing == brain.Gone {
 		l.retire(b)
 	} else {
@@ -128,12 +128,12 @@
 		}
 	}
 	// A start has one time, however often the list repeats it with another age: the module would else see
-	// a new start each time, and forget what it knows of the box.
+	// a new start each time, and forget what it knows of the backend.
 	if b.Start != line.Start || !b.dated {
 		b.booted, b.dated = l.now-time.Duration(line.UpMs)*time.Millisecond, line.UpMs >= 0
 	}
 	b.Start = line.Start
-	return brain.Listing{Host: b.Host, Standing: standing, Units: max(line.Units, 0.01), Booted: b.booted, Restart: line.UpMs >= 0}
+	return brain.Listing{Host: b.Known, Standing: standing, Units: max(line.Units, 0.01), Booted: b.booted, Restart: line.UpMs >= 0}
 }
 
 // allowed leaves out addresses that make no sense or lie outside of what the deployment allows, with a note.
@@ -151,7 +151,7 @@
 	return at
 }
 
-// Further adds an address to what the list says of a box.
+// Further adds an address to what the list says of a backend.
 func (l *Loop) Further(box string, at addresses.Spec) {
 	if l.further == nil {
 		l.further = map[string][]addresses.Spec{}
--- a/internal/dispatch/books.go
+++ b/internal/dispatch/books.go
@@ -10,21 +10,21 @@
 	"sloetrestle/internal/ledger"
 )
 
-// Books are what a loop has of costs, in front of the module and beside it: budgets, which a question has to have room in
-// before the module sees it, and the account of what its trips cost. Either may be missing.
+// Books are what a loop has of costs, in front of the module and beside it: budgets, which a request has to have room in
+// before the module sees it, and the account of what its attempts cost. Either may be missing.
 type Books struct {
 	Purses  []*budget.Purse
 	Keepers map[string]*budget.Keeper // of the budgets that this dispatcher keeps
 	Month   func(now time.Duration) budget.Month
 
 	Account *account.Tracker
-	Inquire func(b *Box, q account.Inquiry, heard func(*account.Reply)) // must not wait; heard is posted to the loop
+	Inquire func(b *Backend, q account.Inquiry, heard func(*account.Reply)) // must not wait; heard is posted to the loop
 }
 
 // tending is how often purses and the account are looked after.
 const tending = 50 * time.Millisecond
 
-// paid is one reservation of a question.
+// paid is one reservation of a request.
 type paid struct {
 	purse  *budget.Purse
 	tokens float64
@@ -41,7 +41,7 @@
 		}
 		if b.Account != nil {
 			for _, q := range b.Account.Ask() {
-				if box := l.boxes[q.Box]; box != nil {
+				if box := l.backends[q.Box]; box != nil {
 					b.Inquire(box, q, func(r *account.Reply) { b.Account.Heard(q, r) })
 				} else {
 					b.Account.Heard(q, nil)
@@ -53,8 +53,8 @@
 	l.Wake(tending, tend)
 }
 
-// pay has a question's worst case set aside in every budget that it falls under, one after the other, then lets it in.
-func (l *Loop) pay(a *Asked, enter func()) {
+// pay has a request's worst case set aside in every budget that it falls under, one after the other, then lets it in.
+func (l *Loop) pay(a *ClientRequest, enter func()) {
 	if l.books == nil || len(l.books.Purses) == 0 {
 		enter()
 		return
@@ -77,10 +77,10 @@
 			}
 			switch {
 			case a.answered || a.left: // meanwhile
-				a.Question.Over = true
+				a.Request.Over = true
 				l.forget(a)
 			case !v.OK:
-				a.Question.Over, a.unpaid = true, true
+				a.Request.Over, a.unpaid = true, true
 				l.answer(a, kserve.Final{Final: kserve.Declined, Error: "the budget of " + p.Terms.Name + " is used up", Harmless: true, AfterMs: v.After.Milliseconds()})
 				l.forget(a)
 			default:
@@ -91,14 +91,16 @@
 	next(0)
 }
 
-// under tells whether a question falls under a budget.
-func (a *Asked) under(name string) bool { return name == a.Channel || name == a.Channel+"/"+a.Grade }
+// under tells whether a request falls under a budget.
+func (a *ClientRequest) under(name string) bool {
+	return name == a.Channel || name == a.Channel+"/"+a.Grade
+}
 
-// settle gives back what a question that is over did not use: what it used is its prompt and what was streamed, once a stream
-// had begun or its client left while a trip was out; trips that failed are the house's.
-func (l *Loop) settle(a *Asked) {
+// settle gives back what a request that is over did not use: what it used is its prompt and what was streamed, once a stream
+// had begun or its client left while an attempt was out; attempts that failed are the house's.
+func (l *Loop) settle(a *ClientRequest) {
 	used := 0.0
-	if a.stream != nil || a.left && len(a.Question.Trips) > 0 {
+	if a.stream != nil || a.left && len(a.Request.Attempts) > 0 {
 		used = float64(a.Ask.Tokens) + float64(a.streamed())
 	}
 	for _, r := range a.paid {
@@ -108,7 +110,7 @@
 }
 
 // streamed is how many tokens of an answer have come.
-func (a *Asked) streamed() int64 {
+func (a *ClientRequest) streamed() int64 {
 	switch {
 	case a.stream == nil:
 		return 0
@@ -118,27 +120,27 @@
 	return a.stream.Streamed.Load()
 }
 
-// what names a trip in the account.
-func (f *Flight) what() ledger.Trip {
-	return ledger.Trip{Box: f.Box.Name, Key: f.Key, Trip: f.Trip.Number, Mark: f.Asked.Ask.ID, Channel: f.Asked.Channel, Grade: f.Asked.Grade,
+// what names an attempt in the account.
+func (f *Attempt) what() ledger.Trip {
+	return ledger.Trip{Box: f.Backend.Name, Key: f.Key, Trip: f.Planned.Number, Mark: f.Request.Ask.ID, Channel: f.Request.Channel, Grade: f.Request.Grade,
 		Stage:  f.Stage(),
 		Answer: int(f.Streamed.Load()), End: "unknown"}
 }
 
-// tripOf turns what a box says into a line of the account.
+// tripOf turns what a backend says into a line of the account.
 func tripOf(c kserve.Count) ledger.Trip {
 	return ledger.Trip{Number: c.Number, Key: c.Key, Trip: c.Trip, Mark: c.Mark, Stage: c.Stage, Channel: c.Channel, Grade: c.Grade, Read: c.Read, Kept: c.Kept,
 		Answer: c.Answer, End: c.End}
 }
 
-// accountSent and accountEnded tell the account of a trip.
-func (l *Loop) accountSent(f *Flight) {
+// accountSent and accountEnded tell the account of an attempt.
+func (l *Loop) accountSent(f *Attempt) {
 	if l.books != nil && l.books.Account != nil {
 		l.books.Account.Sent(f.what())
 	}
 }
 
-func (l *Loop) accountEnded(f *Flight, r brain.Result) {
+func (l *Loop) accountEnded(f *Attempt, r brain.Result) {
 	if l.books == nil || l.books.Account == nil {
 		return
 	}
@@ -147,19 +149,19 @@
 		t := tripOf(*f.Count)
 		count = &t
 	}
-	l.books.Account.Ended(f.what(), count, r.Outcome == brain.Unreached)
+	l.books.Account.Ended(f.what(), count, r.Outcome == brain.Unreachable)
 }
 
-// accountOver writes a question's end down.
-func (l *Loop) accountOver(a *Asked, final, why string) {
+// accountOver writes a request's end down.
+func (l *Loop) accountOver(a *ClientRequest, final, why string) {
 	if l.books == nil || l.books.Account == nil {
 		return
 	}
 	l.books.Account.Question(ledger.Question{Key: l.Key(a), Mark: a.Ask.ID, Channel: a.Channel, Grade: a.Grade, Final: final, Prompt: a.Ask.Tokens,
-		Answer: int(a.streamed()), Trips: len(a.Question.Trips), Why: why})
+		Answer: int(a.streamed()), Trips: len(a.Request.Attempts), Why: why})
 }
 
-func (l *Loop) accountListed(b *Box, gone bool) {
+func (l *Loop) accountListed(b *Backend, gone bool) {
 	if l.books != nil && l.books.Account != nil {
 		l.books.Account.Listed(b.Name, gone)
 	}
--- a/internal/dispatch/cost_test.go
+++ b/internal/dispatch/cost_test.go
@@ -27,8 +27,8 @@
 	l, _ := settled(t, "idempotent")
 	lines := wholeList(backends)
 	l.Do(func() { l.Listed(lines, true) })
-	if len(l.boxes) < backends {
-		t.Fatalf("%d backends are known", len(l.boxes))
+	if len(l.backends) < backends {
+		t.Fatalf("%d backends are known", len(l.backends))
 	}
 	began := time.Now()
 	for range rounds {
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -1,6 +1,6 @@
 // Package dispatch hosts one brain.Dispatcher: a Loop is the one goroutine that owns the module, hands it what
-// happens and carries out what it decides; trips, clients and siblings are goroutines that post closures to
-// it. It decides nothing about questions itself, and what it says of a trip is only what the socket proved. Begin
+// happens and carries out what it decides; attempts, clients and peers are goroutines that post closures to
+// it. It decides nothing about requests itself, and what it says of an attempt is only what the socket proved. Begin
 // with Loop, then Serve.
 package dispatch
 
@@ -22,12 +22,12 @@
 	"sloetrestle/internal/storm"
 )
 
-// Carrier takes trips and messages out. Its methods are called by the loop and must not wait.
-type Carrier interface {
-	Carry(f *Flight)
-	Release(b *Box, a *Asked)          // of what the question's trips so far may have left at a box
-	Reach(b *Box, at []addresses.Spec) // none: the box is gone
-	Tell(peer int, n brain.News)
+// Transport takes attempts and messages out. Its methods are called by the loop and must not wait.
+type Transport interface {
+	Start(f *Attempt)
+	Release(b *Backend, a *ClientRequest)  // of what the request's attempts so far may have left at a backend
+	Reach(b *Backend, at []addresses.Spec) // none: the backend is gone
+	Tell(peer int, n brain.PeerUpdate)
 }
 
 // Places turns the list's names into the module's numbers.
@@ -36,37 +36,37 @@
 	Allows     func(addresses.Spec) bool // nil: all of them
 }
 
-// Asked is one question between its client and the module.
-type Asked struct {
-	Question *brain.Question
+// ClientRequest is one request between its client and the module.
+type ClientRequest struct {
+	Request  *brain.Request
 	Ask      kserve.Ask
 	Grade    string
 	Channel  string
-	Matter   any                // what the carrier sends of it; dropped when the question is over
+	Matter   any                // what the carrier sends of it; dropped when the request is over
 	Tell     func(kserve.Final) // takes the final answer in place of the channel
-	began    chan *Flight       // the trip whose stream goes to the client
+	began    chan *Attempt      // the attempt whose stream goes to the client
 	final    chan kserve.Final  // the one final answer
 	answered bool
 	left     bool
 	channel  int
-	paid     []paid  // set aside in budgets
-	unpaid   bool    // declined for a budget
-	stream   *Flight // the trip whose stream has begun
-	flight   *Flight // the trip that is out
-	waiting  map[*Box]bool
+	paid     []paid   // set aside in budgets
+	unpaid   bool     // declined for a budget
+	stream   *Attempt // the attempt whose stream has begun
+	flight   *Attempt // the attempt that is out
+	waiting  map[*Backend]bool
 	from     time.Duration
 	over     atomic.Bool
 }
 
 // End says that nothing more may be sent for the request: it has its answer, its client has gone, or its time is up. Unlike a message
 // to the loop it does not wait its turn.
-func (a *Asked) End() { a.over.Store(true) }
+func (a *ClientRequest) End() { a.over.Store(true) }
 
 // Over tells whether nothing more may be sent.
-func (a *Asked) Over() bool { return a.over.Load() }
+func (a *ClientRequest) Over() bool { return a.over.Load() }
 
 // AttemptOut tells whether an attempt is out. It is the loop's.
-func (a *Asked) AttemptOut() bool { return a.flight != nil }
+func (a *ClientRequest) AttemptOut() bool { return a.flight != nil }
 
 // message is something that the loop is to do.
 type message struct {
@@ -74,37 +74,37 @@
 	at time.Duration // when it was posted
 }
 
-// release lets go at a box of what a question's trips so far may have left there.
-func (l *Loop) release(b *Box, a *Asked) {
+// release lets go at a backend of what a request's attempts so far may have left there.
+func (l *Loop) release(b *Backend, a *ClientRequest) {
 	l.carrier.Release(b, a)
 }
 
-// Key names a question at boxes.
-func (l *Loop) Key(a *Asked) string { return fmt.Sprintf("%s/%d", l.Epoch, a.Question.ID) }
-
-// Flight is one trip on its way.
-type Flight struct {
-	Trip   *brain.Trip
-	Asked  *Asked
-	Box    *Box
-	State  *Box // where the read state waits, for a write
-	Wait   time.Duration
-	Until  time.Duration   // when the wait is over, on the loop's clock
-	Off    func(why error) // calls it off: ErrLate or ErrLeft; set by the carrier
-	Tokens chan []byte     // the stream, piece by piece; the carrier closes it at its end
-	ctx    context.Context
-	late   bool // its wait is over
-	Unfit  bool // its box says that the question itself is none; set before its end is told
-
-	Key      string        // of its question, at boxes
+// Key names a request at backends.
+func (l *Loop) Key(a *ClientRequest) string { return fmt.Sprintf("%s/%d", l.Epoch, a.Request.ID) }
+
+// Attempt is one attempt on its way.
+type Attempt struct {
+	Planned *brain.Attempt
+	Request *ClientRequest
+	Backend *Backend
+	State   *Backend // where the read state waits, for a write
+	Wait    time.Duration
+	Until   time.Duration   // when the wait is over, on the loop's clock
+	Off     func(why error) // calls it off: ErrLate or ErrLeft; set by the carrier
+	Tokens  chan []byte     // the stream, piece by piece; the carrier closes it at its end
+	ctx     context.Context
+	late    bool // its wait is over
+	Unfit   bool // its backend says that the request itself is none; set before its end is told
+
+	Key      string        // of its request, at backends
 	Arrived  atomic.Bool   // a byte of an answer has come: only that shows that the request had
 	Streamed atomic.Int64  // tokens that have come
-	Count    *kserve.Count // what its box counted, if that came along
+	Count    *kserve.Count // what its backend counted, if that came along
 }
 
-// Stage is the trip's stage in the words of the wire.
-func (f *Flight) Stage() string {
-	return [...]string{brain.ToRead: kserve.StageRead, brain.ToWrite: kserve.StageWrite, brain.Whole: kserve.StageWhole}[f.Trip.Stage]
+// Stage is the attempt's stage in the words of the wire.
+func (f *Attempt) Stage() string {
+	return [...]string{brain.ToRead: kserve.StageRead, brain.ToWrite: kserve.StageWrite, brain.Whole: kserve.StageWhole}[f.Planned.Stage]
 }
 
 // Loop owns the module.
@@ -113,7 +113,7 @@
 	Log   *slog.Logger
 
 	module  Module
-	carrier Carrier
+	carrier Transport
 	places  Places
 	since   func() time.Duration
 
@@ -124,18 +124,18 @@
 	ended  chan struct{}
 
 	// Owned by the loop's goroutine.
-	now    time.Duration
-	wakes  agenda.Agenda // timers of the module and the loop
-	asked  map[*brain.Question]*Asked
-	lastID uint64
-	boxes  map[string]*Box
-	byHost map[*brain.Host]*Box
-	hosts  map[uint32]*brain.Host
-
-	further map[string][]addresses.Spec // of boxes, from the own file
+	now      time.Duration
+	wakes    agenda.Agenda // timers of the module and the loop
+	requests map[*brain.Request]*ClientRequest
+	lastID   uint64
+	backends map[string]*Backend
+	byHost   map[*brain.Backend]*Backend
+	hosts    map[uint32]*brain.Backend
+
+	further map[string][]addresses.Spec // of backends, from the own file
 	Tally   Tally
 	Lag     Lag
-	gone    []*Box // that may be forgotten some time
+	gone    []*Backend // that may be forgotten some time
 
 	books *Books
 
@@ -143,14 +143,14 @@
 }
 
 // NewLoop makes a loop and its module. since is the clock, a span since the start.
-func NewLoop(facts brain.Facts, seed uint64, places Places, carrier Carrier, since func() time.Duration, epoch string, log *slog.Logger) (*Loop, error) {
+func NewLoop(facts brain.Facts, seed uint64, places Places, carrier Transport, since func() time.Duration, epoch string, log *slog.Logger) (*Loop, error) {
 	if places.Allows == nil {
 		places.Allows = func(addresses.Spec) bool { return true }
 	}
 	l := &Loop{
 		Epoch: epoch, Log: log, carrier: carrier, places: places, since: since, bell: make(chan struct{}, 1), ended: make(chan struct{}),
-		asked: map[*brain.Question]*Asked{}, boxes: map[string]*Box{}, byHost: map[*brain.Host]*Box{},
-		hosts: map[uint32]*brain.Host{}, now: since(),
+		requests: map[*brain.Request]*ClientRequest{}, backends: map[string]*Backend{}, byHost: map[*brain.Backend]*Backend{},
+		hosts: map[uint32]*brain.Backend{}, now: since(),
 	}
 	module, err := brain.New(facts, seed, l)
 	l.module = module
@@ -160,12 +160,12 @@
 // Module is what a loop hosts: brain.Dispatcher, or a baseline to compare it with.
 type Module interface {
 	Listed(lines []brain.Listing, whole bool)
-	Arrive(q *brain.Question, grade, channel int)
-	Began(t *brain.Trip, took time.Duration)
-	Ended(t *brain.Trip, r brain.Result)
-	Left(q *brain.Question)
-	Heard(n brain.News)
-	MaySend(t *brain.Trip) brain.Permission
+	Submit(q *brain.Request, grade, channel int)
+	Began(t *brain.Attempt, took time.Duration)
+	Ended(t *brain.Attempt, r brain.Result)
+	Left(q *brain.Request)
+	Heard(n brain.PeerUpdate)
+	MaySend(t *brain.Attempt) brain.Permission
 }
 
 // Host puts another module in the place of the loop's, before anything has happened.
@@ -287,16 +287,16 @@
 	}
 }
 
-// Arrive takes a question, which has left for its answer.
-func (l *Loop) Arrive(a *Asked, grade, channel int, left time.Duration) {
+// Submit takes a request, which has left for its answer.
+func (l *Loop) Submit(a *ClientRequest, grade, channel int, left time.Duration) {
 	if a.Over() {
 		return // it had to wait for its turn, and is over meanwhile
 	}
 	l.lastID++
-	a.began, a.final, a.waiting = make(chan *Flight, 1), make(chan kserve.Final, 1), map[*Box]bool{}
+	a.began, a.final, a.waiting = make(chan *Attempt, 1), make(chan kserve.Final, 1), map[*Backend]bool{}
 	a.from = l.now
 	k := a.Ask
-	a.Question = &brain.Question{
+	a.Request = &brain.Request{
 		ID: l.lastID, Session: Number(k.Session), Shared: Number(k.Shared), Prompt: float64(k.Tokens), Prefix: float64(k.Prefix),
 		Most: float64(k.Most), Again: k.Again, Left: left,
 	}
@@ -304,32 +304,32 @@
 	a.channel = channel
 	if l.Guard != nil {
 		if admit, after, ticket := l.Guard.Arrive(l.now, k.Again, channel, k.Ticket); !admit {
-			a.Question.Over = true
+			a.Request.Over = true
 			l.Tally.Damped++
 			l.answer(a, kserve.Final{Final: kserve.Declined, Error: "too many ask again just now", Harmless: true, AfterMs: after.Milliseconds(), Ticket: ticket})
 			return
 		}
 	}
-	l.asked[a.Question] = a
-	// The module answers every question in its time; if ever it did not, its client must not be left hanging.
+	l.requests[a.Request] = a
+	// The module answers every request in its time; if ever it did not, its client must not be left hanging.
 	l.Wake(left+overdue, func() {
-		begun := a.flight != nil && a.flight.Trip.Began > 0
+		begun := a.flight != nil && a.flight.Planned.Began > 0
 		if !a.answered && !a.left && !begun {
 			l.Tally.Overdue++
-			l.Log.Error("question overdue", "question", a.Question.ID)
+			l.Log.Error("question overdue", "question", a.Request.ID)
 			l.answer(a, kserve.Final{Final: kserve.Forfeited, Error: "no answer came in time"})
-			l.module.Left(a.Question)
+			l.module.Left(a.Request)
 			l.forget(a)
 		}
 	})
 	l.pay(a, func() {
-		a.Question.Left = left - (l.now - a.from)
-		l.module.Arrive(a.Question, grade, channel)
+		a.Request.Left = left - (l.now - a.from)
+		l.module.Submit(a.Request, grade, channel)
 		l.forget(a)
 	})
 }
 
-// overdue is how long after its time a question without an answer is given up on.
+// overdue is how long after its time a request without an answer is given up on.
 const overdue = 5 * time.Millisecond
 
 // Number hashes a name for the module; 0 is none.
@@ -341,17 +341,17 @@
 }
 
 // answer gives the one final answer. It is the only place that does (rule 1).
-func (l *Loop) answer(a *Asked, f kserve.Final) {
+func (l *Loop) answer(a *ClientRequest, f kserve.Final) {
 	if a.answered {
 		return
 	}
 	a.answered = true
 	a.End()
-	f.Trips = len(a.Question.Trips)
+	f.Trips = len(a.Request.Attempts)
 	l.accountOver(a, f.Final, f.Error)
 	if l.Guard != nil && !a.unpaid && f.Trips+int(f.AfterMs) > 0 {
-		well, q := f.Final == kserve.Satisfied, a.Question
-		inTime := well && len(q.Trips) > 0 && q.Trips[len(q.Trips)-1].Began <= q.Promised
+		well, q := f.Final == kserve.Satisfied, a.Request
+		inTime := well && len(q.Attempts) > 0 && q.Attempts[len(q.Attempts)-1].Began <= q.TargetAt
 		l.Guard.Answered(l.now, well, !a.Ask.Again && a.Ask.Ticket == "", inTime, a.channel)
 	}
 	switch f.Final {
@@ -362,7 +362,7 @@
 	default:
 		l.Tally.Forfeited++
 	}
-	l.Log.Debug("question over", "question", a.Question.ID, "id", a.Ask.ID, "grade", a.Grade, "final", f.Final,
+	l.Log.Debug("question over", "question", a.Request.ID, "id", a.Ask.ID, "grade", a.Grade, "final", f.Final,
 		"trips", f.Trips, "took", l.now-a.from, "error", f.Error)
 	if a.Tell != nil {
 		a.Tell(f)
@@ -371,18 +371,18 @@
 	a.final <- f
 }
 
-// forget drops a question that is over and has no trip out.
-func (l *Loop) forget(a *Asked) {
-	if a.Question.Over && a.Question.Out() == nil {
-		delete(l.asked, a.Question)
-		a.Matter = nil // timers know the question for seconds more
+// forget drops a request that is over and has no attempt out.
+func (l *Loop) forget(a *ClientRequest) {
+	if a.Request.Over && a.Request.Out() == nil {
+		delete(l.requests, a.Request)
+		a.Matter = nil // timers know the request for seconds more
 		l.settle(a)
 	}
 }
 
-// Start waits for the trip whose stream goes to the client, or for a final answer without one: then there is no trip. ok is false
+// Start waits for the attempt whose stream goes to the client, or for a final answer without one: then there is no attempt. ok is false
 // where the context ended first.
-func (a *Asked) Start(ctx context.Context) (trip *Flight, f kserve.Final, ok bool) {
+func (a *ClientRequest) Start(ctx context.Context) (trip *Attempt, f kserve.Final, ok bool) {
 	select {
 	case <-ctx.Done():
 		return nil, f, false
@@ -401,23 +401,23 @@
 }
 
 // Final gives the one final answer.
-func (a *Asked) Final() <-chan kserve.Final { return a.final }
+func (a *ClientRequest) Final() <-chan kserve.Final { return a.final }
 
-// MaySend tells, when a connection for a trip is there, whether the trip may still go out: while it was waited for, the box may
-// have been told to drain, the question may have ended, and a repeat may have come too late.
-func (l *Loop) MaySend(f *Flight) brain.Permission {
+// MaySend tells, when a connection for an attempt is there, whether the attempt may still go out: while it was waited for, the backend may
+// have been told to drain, the request may have ended, and a repeat may have come too late.
+func (l *Loop) MaySend(f *Attempt) brain.Permission {
 	switch {
 	case f.late:
 		return brain.DeadlinePassed
-	case f.Asked.left, f.Asked.answered, f.Asked.Over():
+	case f.Request.left, f.Request.answered, f.Request.Over():
 		return brain.RequestOver
 	}
-	return l.module.MaySend(f.Trip)
+	return l.module.MaySend(f.Planned)
 }
 
-// CallOff ends all trips that are out, and tells how many are: their clients have gone or have their answers.
+// CallOff ends all attempts that are out, and tells how many are: their clients have gone or have their answers.
 func (l *Loop) CallOff() (out int) {
-	for _, a := range l.asked {
+	for _, a := range l.requests {
 		if a.flight != nil {
 			a.flight.Off(ErrLeft)
 			out++
@@ -426,7 +426,7 @@
 	return out
 }
 
-// News takes a sibling's message.
+// News takes a peer's message.
 func (l *Loop) News(raw []byte) error {
 	got, err := news.Decode(raw, l.hosts)
 	if err == nil && got.Host != nil {
@@ -435,12 +435,12 @@
 	return err
 }
 
-// Began takes word of a trip's first token.
-func (l *Loop) Began(f *Flight) {
-	if f.late || f.Trip.Ended || f.Trip.Began > 0 {
-		return // its time was up first: the trip ends as timed out
+// Began takes word of an attempt's first token.
+func (l *Loop) Began(f *Attempt) {
+	if f.late || f.Planned.Ended || f.Planned.Began > 0 {
+		return // its time was up first: the attempt ends as timed out
 	}
-	a := f.Asked
+	a := f.Request
 	a.stream = f
 	clear(a.waiting)
 	if a.left || a.answered {
@@ -448,79 +448,79 @@
 	} else {
 		a.began <- f
 	}
-	l.module.Began(f.Trip, l.now-f.Trip.Sent)
-	l.Tally.began(f.Trip)
+	l.module.Began(f.Planned, l.now-f.Planned.Sent)
+	l.Tally.began(f.Planned)
 	l.forget(a)
 }
 
-// Ended takes the end of a trip.
-func (l *Loop) Ended(f *Flight, r brain.Result) {
-	t, a := f.Trip, f.Asked
+// Ended takes the end of an attempt.
+func (l *Loop) Ended(f *Attempt, r brain.Result) {
+	t, a := f.Planned, f.Request
 	if t.Ended {
 		return
 	}
 	a.flight = nil
-	if f.Box.out--; f.Box.out == 0 && l.boxes[f.Box.Name] != f.Box {
-		defer delete(l.byHost, t.Host)
+	if f.Backend.out--; f.Backend.out == 0 && l.backends[f.Backend.Name] != f.Backend {
+		defer delete(l.byHost, t.Backend)
 	}
-	if r.Outcome == brain.Answered && t.Began == 0 {
+	if r.Outcome == brain.Served && t.Began == 0 {
 		r.Outcome = brain.TimedOut // its first token came too late to be shown, and the rest with it
 	}
 	l.accountEnded(f, r)
 	r.Took = l.now - t.Sent
 	l.Tally.ended(t, r)
-	l.Log.Debug("trip over", "id", a.Ask.ID, "box", f.Box.Name, "stage", f.Stage(), "number", t.Number, "outcome", r.Outcome, "took", r.Took, "wait", f.Wait,
-		"prompt", t.Question.Prompt, "left", t.Left, "kept", r.Note)
+	l.Log.Debug("trip over", "id", a.Ask.ID, "box", f.Backend.Name, "stage", f.Stage(), "number", t.Number, "outcome", r.Outcome, "took", r.Took, "wait", f.Wait,
+		"prompt", t.Request.Prompt, "left", t.Left, "kept", r.Note)
 	switch {
 	case r.Outcome == brain.Read:
-		a.waiting[f.Box] = true
-	case t.Stage == brain.ToRead && r.Outcome != brain.Unreached && r.Outcome != brain.Moot && r.Outcome != brain.Full:
-		// The read may have ended at the box just as it was given up on here: its state must not stay there.
-		l.release(f.Box, a)
-	case r.Outcome == brain.Full && r.Note == 1 && f.State != nil:
-		// The reader could not give the state just now; it may hold it all the same.
+		a.waiting[f.Backend] = true
+	case t.Stage == brain.ToRead && r.Outcome != brain.Unreachable && r.Outcome != brain.NotSent && r.Outcome != brain.Rejected:
+		// The read may have ended at the backend just as it was given up on here: its state must not stay there.
+		l.release(f.Backend, a)
+	case r.Outcome == brain.Rejected && r.Note == 1 && f.State != nil:
+		// The prefill backend could not give the state just now; it may hold it all the same.
 		l.release(f.State, a)
 		delete(a.waiting, f.State)
 	}
 	if f.Unfit {
 		l.answer(a, kserve.Final{Final: kserve.Forfeited, Error: "no box can use it"})
 	}
-	r.Over = a.answered || a.left || r.Outcome == brain.Answered || t.Began > 0
-	if r.Outcome == brain.Answered {
+	r.Over = a.answered || a.left || r.Outcome == brain.Served || t.Began > 0
+	if r.Outcome == brain.Served {
 		l.answer(a, kserve.Final{Final: kserve.Satisfied})
 	} else if t.Began > 0 && !a.left {
 		l.answer(a, kserve.Final{Final: kserve.Forfeited, Error: "the stream broke at its box"})
 	}
 	if l.Guard != nil && !r.Over && cost(r.Outcome) && !l.Guard.MayTryAgain(l.now) {
-		a.Question.Last = true
+		a.Request.Last = true
 	}
 	l.module.Ended(t, r)
 	l.forget(a)
 }
 
-// cost tells whether a trip that ended so may have cost its box work for nothing.
+// cost tells whether an attempt that ended so may have cost its backend work for nothing.
 func cost(o brain.Outcome) bool { return o == brain.Failed || o == brain.TimedOut || o == brain.Broken }
 
 // Left takes word that a client has gone.
-func (l *Loop) Left(a *Asked) {
-	if a.Question == nil || a.answered || a.left {
+func (l *Loop) Left(a *ClientRequest) {
+	if a.Request == nil || a.answered || a.left {
 		return
 	}
 	a.left = true
 	a.End()
 	l.accountOver(a, "left", "")
 	l.Tally.Left++
-	if a.flight != nil && a.flight.Trip.Began > 0 {
+	if a.flight != nil && a.flight.Planned.Began > 0 {
 		a.flight.Off(ErrLeft)
 	}
-	l.module.Left(a.Question)
+	l.module.Left(a.Request)
 	l.forget(a)
 }
 
-// HostOf is the module's host of a box; nil: the list has not named it.
-func (l *Loop) HostOf(name string) *brain.Host {
-	if b := l.boxes[name]; b != nil {
-		return b.Host
+// HostOf is the module's backend of a backend; nil: the list has not named it.
+func (l *Loop) HostOf(name string) *brain.Backend {
+	if b := l.backends[name]; b != nil {
+		return b.Known
 	}
 	return nil
 }
@@ -533,23 +533,23 @@
 	return b
 }
 
-// Heard takes a sibling's news.
-func (l *Loop) Heard(n brain.News) { l.module.Heard(n) }
+// Heard takes a peer's news.
+func (l *Loop) Heard(n brain.PeerUpdate) { l.module.Heard(n) }
 
 // Now, Send and the rest are the module's door.
 func (l *Loop) Now() time.Duration { return l.now }
 
-func (l *Loop) Send(t *brain.Trip, wait time.Duration) {
-	a := l.asked[t.Question]
-	f := &Flight{Trip: t, Asked: a, Box: l.byHost[t.Host], Wait: wait, Until: l.now + wait, Tokens: make(chan []byte, tokenRoom), Key: l.Key(a)}
+func (l *Loop) Send(t *brain.Attempt, wait time.Duration) {
+	a := l.requests[t.Request]
+	f := &Attempt{Planned: t, Request: a, Backend: l.byHost[t.Backend], Wait: wait, Until: l.now + wait, Tokens: make(chan []byte, tokenRoom), Key: l.Key(a)}
 	if t.Stage == brain.ToWrite {
-		f.State = l.byHost[t.Question.State]
+		f.State = l.byHost[t.Request.State]
 	}
 	a.flight = f
-	f.Box.out++
+	f.Backend.out++
 	l.Tally.Trips++
 	if l.Guard != nil {
-		l.Guard.Sent(l.now, t.Number > 0 && cost(t.Question.Trips[t.Number-1].Outcome))
+		l.Guard.Sent(l.now, t.Number > 0 && cost(t.Request.Attempts[t.Number-1].Outcome))
 	}
 	l.Wake(wait, func() {
 		if !t.Ended && t.Began == 0 {
@@ -558,22 +558,22 @@
 		}
 	})
 	l.accountSent(f)
-	l.carrier.Carry(f)
+	l.carrier.Start(f)
 }
 
-// tokenRoom is how many pieces of an answer wait for a client that reads slowly; then its box has to wait.
+// tokenRoom is how many pieces of an answer wait for a client that reads slowly; then its backend has to wait.
 const tokenRoom = 64
 
-func (l *Loop) Cancel(t *brain.Trip) {
-	if f := l.asked[t.Question].flight; f != nil && f.Trip == t {
+func (l *Loop) Cancel(t *brain.Attempt) {
+	if f := l.requests[t.Request].flight; f != nil && f.Planned == t {
 		f.Off(ErrLeft)
 	}
 }
 
 // Release has what waits for a request released. Beside an attempt it may go on waiting, for that attempt, and is released once more
 // at its end.
-func (l *Loop) Release(q *brain.Question) {
-	a := l.asked[q]
+func (l *Loop) Release(q *brain.Request) {
+	a := l.requests[q]
 	for b := range a.waiting {
 		l.release(b, a)
 	}
@@ -582,16 +582,16 @@
 	}
 }
 
-func (l *Loop) Decline(q *brain.Question, after time.Duration) {
+func (l *Loop) Reject(q *brain.Request, after time.Duration) {
 	ticket := ""
 	if l.Guard != nil && after > 0 {
 		after, ticket = l.Guard.Book(l.now)
 	}
-	l.answer(l.asked[q], kserve.Final{Ticket: ticket, Final: kserve.Declined, Error: "not taken on: too much is asked just now", Harmless: true, AfterMs: after.Milliseconds()})
+	l.answer(l.requests[q], kserve.Final{Ticket: ticket, Final: kserve.Declined, Error: "not taken on: too much is asked just now", Harmless: true, AfterMs: after.Milliseconds()})
 }
 
-func (l *Loop) Forfeit(q *brain.Question) {
-	l.answer(l.asked[q], kserve.Final{Final: kserve.Forfeited, Error: "given up on; it may have run"})
+func (l *Loop) Fail(q *brain.Request) {
+	l.answer(l.requests[q], kserve.Final{Final: kserve.Forfeited, Error: "given up on; it may have run"})
 }
 
 func (l *Loop) Wake(after time.Duration, do func()) {
@@ -600,6 +600,6 @@
 
 func (l *Loop) Watch(bool) {} // this list pushes unasked
 
-func (l *Loop) Tell(peer int, n brain.News) { l.carrier.Tell(peer, n) }
+func (l *Loop) Tell(peer int, n brain.PeerUpdate) { l.carrier.Tell(peer, n) }
 
 func (l *Loop) Note(text string) { l.Log.Info(text) }
--- a/internal/dispatch/loop_test.go
+++ b/internal/dispatch/loop_test.go
@@ -15,21 +15,21 @@
 	"sloetrestle/internal/setup"
 )
 
-// hand takes trips and releases down instead of sending them; the test moves its clock.
+// hand takes attempts and releases down instead of sending them; the test moves its clock.
 type hand struct {
 	now      time.Duration
-	flights  []*Flight
+	flights  []*Attempt
 	released []string
 	reached  []string
 }
 
-func (h *hand) Carry(f *Flight) {
+func (h *hand) Start(f *Attempt) {
 	f.ctx, f.Off = context.WithCancelCause(context.Background())
 	h.flights = append(h.flights, f)
 }
-func (h *hand) Release(b *Box, _ *Asked) { h.released = append(h.released, b.Name) }
-func (h *hand) Tell(int, brain.News)     {}
-func (h *hand) Reach(b *Box, at []addresses.Spec) {
+func (h *hand) Release(b *Backend, _ *ClientRequest) { h.released = append(h.released, b.Name) }
+func (h *hand) Tell(int, brain.PeerUpdate)           {}
+func (h *hand) Reach(b *Backend, at []addresses.Spec) {
 	h.reached = append(h.reached, fmt.Sprint(b.Name, at))
 }
 
@@ -45,7 +45,7 @@
 	return boxlist.Box{Name: name, Addresses: []addresses.Spec{{Network: "tcp4", At: "10.0.0.1:1"}}, Kind: kind, Standing: standing, Units: 1, UpMs: -1}
 }
 
-// settled makes a loop that knows two readers and two writers.
+// settled makes a loop that knows two prefill backends and two decode backends.
 func settled(t *testing.T, effect string) (*Loop, *hand) {
 	t.Helper()
 	h := &hand{now: time.Second}
@@ -61,15 +61,15 @@
 	return l, h
 }
 
-func asks(l *Loop, left time.Duration) *Asked {
-	a := &Asked{Ask: kserve.Ask{Tokens: 2000, Most: 50, Session: "s"}, Grade: "g"}
-	l.Do(func() { l.Arrive(a, 0, 0, left) })
+func asks(l *Loop, left time.Duration) *ClientRequest {
+	a := &ClientRequest{Ask: kserve.Ask{Tokens: 2000, Most: 50, Session: "s"}, Grade: "g"}
+	l.Do(func() { l.Submit(a, 0, 0, left) })
 	return a
 }
 
-func (h *hand) last() *Flight { return h.flights[len(h.flights)-1] }
+func (h *hand) last() *Attempt { return h.flights[len(h.flights)-1] }
 
-func final(t *testing.T, a *Asked) kserve.Final {
+func final(t *testing.T, a *ClientRequest) kserve.Final {
 	t.Helper()
 	select {
 	case f := <-a.final:
@@ -94,20 +94,20 @@
 	if len(h.released) != 1 {
 		t.Errorf("releases %v: a read cut off may have left its state", h.released)
 	}
-	if len(a.Question.Trips) == 1 && !a.answered {
+	if len(a.Request.Attempts) == 1 && !a.answered {
 		t.Error("neither another trip nor an answer")
 	}
 }
 
-// A first token that arrives in the moment when the trip's time is up must not be shown to the client: the trip ends as
+// A first token that arrives in the moment when the attempt's time is up must not be shown to the client: the attempt ends as
 // timed out, and another one may follow.
 func TestAFirstTokenAfterTheTripsTimeDoesNotCount(t *testing.T) {
 	l, h := settled(t, "idempotent")
 	a := asks(l, 4*time.Second)
 	l.Do(func() { l.Ended(h.last(), brain.Result{Outcome: brain.Read}) })
 	f := h.last()
-	if f.Trip.Stage != brain.ToWrite || f.State == nil {
-		t.Fatalf("stage %d, state %v", f.Trip.Stage, f.State)
+	if f.Planned.Stage != brain.ToWrite || f.State == nil {
+		t.Fatalf("stage %d, state %v", f.Planned.Stage, f.State)
 	}
 	h.now += f.Wait
 	l.Due()
@@ -126,7 +126,7 @@
 	h.now += f.Wait
 	l.Due()
 	l.Do(func() { l.Began(f) })
-	l.Do(func() { l.Ended(f, brain.Result{Outcome: brain.Answered}) })
+	l.Do(func() { l.Ended(f, brain.Result{Outcome: brain.Served}) })
 	if got := final(t, a); got.Final != kserve.Forfeited || len(a.began) != 0 || l.Tally.Outcomes[brain.TimedOut] != 1 {
 		t.Errorf("%+v with %d streams, outcomes %v", got, len(a.began), l.Tally.Outcomes)
 	}
@@ -143,8 +143,8 @@
 		t.Error("the stream goes on unread")
 	}
 	l.Do(func() { l.Ended(f, brain.Result{Outcome: brain.Cancelled}) })
-	if len(a.final) != 0 || len(l.asked) != 0 {
-		t.Errorf("%d answers to a client that left, %d questions held", len(a.final), len(l.asked))
+	if len(a.final) != 0 || len(l.requests) != 0 {
+		t.Errorf("%d answers to a client that left, %d questions held", len(a.final), len(l.requests))
 	}
 }
 
@@ -162,19 +162,19 @@
 	}
 }
 
-// The reader may be handing the state to a writer whose trip was just given up on, and say it has none.
+// The prefill backend may be handing the state to a decode backend whose attempt was just given up on, and say it has none.
 func TestAStateThatCouldNotBeGivenIsReleasedAllTheSame(t *testing.T) {
 	l, h := settled(t, "idempotent")
 	asks(l, 4*time.Second)
-	reader := h.last().Box.Name
+	reader := h.last().Backend.Name
 	l.Do(func() { l.Ended(h.last(), brain.Result{Outcome: brain.Read}) })
-	l.Do(func() { l.Ended(h.last(), brain.Result{Outcome: brain.Full, Note: 1}) })
+	l.Do(func() { l.Ended(h.last(), brain.Result{Outcome: brain.Rejected, Note: 1}) })
 	if len(h.released) != 1 || h.released[0] != reader {
 		t.Errorf("released at %v, the state was at %s", h.released, reader)
 	}
 }
 
-// Should the module ever leave a question without an answer, its client still gets one in time.
+// Should the module ever leave a request without an answer, its client still gets one in time.
 func TestAnOverdueQuestionIsForfeited(t *testing.T) {
 	l, h := settled(t, "idempotent")
 	a := asks(l, 4*time.Second)
@@ -190,13 +190,13 @@
 }
 
 // The list repeats a start with another age each time: that is no new start, at which the module would forget
-// what it knows of the box.
+// what it knows of the backend.
 func TestAStartHasOneTimeHoweverOftenItIsListed(t *testing.T) {
 	l, h := settled(t, "idempotent")
 	line := box("w1", "writer", "ready")
 	line.Start, line.UpMs = 7, 1000
 	l.Do(func() { l.Listed([]boxlist.Box{line}, false) })
-	host := l.boxes["w1"].Host
+	host := l.backends["w1"].Known
 	booted := host.Booted
 	h.now += 3 * time.Second
 	line.UpMs = 4007
@@ -213,12 +213,12 @@
 
 func TestABoxThatAWholeListLeavesOutIsGone(t *testing.T) {
 	l, _ := settled(t, "idempotent")
-	gone := l.boxes["w2"]
+	gone := l.backends["w2"]
 	l.Do(func() {
 		l.Listed([]boxlist.Box{box("r1", "reader", "ready"), box("w1", "writer", "draining"), box("x", "nonesuch", "ready")}, true)
 	})
-	if gone.Host.Standing != brain.Gone || l.boxes["w1"].Host.Standing != brain.Draining || l.boxes["x"] != nil {
-		t.Errorf("w2 %d, w1 %d, x %v", gone.Host.Standing, l.boxes["w1"].Host.Standing, l.boxes["x"])
+	if gone.Known.Standing != brain.Gone || l.backends["w1"].Known.Standing != brain.Draining || l.backends["x"] != nil {
+		t.Errorf("w2 %d, w1 %d, x %v", gone.Known.Standing, l.backends["w1"].Known.Standing, l.backends["x"])
 	}
 	select {
 	case <-gone.Drained:
@@ -244,7 +244,7 @@
 	}
 }
 
-// Boxes come and go under new names with every deployment: what is gone, and has nothing out, must not be kept and walked over
+// Backends come and go under new names with every deployment: what is gone, and has nothing out, must not be kept and walked over
 // for ever.
 func TestBoxesThatAreGoneAreForgotten(t *testing.T) {
 	l, h := settled(t, "idempotent")
@@ -263,19 +263,19 @@
 	l.Do(func() { l.Listed([]boxlist.Box{box("w1", "writer", "ready")}, true) })
 	h.now += 2 * goneKept
 	l.Do(func() { l.Listed([]boxlist.Box{box("w1", "writer", "ready")}, true) })
-	if len(l.boxes) != 2 || len(l.hosts) != 2 || len(l.byHost) != 2 || l.boxes[busy.Box.Name] == nil {
-		t.Fatalf("%d boxes, %d hosts, %d by host are held, of 1 listed and 1 with a trip", len(l.boxes), len(l.hosts), len(l.byHost))
+	if len(l.backends) != 2 || len(l.hosts) != 2 || len(l.byHost) != 2 || l.backends[busy.Backend.Name] == nil {
+		t.Fatalf("%d boxes, %d hosts, %d by host are held, of 1 listed and 1 with a trip", len(l.backends), len(l.hosts), len(l.byHost))
 	}
 	l.Do(func() { l.Ended(busy, brain.Result{Outcome: brain.Read}) })
 	l.Do(func() { l.Listed(nil, false) })
 	h.now += 2 * goneKept
 	l.Do(func() { l.Listed(nil, false) })
-	if len(l.boxes) != 1 || len(h.released)+len(h.flights) < 2 || a.Question == nil {
-		t.Errorf("%d boxes are held after the last trip, released %v", len(l.boxes), h.released)
+	if len(l.backends) != 1 || len(h.released)+len(h.flights) < 2 || a.Request == nil {
+		t.Errorf("%d boxes are held after the last trip, released %v", len(l.backends), h.released)
 	}
 }
 
-// Another machine under the old name is another box: groups that drop repeats, roles and racks go by where it stands now.
+// Another machine under the old name is another backend: groups that drop repeats, roles and racks go by where it stands now.
 func TestABoxThatComesBackElsewhereIsAnotherOne(t *testing.T) {
 	for name, change := range map[string]func(*boxlist.Box){
 		"kind": func(b *boxlist.Box) { b.Kind = "reader" },
@@ -283,11 +283,11 @@
 		"zone": func(b *boxlist.Box) { b.Zone = "there" },
 	} {
 		l, _ := settled(t, "idempotent")
-		old := l.boxes["w1"].Host
+		old := l.backends["w1"].Known
 		line := box("w1", "writer", "ready")
 		change(&line)
 		l.Do(func() { l.Listed([]boxlist.Box{line}, false) })
-		now := l.boxes["w1"].Host
+		now := l.backends["w1"].Known
 		if now == old || old.Standing != brain.Gone || now.Standing != brain.Ready || l.hosts[now.ID] != now || l.byHost[old] != nil {
 			t.Errorf("another %s: the same host, standing %d", name, old.Standing)
 		}
--- a/internal/dispatch/peers.go
+++ b/internal/dispatch/peers.go
@@ -31,7 +31,7 @@
 // newsBytes is the length of a message: version, number of the sender, the news.
 const newsBytes = 1 + 2 + 8
 
-// Peers sends news to siblings and takes theirs, over UDP. Messages may be lost; what is no message is
+// Peers sends news to peers and takes theirs, over UDP. Messages may be lost; what is no message is
 // counted and dropped.
 type Peers struct {
 	Own     int
@@ -89,7 +89,7 @@
 }
 
 // Tell sends news; a message that can't be sent is as good as lost.
-func (p *Peers) Tell(peer int, n brain.News) {
+func (p *Peers) Tell(peer int, n brain.PeerUpdate) {
 	if peer < 0 || peer >= len(p.To) || peer == p.Own {
 		return
 	}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -35,7 +35,7 @@
 	idleTime   = 60 * time.Second
 	headerMost = 64 << 10
 
-	accountTime = 4 * time.Second // for the counts of the last trips, when a dispatcher stops
+	accountTime = 4 * time.Second // for the counts of the last attempts, when a dispatcher stops
 )
 
 // Serve runs one dispatcher until the context ends; then it declines what is new, lets what it holds end, and
@@ -51,7 +51,7 @@
 	began := time.Now()
 	since := func() time.Duration { return time.Since(began) }
 
-	// Trips outlive the wish to stop: they end with life, after the last question.
+	// Attempts outlive the wish to stop: they end with life, after the last request.
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	var flights, group errgroup.Group
@@ -189,7 +189,7 @@
 	return err
 }
 
-// drain waits for open questions to end. It goes on listening for a little while at the least, so that clients
+// drain waits for open requests to end. It goes on listening for a little while at the least, so that clients
 // that a front still sends here get an answer.
 func (s *Server) drain(most time.Duration) bool {
 	const step, least = 10 * time.Millisecond, 300 * time.Millisecond
@@ -202,12 +202,12 @@
 	return s.open.Load() == 0
 }
 
-// settle waits until every trip has ended and the boxes were told of all releases, or for so long. A trip that was called off
+// settle waits until every attempt has ended and the backends were told of all releases, or for so long. An attempt that was called off
 // ends a little later, and its end may ask for a release.
 func (c *Trips) settle(ctx context.Context, most time.Duration) {
 	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		out := 0
-		c.loop.Call(ctx, func() { out = len(c.loop.asked) })
+		c.loop.Call(ctx, func() { out = len(c.loop.requests) })
 		c.mu.Lock()
 		left := len(c.releases)
 		c.mu.Unlock()
@@ -217,10 +217,10 @@
 	}
 }
 
-// Answers tells whether a box that answers is ready.
+// Answers tells whether a backend that answers is ready.
 func (l *Loop) Answers() bool {
-	for _, b := range l.boxes {
-		if b.Host.Standing == brain.Ready && b.Host.Kept != nil && b.Host.Answers() {
+	for _, b := range l.backends {
+		if b.Known.Standing == brain.Ready && b.Known.Kept != nil && b.Known.Answers() {
 			return true
 		}
 	}
@@ -228,15 +228,15 @@
 }
 
 // Yield ends what has not begun to be answered, so that clients may ask elsewhere: what is held is declined where that promise can be
-// kept, and what is out gets no further trip.
+// kept, and what is out gets no further attempt.
 func (l *Loop) Yield() {
-	for q, a := range l.asked {
+	for q, a := range l.requests {
 		switch f := a.flight; {
 		case a.answered || a.left:
 			if f != nil {
 				f.Off(ErrLeft) // nobody waits for it, and what it holds has to be released before the end
 			}
-		case f != nil && f.Trip.Began > 0:
+		case f != nil && f.Planned.Began > 0:
 		case f != nil:
 			q.Last = true
 			f.late = true
@@ -245,7 +245,7 @@
 			if brain.MayReject(q) == brain.Allowed {
 				l.answer(a, kserve.Final{Final: kserve.Declined, Error: "this dispatcher is stopping", Harmless: true, AfterMs: 1})
 			} else {
-				l.Forfeit(q)
+				l.Fail(q)
 			}
 			l.module.Left(q)
 			l.forget(a)
@@ -255,9 +255,9 @@
 
 // forfeitAll ends what is left when the time to stop is over.
 func (l *Loop) forfeitAll() {
-	for q, a := range l.asked {
+	for q, a := range l.requests {
 		if !a.answered && !a.left {
-			l.Forfeit(q)
+			l.Fail(q)
 			l.module.Left(q)
 		}
 		if a.flight != nil {
@@ -297,8 +297,8 @@
 		}
 		out["outcomes"] = outcomes
 		var boxes []map[string]any
-		for _, b := range l.boxes {
-			h := b.Host
+		for _, b := range l.backends {
+			h := b.Known
 			boxes = append(boxes, map[string]any{"name": b.Name, "at": b.At, "standing": [...]string{"draining", "ready", "gone"}[h.Standing],
 				"role": [...]string{"reader", "writer", "mixed"}[h.Role], "streams": h.Streams, "tokens": h.Tokens, "util": h.Util, "queue": h.Queue})
 		}
@@ -308,7 +308,7 @@
 	return out
 }
 
-// boxAddresses tells how each address of each box stands, and why.
+// boxAddresses tells how each address of each backend stands, and why.
 func boxAddresses(trips *Trips, now time.Duration) []BoxState {
 	var out []BoxState
 	trips.Boxes.Look(func(name string, book *addresses.Book, open, idle int) {
@@ -321,7 +321,7 @@
 	return out
 }
 
-// BoxState is a box as it is reached.
+// BoxState is a backend as it is reached.
 type BoxState struct {
 	Name      string         `json:"name"`
 	Open      int            `json:"open"`
--- a/internal/dispatch/serve_test.go
+++ b/internal/dispatch/serve_test.go
@@ -27,7 +27,7 @@
 	"sloetrestle/internal/standin"
 )
 
-// house is a dispatcher in this process with a reader and a writer beside it.
+// house is a dispatcher in this process with a prefill backend and a decode backend beside it.
 type house struct {
 	t      *testing.T
 	d      setup.Dispatcher
@@ -266,7 +266,7 @@
 	}
 }
 
-// A client that reads nothing must hold its box back, not fill the dispatcher's memory; and be let go in the end.
+// A client that reads nothing must hold its backend back, not fill the dispatcher's memory; and be let go in the end.
 func TestASlowReaderHoldsItsBoxBackAndIsLetGo(t *testing.T) {
 	h := open(t, nil)
 	var conns []net.Conn
@@ -294,7 +294,7 @@
 	h.stop()
 }
 
-// Stopping mid-burst loses no question: those that are taken end, those that come later are declined.
+// Stopping mid-burst loses no request: those that are taken end, those that come later are declined.
 func TestStoppingMidBurstLosesNoQuestion(t *testing.T) {
 	h := open(t, nil)
 	const n = 120
@@ -338,7 +338,7 @@
 	}
 }
 
-// A stop that waits for a stuck answer is bounded, and the question gets its final answer.
+// A stop that waits for a stuck answer is bounded, and the request gets its final answer.
 func TestStoppingForfeitsWhatDoesNotEnd(t *testing.T) {
 	h := open(t, func(d *setup.Dispatcher) { d.Place.Stop = setup.Span(400 * time.Millisecond) })
 	h.writer.Do(func(f *standin.Faults) { f.Slow = 50 })
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// take reads a question and hands it to the loop. Where none could be taken the client has its answer already.
-func (s *Server) take(w http.ResponseWriter, r *http.Request, inference bool) *Asked {
+// take reads a request and hands it to the loop. Where none could be taken the client has its answer already.
+func (s *Server) take(w http.ResponseWriter, r *http.Request, inference bool) *ClientRequest {
 	came := time.Now()
 	ctl := http.NewResponseController(w)
 	ctl.SetReadDeadline(came.Add(s.Place.BodyTime.D()))
@@ -141,14 +141,14 @@
 	if ask.Channel == "" && len(s.Terms.Channels) > 0 {
 		ask.Channel = s.Terms.Channels[0].Name
 	}
-	a := &Asked{Ask: ask, Grade: g.Name, Channel: ask.Channel}
+	a := &ClientRequest{Ask: ask, Grade: g.Name, Channel: ask.Channel}
 	took := s.Loop.Call(context.WithoutCancel(r.Context()), func() {
 		if ask.Shared == "" && ask.Text != "" {
 			if key, n := s.begins.Find(s.Loop.now, Number(ask.Session), ask.Text); key != 0 {
 				a.Ask.Shared, a.Ask.Prefix = fmt.Sprintf("text-%x", key), min(n, a.Ask.Tokens)
 			}
 		}
-		s.Loop.Arrive(a, grade, channel, ask.Left-time.Since(came)-s.Place.Margin.D())
+		s.Loop.Submit(a, grade, channel, ask.Left-time.Since(came)-s.Place.Margin.D())
 	})
 	if !took {
 		s.open.Add(-1)
@@ -159,7 +159,7 @@
 }
 
 // left tells the loop that the client has gone.
-func (s *Server) left(a *Asked) { s.Loop.Post(func() { s.Loop.Left(a) }) }
+func (s *Server) left(a *ClientRequest) { s.Loop.Post(func() { s.Loop.Left(a) }) }
 
 // stream answers with server-sent events. Until the first token any answer is still a plain one, with its status.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request) {
@@ -178,8 +178,8 @@
 	}
 }
 
-// pour writes a trip's stream to the client, then the final answer.
-func (s *Server) pour(w http.ResponseWriter, r *http.Request, a *Asked, trip *Flight) {
+// pour writes an attempt's stream to the client, then the final answer.
+func (s *Server) pour(w http.ResponseWriter, r *http.Request, a *ClientRequest, trip *Attempt) {
 	ctl := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
@@ -226,7 +226,7 @@
 }
 
 // gather waits for the whole answer.
-func (s *Server) gather(r *http.Request, a *Asked) (text []byte, f kserve.Final, ok bool) {
+func (s *Server) gather(r *http.Request, a *ClientRequest) (text []byte, f kserve.Final, ok bool) {
 	trip, f, ok := a.Start(r.Context())
 	if !ok {
 		s.left(a)
@@ -263,7 +263,7 @@
 }
 
 // whole answers with all of an answer at once, as write has it; any other end is a plain final answer.
-func (s *Server) whole(w http.ResponseWriter, r *http.Request, inference bool, write func(a *Asked, text []byte, f kserve.Final)) {
+func (s *Server) whole(w http.ResponseWriter, r *http.Request, inference bool, write func(a *ClientRequest, text []byte, f kserve.Final)) {
 	a := s.take(w, r, inference)
 	if a == nil {
 		return
@@ -281,13 +281,13 @@
 }
 
 func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
-	s.whole(w, r, false, func(a *Asked, text []byte, f kserve.Final) {
+	s.whole(w, r, false, func(a *ClientRequest, text []byte, f kserve.Final) {
 		kserve.WriteJSON(w, http.StatusOK, map[string]any{"model_name": s.Terms.Model, "id": a.Ask.ID, "text_output": string(text), "final": f.Final, "trips": f.Trips})
 	})
 }
 
 func (s *Server) infer(w http.ResponseWriter, r *http.Request) {
-	s.whole(w, r, true, func(a *Asked, text []byte, f kserve.Final) {
+	s.whole(w, r, true, func(a *ClientRequest, text []byte, f kserve.Final) {
 		data, err := json.Marshal([]string{string(text)})
 		if err != nil {
 			kserve.WriteFault(w, err)
--- a/internal/dispatch/tally.go
+++ b/internal/dispatch/tally.go
@@ -10,13 +10,13 @@
 // Tally counts what a loop has seen; it is read by the loop's goroutine only.
 type Tally struct {
 	Taken, Satisfied, Declined, Forfeited, Left, Overdue, Trips, Damped int64
-	Outcomes                                                            [brain.Moot + 1]int64
+	Outcomes                                                            [brain.NotSent + 1]int64
 	Prefills                                                            [brain.Whole + 1]Prefills // by stage
 	Began, InTime                                                       int64                     // first tokens, and those by the promised time
-	Held, First                                                         time.Duration             // of questions that began: before the last way out, and in all
+	Held, First                                                         time.Duration             // of requests that began: before the last way out, and in all
 }
 
-// Prefills are the trips of one stage that ended well: their prompts' tokens, those that their boxes found kept, and those that the
+// Prefills are the attempts of one stage that ended well: their prompts' tokens, those that their backends found kept, and those that the
 // module expected to be.
 type Prefills struct{ Trips, Prompt, Kept, Expected int64 }
 
@@ -24,24 +24,24 @@
 	return fmt.Sprintf("{trips:%d prompt:%d kept:%d expected:%d}", p.Trips, p.Prompt, p.Kept, p.Expected)
 }
 
-// ended takes note of a trip's end.
-func (y *Tally) ended(t *brain.Trip, r brain.Result) {
+// ended takes note of an attempt's end.
+func (y *Tally) ended(t *brain.Attempt, r brain.Result) {
 	y.Outcomes[r.Outcome]++
-	if r.Outcome != brain.Read && r.Outcome != brain.Answered {
+	if r.Outcome != brain.Read && r.Outcome != brain.Served {
 		return
 	}
-	p, prompt := &y.Prefills[t.Stage], t.Question.Prompt
+	p, prompt := &y.Prefills[t.Stage], t.Request.Prompt
 	p.Trips, p.Prompt, p.Kept = p.Trips+1, p.Prompt+int64(prompt), p.Kept+int64(r.Note)
 	if t.Stage != brain.ToWrite {
 		p.Expected += int64(prompt - t.Left)
 	}
 }
 
-// began takes note of a trip's first token.
-func (y *Tally) began(t *brain.Trip) {
-	q := t.Question
+// began takes note of an attempt's first token.
+func (y *Tally) began(t *brain.Attempt) {
+	q := t.Request
 	y.Began++
-	if t.Began <= q.Promised {
+	if t.Began <= q.TargetAt {
 		y.InTime++
 	}
 	y.Held += q.Dispatched - q.Taken
--- a/internal/dispatch/trips.go
+++ b/internal/dispatch/trips.go
@@ -23,34 +23,34 @@
 	"sloetrestle/internal/reach"
 )
 
-// Why a flight was called off.
+// Why a attempt was called off.
 var (
 	ErrLate    = errors.New("its time was up")
 	ErrLeft    = errors.New("nobody waits for it")
 	errStalled = errors.New("the stream stalled")
 )
 
-// Seen is what the socket of a trip showed.
+// Seen is what the socket of an attempt showed.
 type Seen struct {
 	Local     bool         // this machine could not begin to connect
 	Connected bool         // a byte of the request went out, over one proven connection
-	Told      *kserve.Told // what the box said at the end
+	Told      *kserve.Told // what the backend said at the end
 	Cause     error        // why it was called off, if it was
 }
 
-// Outcome is what may be said of a trip. Only what is proven not to have run is called so: without a connection
-// nothing was sent, and a box that states that it refused is believed; all else may have run.
+// Outcome is what may be said of an attempt. Only what is proven not to have run is called so: without a connection
+// nothing was sent, and a backend that states that it refused is believed; all else may have run.
 func (s Seen) Outcome(stage brain.Stage) (o brain.Outcome, note int) {
 	if t := s.Told; t != nil {
 		switch {
 		case t.Outcome == kserve.OutcomeRead && stage == brain.ToRead:
 			return brain.Read, t.Kept
 		case t.Outcome == kserve.OutcomeAnswered && stage != brain.ToRead:
-			return brain.Answered, t.Kept
+			return brain.Served, t.Kept
 		case t.Outcome == kserve.OutcomeFull:
-			return brain.Full, 0
+			return brain.Rejected, 0
 		case t.Outcome == kserve.OutcomeNoState:
-			return brain.Full, 1
+			return brain.Rejected, 1
 		}
 		return brain.Failed, 0
 	}
@@ -58,9 +58,9 @@
 	case !s.Connected && errors.Is(s.Cause, ErrLeft):
 		return brain.Cancelled, 0
 	case s.Local:
-		return brain.Moot, 0
+		return brain.NotSent, 0
 	case !s.Connected:
-		return brain.Unreached, 0
+		return brain.Unreachable, 0
 	case errors.Is(s.Cause, ErrLate):
 		return brain.TimedOut, 0
 	case errors.Is(s.Cause, ErrLeft):
@@ -69,7 +69,7 @@
 	return brain.Broken, 0
 }
 
-// Trips takes trips to boxes over HTTP.
+// Attempts takes attempts to backends over HTTP.
 type Trips struct {
 	Model string
 	Stall time.Duration
@@ -81,7 +81,7 @@
 	life  context.Context
 
 	mu       sync.Mutex
-	releases map[*Box]*releases
+	releases map[*Backend]*releases
 	Refused  atomic.Int64 // releases given up, as too many waited
 }
 
@@ -89,33 +89,33 @@
 func NewTrips(life context.Context, group *errgroup.Group, conns int, dial time.Duration, since func() time.Duration) *Trips {
 	boxes := &reach.Boxes{Limit: dial, Most: conns, Since: since, Life: life, Group: group}
 	group.Go(boxes.Tend)
-	return &Trips{life: life, group: group, Boxes: boxes, releases: map[*Box]*releases{}}
+	return &Trips{life: life, group: group, Boxes: boxes, releases: map[*Backend]*releases{}}
 }
 
-// Reach says where a box is now.
-func (c *Trips) Reach(b *Box, at []addresses.Spec) {
-	b.reach = c.Boxes.Set(b.Name, at, uint64(b.Host.ID))
+// Reach says where a backend is now.
+func (c *Trips) Reach(b *Backend, at []addresses.Spec) {
+	b.reach = c.Boxes.Set(b.Name, at, uint64(b.Known.ID))
 }
 
-// Carry starts a trip.
-func (c *Trips) Carry(f *Flight) {
+// Start starts an attempt.
+func (c *Trips) Start(f *Attempt) {
 	f.ctx, f.Off = context.WithCancelCause(c.life)
-	q, a := f.Trip.Question, f.Asked
+	q, a := f.Planned.Request, f.Request
 	e := kserve.Errand{
 		Stage: f.Stage(),
-		From:  c.loop.Epoch, Question: q.ID, Trip: f.Trip.Number, Mark: cmp.Or(a.Ask.ID, f.Key), Grade: a.Grade, Channel: a.Channel,
+		From:  c.loop.Epoch, Question: q.ID, Trip: f.Planned.Number, Mark: cmp.Or(a.Ask.ID, f.Key), Grade: a.Grade, Channel: a.Channel,
 		Session: q.Session, Shared: q.Shared, Tokens: int(q.Prompt), Prefix: int(q.Prefix), Most: int(q.Most),
 		WaitUs: f.Wait.Microseconds(),
 	}
 	if f.State != nil {
 		e.Reader, e.State = f.State.Name, f.State.reach.Best()
 	}
-	// What the goroutine needs is read here: boxes are the loop's.
-	host, text := f.Box.reach, a.Ask.Text
+	// What the goroutine needs is read here: backends are the loop's.
+	host, text := f.Backend.reach, a.Ask.Text
 	c.group.Go(func() error {
 		seen := c.fly(f, host, text, e)
 		f.Off(nil)
-		outcome, note := seen.Outcome(f.Trip.Stage)
+		outcome, note := seen.Outcome(f.Planned.Stage)
 		result := brain.Result{Outcome: outcome, Note: note}
 		if seen.Told != nil {
 			result.Load = seen.Told.Load
@@ -127,15 +127,15 @@
 	})
 }
 
-// fly is one trip from its connection to its end. It is bound to one connection, of one address.
-func (c *Trips) fly(f *Flight, host *reach.Host, text string, e kserve.Errand) (seen Seen) {
+// fly is one attempt from its connection to its end. It is bound to one connection, of one address.
+func (c *Trips) fly(f *Attempt, host *reach.Host, text string, e kserve.Errand) (seen Seen) {
 	var conn *reach.Conn
 	defer func() {
 		seen.Cause = context.Cause(f.ctx)
 		if conn == nil {
 			return
 		}
-		// A trip that ended without a word speaks against the way it took, unless it was called off for its client.
+		// An attempt that ended without a word speaks against the way it took, unless it was called off for its client.
 		if seen.Told != nil {
 			seen.Told.Bound(e)
 			conn.Served()
@@ -191,7 +191,7 @@
 			}
 			stall.Reset(c.Stall) // nothing but tokens shows that the answer goes on
 			if f.Streamed.Add(1) > int64(e.Most) {
-				return seen // more than was asked for: no answer of this question
+				return seen // more than was asked for: no answer of this request
 			}
 			select {
 			case f.Tokens <- piece.Bytes():
@@ -202,7 +202,7 @@
 	}
 }
 
-// told reads a short answer of a box. A 503 counts as a refusal only if the box says so itself: a proxy's
+// told reads a short answer of a backend. A 503 counts as a refusal only if the backend says so itself: a proxy's
 // proves nothing. An answer that is no stream has no tokens, so none is satisfied by it.
 func told(resp *http.Response) *kserve.Told {
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, 64<<10))
@@ -218,32 +218,32 @@
 	return t
 }
 
-// Tell sends news to a sibling.
-func (c *Trips) Tell(peer int, n brain.News) {
+// Tell sends news to a peer.
+func (c *Trips) Tell(peer int, n brain.PeerUpdate) {
 	if c.Peers != nil {
 		c.Peers.Tell(peer, n)
 	}
 }
 
-// releases are the states that a box is still to be told to let go of.
+// releases are the states that a backend is still to be told to let go of.
 type releases struct {
 	keys []kserve.Release
 }
 
 const (
 	releaseBatch = 256
-	releaseMost  = 20000                 // waiting for one box; a box that is away so long lets go by itself
+	releaseMost  = 20000                 // waiting for one backend; a backend that is away so long lets go by itself
 	releaseAgain = 20 * time.Millisecond // the first wait for the next try, doubled up to the next value
 	releaseMax   = time.Second
 	releaseTime  = 250 * time.Millisecond // for one try
 )
 
-// Release tells a box to let go of a question's state, until it is known done or the box is gone.
-func (c *Trips) Release(b *Box, a *Asked) {
+// Release tells a backend to let go of a request's state, until it is known done or the backend is gone.
+func (c *Trips) Release(b *Backend, a *ClientRequest) {
 	if a.AttemptOut() {
-		return // its connection was proven right before it, and its box may hold the state without having fetched it
+		return // its connection was proven right before it, and its backend may hold the state without having fetched it
 	}
-	key := kserve.Release{Key: c.loop.Key(a), Trip: len(a.Question.Trips) - 1}
+	key := kserve.Release{Key: c.loop.Key(a), Trip: len(a.Request.Attempts) - 1}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.releases[b]
@@ -260,8 +260,8 @@
 	r.keys = append(r.keys, key)
 }
 
-// releasing works until nothing is left to release at the box.
-func (c *Trips) releasing(b *Box, r *releases, host *reach.Host, gone <-chan struct{}) {
+// releasing works until nothing is left to release at the backend.
+func (c *Trips) releasing(b *Backend, r *releases, host *reach.Host, gone <-chan struct{}) {
 	wait := releaseAgain
 	for {
 		c.mu.Lock()
@@ -319,8 +319,8 @@
 // inquireTime is for one inquiry.
 const inquireTime = 500 * time.Millisecond
 
-// Inquire asks a box for counts.
-func (c *Trips) Inquire(b *Box, q account.Inquiry, heard func(*account.Reply)) {
+// Inquire asks a backend for counts.
+func (c *Trips) Inquire(b *Backend, q account.Inquiry, heard func(*account.Reply)) {
 	host := b.reach
 	c.group.Go(func() error {
 		r := c.inquire(host, q)
--- a/internal/dispatch/trips_test.go
+++ b/internal/dispatch/trips_test.go
@@ -16,8 +16,8 @@
 		want  brain.Outcome
 		note  int
 	}{
-		{Seen{}, brain.Whole, brain.Unreached, 0},
-		{Seen{Cause: ErrLate}, brain.Whole, brain.Unreached, 0},
+		{Seen{}, brain.Whole, brain.Unreachable, 0},
+		{Seen{Cause: ErrLate}, brain.Whole, brain.Unreachable, 0},
 		{Seen{Cause: ErrLeft}, brain.Whole, brain.Cancelled, 0},
 		{Seen{Connected: true}, brain.Whole, brain.Broken, 0},
 		{Seen{Connected: true, Cause: errStalled}, brain.Whole, brain.Broken, 0},
@@ -25,10 +25,10 @@
 		{Seen{Connected: true, Cause: ErrLeft}, brain.ToWrite, brain.Cancelled, 0},
 		{Seen{Connected: true, Told: told(kserve.OutcomeRead)}, brain.ToRead, brain.Read, 5},
 		{Seen{Connected: true, Told: told(kserve.OutcomeRead)}, brain.Whole, brain.Failed, 0},
-		{Seen{Connected: true, Told: told(kserve.OutcomeAnswered)}, brain.ToWrite, brain.Answered, 5},
+		{Seen{Connected: true, Told: told(kserve.OutcomeAnswered)}, brain.ToWrite, brain.Served, 5},
 		{Seen{Connected: true, Told: told(kserve.OutcomeAnswered)}, brain.ToRead, brain.Failed, 0},
-		{Seen{Connected: true, Told: told(kserve.OutcomeFull)}, brain.ToWrite, brain.Full, 0},
-		{Seen{Connected: true, Told: told(kserve.OutcomeNoState)}, brain.ToWrite, brain.Full, 1},
+		{Seen{Connected: true, Told: told(kserve.OutcomeFull)}, brain.ToWrite, brain.Rejected, 0},
+		{Seen{Connected: true, Told: told(kserve.OutcomeNoState)}, brain.ToWrite, brain.Rejected, 1},
 		{Seen{Connected: true, Told: told(kserve.OutcomeFailed)}, brain.ToWrite, brain.Failed, 0},
 		{Seen{Connected: true, Told: told("gibberish")}, brain.ToWrite, brain.Failed, 0},
 	} {
--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// An older list could bring back boxes that are draining. It is taken only once discovery has had nothing newer for a while: then it
+// An older list could bring back backends that are draining. It is taken only once discovery has had nothing newer for a while: then it
 // has begun anew.
 func TestAnOlderListIsNotTakenAtOnce(t *testing.T) {
 	var tab Table
@@ -121,7 +121,7 @@
 	return f
 }
 
-// watching is a follower that knows a site's one box.
+// watching is a follower that knows a site's one backend.
 func watching(t *testing.T) (*hosts.Site, *hosts.Box, *hosts.Agent, *following) {
 	site := hosts.New()
 	t.Cleanup(site.Close)
@@ -132,7 +132,7 @@
 	return site, box, agent, f
 }
 
-// until waits until the last line that was told of a box says so.
+// until waits until the last line that was told of a backend says so.
 func (f *following) until(t *testing.T, name, standing string) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
--- a/internal/endpoints/table.go
+++ b/internal/endpoints/table.go
@@ -1,5 +1,5 @@
-// Package endpoints follows the platform's discovery: Table turns what it says into lines of the box list, without I/O, and
-// Follower keeps a watch on it. It knows only what discovery says and never asks a box; begin with Table.
+// Package endpoints follows the platform's discovery: Table turns what it says into lines of the backend list, without I/O, and
+// Follower keeps a watch on it. It knows only what discovery says and never asks a backend; begin with Table.
 package endpoints
 
 import (
@@ -54,7 +54,7 @@
 // Moved takes note that discovery has another address: an older list from there has been what discovery says from now on.
 func (t *Table) Moved(now time.Duration) { t.moved = max(now, 1) }
 
-// Take reads a push and returns the lines that it changes. unix is the wall time in milliseconds, by which boxes tell their
+// Take reads a push and returns the lines that it changes. unix is the wall time in milliseconds, by which backends tell their
 // start. Lines without sense are left out and named.
 func (t *Table) Take(now time.Duration, unix int64, raw []byte) (lines []boxlist.Box, whole bool, refused []string, err error) {
 	var p push
@@ -64,7 +64,7 @@
 	if len(p.Targets) > mostTargets {
 		return nil, false, nil, fmt.Errorf("a push has %d targets, %d are taken at most", len(p.Targets), mostTargets)
 	}
-	// A list that goes back could bring back boxes that are draining. What it takes out of service is taken at once: discovery may
+	// A list that goes back could bring back backends that are draining. What it takes out of service is taken at once: discovery may
 	// have begun to count anew, and that change counts as told.
 	older := t.heard && p.Rev < t.Rev
 	if older {
--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -16,9 +16,9 @@
 // transport takes a dispatcher's attempts to the engines.
 type transport dispatcher
 
-func (c *transport) Reach(*dispatch.Box, []addresses.Spec) {}
+func (c *transport) Reach(*dispatch.Backend, []addresses.Spec) {}
 
-func (c *transport) Tell(peer int, n brain.News) {
+func (c *transport) Tell(peer int, n brain.PeerUpdate) {
 	d := (*dispatcher)(c)
 	if peer < 0 || peer >= len(d.w.dispatchers) {
 		return
@@ -38,12 +38,12 @@
 	})
 }
 
-func (c *transport) Release(b *dispatch.Box, a *dispatch.Asked) {
+func (c *transport) Release(b *dispatch.Backend, a *dispatch.ClientRequest) {
 	if a.AttemptOut() {
 		return // attempts arrive here, and wait for the state
 	}
 	w := c.w
-	r := kserve.Release{Key: c.loop.Key(a), Trip: len(a.Question.Trips) - 1}
+	r := kserve.Release{Key: c.loop.Key(a), Trip: len(a.Request.Attempts) - 1}
 	to := w.boxes[b.Name]
 	w.after(hop, func() {
 		if to.up {
@@ -58,7 +58,7 @@
 	w      *world
 	from   *dispatcher
 	loop   *dispatch.Loop
-	flight *dispatch.Flight
+	flight *dispatch.Attempt
 	to     *backend
 	start  uint64
 	job    *engine.Job
@@ -71,11 +71,11 @@
 
 func (t *attempt) id() string { return fmt.Sprintf("%s/%d", t.line.Key, t.line.Trip) }
 
-func (c *transport) Carry(f *dispatch.Flight) {
+func (c *transport) Start(f *dispatch.Attempt) {
 	d := (*dispatcher)(c)
 	w := d.w
-	t := &attempt{w: w, from: d, loop: d.loop, flight: f, to: w.boxes[f.Box.Name]}
-	t.line = record.Line{Box: t.to.make.Name, Try: f.Asked.Ask.ID, Grade: f.Asked.Grade, Key: f.Key, Stage: f.Stage(), Trip: f.Trip.Number}
+	t := &attempt{w: w, from: d, loop: d.loop, flight: f, to: w.boxes[f.Backend.Name]}
+	t.line = record.Line{Box: t.to.make.Name, Try: f.Request.Ask.ID, Grade: f.Request.Grade, Key: f.Key, Stage: f.Stage(), Trip: f.Planned.Number}
 	f.Off = func(why error) {
 		if t.off != nil || t.told {
 			return
@@ -94,15 +94,15 @@
 		if t.to.fell {
 			wait = dialTime // its machine is stuck, nobody refuses
 		}
-		w.after(wait, func() { t.tell(brain.Result{Outcome: brain.Unreached}) })
+		w.after(wait, func() { t.tell(brain.Result{Outcome: brain.Unreachable}) })
 		return
 	}
 	wait, limit := w.connectTime(), dialTime
-	if least := f.Trip.Connect; least > 0 {
+	if least := f.Planned.Connect; least > 0 {
 		limit = min(limit, least)
 	}
 	if wait > limit {
-		w.after(limit, func() { t.tell(brain.Result{Outcome: brain.Unreached}) })
+		w.after(limit, func() { t.tell(brain.Result{Outcome: brain.Unreachable}) })
 		return
 	}
 	w.after(hop+wait, t.arrive)
@@ -198,7 +198,7 @@
 		t.back(brain.Result{Outcome: brain.Failed})
 		return
 	}
-	q := t.flight.Trip.Question
+	q := t.flight.Planned.Request
 	j := &engine.Job{Key: t.line.Key, Session: q.Session, Shared: q.Shared, Prompt: int(q.Prompt), Prefix: int(q.Prefix)}
 	t.job = j
 	switch t.line.Stage {
@@ -258,10 +258,10 @@
 		return
 	}
 	t.from.do(func() { t.loop.Began(t.flight) })
-	if t.off != nil || t.flight.Trip.Began == 0 {
+	if t.off != nil || t.flight.Planned.Began == 0 {
 		return
 	}
-	if c := t.from.of[t.flight.Asked]; c != nil {
+	if c := t.from.of[t.flight.Request]; c != nil {
 		t.w.after(hop, func() {
 			if !c.over && !c.first {
 				c.first = true
@@ -287,7 +287,7 @@
 		}
 		if t.line.Stage != kserve.StageRead {
 			t.end(kserve.OutcomeAnswered)
-			t.back(brain.Result{Outcome: brain.Answered, Note: kept})
+			t.back(brain.Result{Outcome: brain.Served, Note: kept})
 			return
 		}
 		if upTo, ok := b.released[t.line.Key]; ok && t.line.Trip <= upTo {
@@ -308,10 +308,10 @@
 		}
 	case engine.Full, engine.TooBig:
 		t.end(kserve.OutcomeFull)
-		t.back(brain.Result{Outcome: brain.Full})
+		t.back(brain.Result{Outcome: brain.Rejected})
 	case engine.NoState:
 		t.end(kserve.OutcomeNoState)
-		t.back(brain.Result{Outcome: brain.Full, Note: 1})
+		t.back(brain.Result{Outcome: brain.Rejected, Note: 1})
 	}
 }
 
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -18,7 +18,7 @@
 	try   int
 	id    string
 	d     *dispatcher
-	asked *dispatch.Asked
+	asked *dispatch.ClientRequest
 	over  bool
 	first bool
 }
@@ -70,7 +70,7 @@
 		})
 	}
 	d.open[c] = true
-	c.asked = &dispatch.Asked{Ask: kserve.Ask{ID: c.id, Session: wish.Session, Shared: wish.Shared, Tokens: wish.Tokens, Prefix: wish.Prefix, Most: wish.Most,
+	c.asked = &dispatch.ClientRequest{Ask: kserve.Ask{ID: c.id, Session: wish.Session, Shared: wish.Shared, Tokens: wish.Tokens, Prefix: wish.Prefix, Most: wish.Most,
 		Again: try > 0, Ticket: ticket}, Grade: wish.Grade, Channel: wish.Channel}
 	d.of[c.asked] = c
 	c.asked.Tell = func(f kserve.Final) { w.after(hop, func() { c.final(f) }) }
@@ -79,7 +79,7 @@
 		if c.over && wish.Leaves == 0 || !d.open[c] {
 			return
 		}
-		d.do(func() { d.loop.Arrive(c.asked, grade, channel, left-2*hop) })
+		d.do(func() { d.loop.Submit(c.asked, grade, channel, left-2*hop) })
 	})
 }
 
--- a/internal/fleet/dispatcher.go
+++ b/internal/fleet/dispatcher.go
@@ -30,7 +30,7 @@
 	due    time.Duration
 	set    bool
 	open   map[*client]bool
-	of     map[*dispatch.Asked]*client
+	of     map[*dispatch.ClientRequest]*client
 }
 
 func (d *dispatcher) boot(kept map[string]boxlist.Box) error {
@@ -62,7 +62,7 @@
 	}
 	d.loop, d.up, d.front, d.set, d.books = loop, true, true, false, nil
 	d.budgets()
-	d.open, d.of = map[*client]bool{}, map[*dispatch.Asked]*client{}
+	d.open, d.of = map[*client]bool{}, map[*dispatch.ClientRequest]*client{}
 	d.known = map[string]boxlist.Box{}
 	w.put(record.Line{What: record.Up, Dispatcher: d.name})
 	if kept != nil {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -30,7 +30,7 @@
 // view shows baseline.Informed the backends as last observed.
 type view struct{ w *world }
 
-func (v view) Load(h *brain.Host, q *brain.Question) baseline.Load {
+func (v view) Load(h *brain.Backend, q *brain.Request) baseline.Load {
 	b := v.w.byID[h.ID]
 	load := b.seen
 	if h.Role == brain.Reads {
@@ -39,4 +39,4 @@
 	return load
 }
 
-func (v view) Sent(t *brain.Trip, tokens float64) { v.w.byID[t.Host.ID].seen.Backlog += tokens }
+func (v view) Sent(t *brain.Attempt, tokens float64) { v.w.byID[t.Backend.ID].seen.Backlog += tokens }
--- a/internal/news/news.go
+++ b/internal/news/news.go
@@ -12,7 +12,7 @@
 // Encode writes news of an attempt: backend, class, verdict with a bit for a load report, and the report. Where there is no
 // report, its place has the share of the latency target that the first token took; dispatchers that don't know of that pass
 // over those two bytes.
-func Encode(n brain.News) []byte {
+func Encode(n brain.PeerUpdate) []byte {
 	raw := binary.BigEndian.AppendUint32(nil, n.Host.ID)
 	raw = append(raw, byte(n.Grade), byte(n.Verdict)<<1)
 	switch {
@@ -33,11 +33,11 @@
 func inByte(value float64) byte { return byte(min(max(value, 0), 255)) }
 
 // Decode reads what Encode wrote; a host that is not on the own list stays nil.
-func Decode(raw []byte, hosts map[uint32]*brain.Host) (brain.News, error) {
+func Decode(raw []byte, hosts map[uint32]*brain.Backend) (brain.PeerUpdate, error) {
 	if len(raw) != 8 || raw[5]>>1 > byte(brain.Unmet) {
-		return brain.News{}, fmt.Errorf("%d bytes are no news of a trip: %x", len(raw), raw[:min(len(raw), 16)])
+		return brain.PeerUpdate{}, fmt.Errorf("%d bytes are no news of a trip: %x", len(raw), raw[:min(len(raw), 16)])
 	}
-	n := brain.News{Host: hosts[binary.BigEndian.Uint32(raw)], Grade: int(raw[4]), Verdict: brain.Verdict(raw[5] >> 1)}
+	n := brain.PeerUpdate{Host: hosts[binary.BigEndian.Uint32(raw)], Grade: int(raw[4]), Verdict: brain.Verdict(raw[5] >> 1)}
 	switch {
 	case raw[5]&1 == 1:
 		n.Loaded, n.Util, n.Queue = true, float64(raw[6])/units, float64(raw[7])
--- a/internal/news/news_test.go
+++ b/internal/news/news_test.go
@@ -7,9 +7,9 @@
 )
 
 func TestDecodeReadsWhatEncodeWroteAndDropsTheRest(t *testing.T) {
-	h := &brain.Host{ID: 77}
-	hosts := map[uint32]*brain.Host{77: h}
-	said := brain.News{Host: h, Grade: 2, Verdict: brain.Badly, Loaded: true, Util: 0.5, Queue: 3}
+	h := &brain.Backend{ID: 77}
+	hosts := map[uint32]*brain.Backend{77: h}
+	said := brain.PeerUpdate{Host: h, Grade: 2, Verdict: brain.Badly, Loaded: true, Util: 0.5, Queue: 3}
 	raw := Encode(said)
 	if got, err := Decode(raw, hosts); err != nil || got != said {
 		t.Errorf("heard %+v, %v", got, err)
@@ -27,10 +27,10 @@
 // Without a load report the last two bytes have the share of the latency target, which older dispatchers pass over; theirs have
 // an old report there, which is no share.
 func TestNewsWithoutAReportTellTheShareOfTheTarget(t *testing.T) {
-	h := &brain.Host{ID: 77}
-	hosts := map[uint32]*brain.Host{77: h}
+	h := &brain.Backend{ID: 77}
+	hosts := map[uint32]*brain.Backend{77: h}
 	for _, share := range []float64{0.005, 0.5, 1} {
-		raw := Encode(brain.News{Host: h, Verdict: brain.Well, Share: share})
+		raw := Encode(brain.PeerUpdate{Host: h, Verdict: brain.Well, Share: share})
 		if got, err := Decode(raw, hosts); err != nil || got.Share != share || got.Loaded {
 			t.Errorf("%g: heard %+v, %v", share, got, err)
 		}
