--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -30,7 +30,7 @@
 }
 
 // standing is what the dispatcher takes a backend to be.
-func (h *house) standing(name string) (s brain.Standing) {
+func (h *house) standing(name string) (s brain.BackendState) {
 	h.node.loop.Call(context.Background(), func() {
 		if known := h.node.loop.HostOf(name); known != nil {
 			s = known.Standing
@@ -41,13 +41,13 @@
 
 // submit hands the loop a request, and in the same turn of the loop what crosses its first attempt: the attempt has been decided on by
 // then, and its first byte has not been written.
-func (h *house) submit(id string, class int, crossing func(a *dispatch.Asked)) *dispatch.Asked {
+func (h *house) submit(id string, class int, crossing func(a *dispatch.ClientRequest)) *dispatch.ClientRequest {
 	h.t.Helper()
-	a := &dispatch.Asked{Ask: kserve.Ask{ID: id, Tokens: 400, Most: 50}, Matter: &payload{id: id, body: []byte("{}"), head: func(wait time.Duration) []byte {
+	a := &dispatch.ClientRequest{Ask: kserve.Ask{ID: id, Tokens: 400, Most: 50}, Matter: &payload{id: id, body: []byte("{}"), head: func(wait time.Duration) []byte {
 		return fmt.Appendf(nil, "POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: %s\r\nX-Timeout-Ms: %d\r\nContent-Length: 2\r\n\r\n", id, wait.Milliseconds())
 	}}}
 	h.node.loop.Call(context.Background(), func() {
-		h.node.loop.Arrive(a, class, 0, 3*time.Second)
+		h.node.loop.Submit(a, class, 0, 3*time.Second)
 		crossing(a)
 	})
 	return a
@@ -56,7 +56,7 @@
 // A drain that is learned between the choice of a backend and the first byte keeps the attempt back; the request goes elsewhere.
 func TestADrainBetweenChoiceAndSendIsKept(t *testing.T) {
 	h := enter(t, nil)
-	a := h.submit("q1", 0, func(*dispatch.Asked) {
+	a := h.submit("q1", 0, func(*dispatch.ClientRequest) {
 		h.node.loop.HostOf("r1").Standing = brain.Draining
 	})
 	h.until("it is over", func() bool { return len(a.Final()) == 1 })
@@ -64,7 +64,7 @@
 		t.Errorf("%d attempts to a backend that drains", n)
 	}
 	h.node.loop.Call(context.Background(), func() {
-		if b := h.node.loop.Believes(); b.Cold != 0 || h.node.loop.Tally.Outcomes[brain.Moot] != 1 {
+		if b := h.node.loop.Believes(); b.Cold != 0 || h.node.loop.Tally.Outcomes[brain.NotSent] != 1 {
 			t.Errorf("an attempt that was not sent speaks against its backend: %+v, outcomes %v", b, h.node.loop.Tally.Outcomes)
 		}
 		h.node.loop.HostOf("r1").Standing = brain.Ready
@@ -77,7 +77,7 @@
 	for _, cancelling := range []bool{true, false} {
 		t.Run(fmt.Sprintf("cancelling %t", cancelling), func(t *testing.T) {
 			h := enter(t, func(h *house, p *Place) { p.Settings["policyLimits"].(map[string]any)["cancelling"] = cancelling })
-			h.submit("q1", 0, func(a *dispatch.Asked) { h.node.loop.Left(a) })
+			h.submit("q1", 0, func(a *dispatch.ClientRequest) { h.node.loop.Left(a) })
 			h.settled()
 			if n := len(h.site.Seen("", "POST")); n != 0 {
 				t.Errorf("%d attempts for a client that has gone", n)
@@ -90,7 +90,7 @@
 func TestAnAttemptTellsWhatIsLeftWhenItIsSent(t *testing.T) {
 	h := enter(t, nil)
 	const stuck = 300 * time.Millisecond
-	h.submit("q1", 1, func(*dispatch.Asked) { time.Sleep(stuck) }) // the loop is busy
+	h.submit("q1", 1, func(*dispatch.ClientRequest) { time.Sleep(stuck) }) // the loop is busy
 	h.until("it is out", func() bool { return len(h.site.Seen("r1", "POST")) == 1 })
 	told, err := time.ParseDuration(h.site.Seen("r1", "POST")[0].Head.Get("X-Timeout-Ms") + "ms")
 	if err != nil || told > 3*time.Second-stuck {
@@ -125,7 +125,7 @@
 
 // A request that is called off while it is being written is not called harmless to repeat; one of which nothing went out is.
 func TestARequestCutOffByItsDeadlineIsNotCalledHarmless(t *testing.T) {
-	for sent, want := range map[int]brain.Outcome{0: brain.Unreached, 10: brain.TimedOut} {
+	for sent, want := range map[int]brain.Outcome{0: brain.Unreachable, 10: brain.TimedOut} {
 		ours, far := net.Pipe()
 		ctx, off := context.WithCancelCause(context.Background())
 		go func() {
--- a/internal/platform/connect.go
+++ b/internal/platform/connect.go
@@ -23,8 +23,8 @@
 	errCutOff = errors.New("called off with part of the request sent")
 )
 
-// connect gets a connection for a trip, over which all of the request has gone out; until then it can't have run.
-func (c *transport) connect(ctx, within context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (*reach.Conn, func() bool, error) {
+// connect gets a connection for an attempt, over which all of the request has gone out; until then it can't have run.
+func (c *transport) connect(ctx, within context.Context, f *dispatch.Attempt, host *reach.Host, m *payload) (*reach.Conn, func() bool, error) {
 	limit := c.connectLimit(f)
 	var local error // why this machine could not begin the last connection
 	for began, refused := time.Now(), 0; ; {
@@ -42,7 +42,7 @@
 			continue
 		}
 		if err != nil {
-			// One that is refused or reset while it is made says little: a box that is really away refuses the next too. Told at
+			// One that is refused or reset while it is made says little: a backend that is really away refuses the next too. Told at
 			// once, a rash of resets had the module take a whole fleet for restarting.
 			refused++
 			if refused == dialTries || ctx.Err() != nil || time.Since(began) >= limit/2 {
@@ -51,7 +51,7 @@
 			system.Sleep(within, dialWait)
 			continue
 		}
-		if until, bounded := within.Deadline(); bounded && f.Trip.Connect > 0 {
+		if until, bounded := within.Deadline(); bounded && f.Planned.Connect > 0 {
 			conn.SetWriteDeadline(until) // a request that is not taken leaves a state waiting as no connection does
 		}
 		stop, err := c.put(ctx, f, conn, m)
@@ -65,9 +65,9 @@
 	}
 }
 
-// connectLimit is how long a trip's connection may take.
-func (c *transport) connectLimit(f *dispatch.Flight) time.Duration {
-	if t := f.Trip.Connect; t > 0 {
+// connectLimit is how long an attempt's connection may take.
+func (c *transport) connectLimit(f *dispatch.Attempt) time.Duration {
+	if t := f.Planned.Connect; t > 0 {
 		return min(t, c.boxes.Limit)
 	}
 	return c.boxes.Limit
@@ -75,34 +75,34 @@
 
 // put sends a request over a new connection, if it may still go out. Nothing but the loop can tell: a drain, the client's going or
 // the end of the window for repeats may have come while the connection was made.
-func (c *transport) put(ctx context.Context, f *dispatch.Flight, conn *reach.Conn, m *payload) (stop func() bool, err error) {
+func (c *transport) put(ctx context.Context, f *dispatch.Attempt, conn *reach.Conn, m *payload) (stop func() bool, err error) {
 	may := c.maySend(ctx, f)
 	if may != brain.Allowed {
 		c.Stale.Add(1)
-		c.log.Debug("attempt not sent", "id", m.id, "backend", f.Box.Name, "number", f.Trip.Number, "why", may)
+		c.log.Debug("attempt not sent", "id", m.id, "backend", f.Backend.Name, "number", f.Planned.Number, "why", may)
 		return nil, errStale
 	}
 	told := f.Until - c.since()
-	if told <= 0 || f.Asked.Over() {
+	if told <= 0 || f.Request.Over() {
 		// What ends a request is looked at right here: word of it may still wait for its turn in the loop.
 		c.Stale.Add(1)
 		return nil, errStale
 	}
-	c.monitor.AttemptBegins(m.id, f.Box.Name, f.Trip.Number, hasEffect(f), told)
+	c.monitor.AttemptBegins(m.id, f.Backend.Name, f.Planned.Number, hasEffect(f), told)
 	stop, err = write(ctx, conn, m.head(told), m.body)
 	switch {
 	case err == nil:
-		c.monitor.AttemptSent(m.id, f.Trip.Number, hasEffect(f))
+		c.monitor.AttemptSent(m.id, f.Planned.Number, hasEffect(f))
 	case errors.Is(err, errCutOff):
-		c.monitor.AttemptEnds(m.id, f.Trip.Number, hasEffect(f), monitor.MayHaveRun, err.Error())
+		c.monitor.AttemptEnds(m.id, f.Planned.Number, hasEffect(f), monitor.MayHaveRun, err.Error())
 	default:
-		c.monitor.AttemptEnds(m.id, f.Trip.Number, hasEffect(f), monitor.NeverRan, err.Error())
+		c.monitor.AttemptEnds(m.id, f.Planned.Number, hasEffect(f), monitor.NeverRan, err.Error())
 	}
 	return stop, err
 }
 
 // maySend asks the loop, again where the process stood still meanwhile: what came by then has to be read before the answer counts.
-func (c *transport) maySend(ctx context.Context, f *dispatch.Flight) brain.Permission {
+func (c *transport) maySend(ctx context.Context, f *dispatch.Attempt) brain.Permission {
 	for {
 		asked, may := time.Now(), brain.RequestOver
 		if !c.loop.Call(ctx, func() { may = c.loop.MaySend(f) }) {
@@ -129,13 +129,13 @@
 	return nil, cmp.Or(err, io.ErrShortWrite)
 }
 
-// open gets a connection for a trip within the descriptors that attempts may have.
-func (c *transport) open(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (conn *reach.Conn, stop func() bool, err error) {
+// open gets a connection for an attempt within the descriptors that attempts may have.
+func (c *transport) open(ctx context.Context, f *dispatch.Attempt, host *reach.Host, m *payload) (conn *reach.Conn, stop func() bool, err error) {
 	if host == nil {
 		return nil, nil, errStale // its backend is gone
 	}
 	waits := ctx
-	if f.Trip.Connect > 0 { // a state waits, for which no descriptor may be free in time
+	if f.Planned.Connect > 0 { // a state waits, for which no descriptor may be free in time
 		bounded, done := context.WithTimeout(ctx, c.connectLimit(f))
 		defer done()
 		waits = bounded
@@ -162,9 +162,9 @@
 	case errors.Is(err, errCutOff):
 		return brain.Result{Outcome: brain.TimedOut}
 	case errors.Is(err, errStale), errors.Is(err, reach.ErrLocal):
-		return brain.Result{Outcome: brain.Moot}
+		return brain.Result{Outcome: brain.NotSent}
 	}
-	return brain.Result{Outcome: brain.Unreached}
+	return brain.Result{Outcome: brain.Unreachable}
 }
 
 // errNotArrived ends an attempt whose request the far machine does not acknowledge.
@@ -172,7 +172,7 @@
 
 // checkArrival calls an attempt off whose request, though written whole, has not arrived: the state that it is to take goes on waiting
 // meanwhile. Whether it may yet run only the backend knows.
-func (c *transport) checkArrival(f *dispatch.Flight, conn *reach.Conn) {
+func (c *transport) checkArrival(f *dispatch.Attempt, conn *reach.Conn) {
 	if system.Unacknowledged(conn.Conn) > 0 {
 		c.Unarrived.Add(1)
 		f.Off(errNotArrived)
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -36,18 +36,18 @@
 	grades  map[string]int
 	tenants map[string]int
 	after   time.Duration // told to clients that find no room
-	open    int64         // questions that may be open
+	open    int64         // requests that may be open
 	bodies  int64         // bytes that all bodies may have
 
 	fleetKnown func() bool // there is a backend that answers
 	crowded    func() bool // clients' connections run short
 	ready      atomic.Bool
-	stopping   atomic.Bool   // it wants no new questions
+	stopping   atomic.Bool   // it wants no new requests
 	over       atomic.Bool   // it takes none any more
 	cut        chan struct{} // closed when streams are to be gone on with elsewhere
 	asked      atomic.Int64
-	Again      atomic.Int64 // questions asked before
-	Rest       atomic.Int64 // questions for the rest of a stream
+	Again      atomic.Int64 // requests asked before
+	Rest       atomic.Int64 // requests for the rest of a stream
 	Moved      atomic.Int64 // streams cut for that
 	held       atomic.Int64
 	Late       atomic.Int64 // requests that were answered here, as the loop had no answer in time
@@ -115,13 +115,13 @@
 		f.full(w, r, why)
 		return
 	}
-	f.question(w, r, ask, grade, channel, came)
+	f.submit(w, r, ask, grade, channel, came)
 }
 
 // errKnownID refuses a request with the id of another one.
 var errKnownID = &chat.Refusal{Status: http.StatusConflict, Why: "open id"}
 
-// answering tells whether there are boxes to serve with; once there were, that stays.
+// answering tells whether there are backends to serve with; once there were, that stays.
 func (f *frontend) answering() bool {
 	if !f.ready.Load() && f.fleetKnown() {
 		f.ready.Store(true)
@@ -129,7 +129,7 @@
 	return f.ready.Load()
 }
 
-// refuse answers what is no question, and ends the connection: what else waits on it may be no request either.
+// refuse answers what is no request, and ends the connection: what else waits on it may be no request either.
 func (f *frontend) refuse(w http.ResponseWriter, r *http.Request, no *chat.Refusal) {
 	f.count(no.Why)
 	f.log.Debug("request not taken", "id", r.Header.Get("X-Request-Id"), "status", no.Status, "why", no.Why, "client", r.RemoteAddr)
@@ -153,7 +153,7 @@
 	f.mu.Unlock()
 }
 
-func (f *frontend) question(w http.ResponseWriter, r *http.Request, ask chat.Ask, grade, channel int, came time.Time) {
+func (f *frontend) submit(w http.ResponseWriter, r *http.Request, ask chat.Ask, grade, channel int, came time.Time) {
 	if !f.ids.claim(ask.ID) {
 		f.refuse(w, r, errKnownID)
 		return
@@ -184,7 +184,7 @@
 		f.Rest.Add(1)
 	}
 	m := &payload{id: ask.ID, body: body, head: func(wait time.Duration) []byte { return chat.Errand(r, service, ask, length, wait) }}
-	a := &dispatch.Asked{
+	a := &dispatch.ClientRequest{
 		Ask:   kserve.Ask{ID: ask.ID, Session: ask.Session, Shared: ask.Shared, Tokens: ask.Tokens, Prefix: ask.Prefix, Most: ask.Most, Again: ask.Again},
 		Grade: ask.Grade, Channel: ask.Channel, Matter: m,
 	}
@@ -198,7 +198,7 @@
 	ctx, done := context.WithDeadline(r.Context(), came.Add(ask.Left+answerLate))
 	defer done()
 	if !f.loop.Call(ctx, func() {
-		f.loop.Arrive(a, grade, channel, ask.Left-time.Since(came))
+		f.loop.Submit(a, grade, channel, ask.Left-time.Since(came))
 	}) {
 		f.giveUp(w, r, a, ctx)
 		return
@@ -219,7 +219,7 @@
 
 // giveUp ends a request of which the loop gave no answer: its client has gone, the loop has ended, or it is far behind. The loop may have
 // taken it, or may yet, so nothing is promised; from here on nothing more is sent for it.
-func (f *frontend) giveUp(w http.ResponseWriter, r *http.Request, a *dispatch.Asked, ctx context.Context) {
+func (f *frontend) giveUp(w http.ResponseWriter, r *http.Request, a *dispatch.ClientRequest, ctx context.Context) {
 	a.End()
 	f.loop.Post(func() { f.loop.Left(a) })
 	switch {
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -25,7 +25,7 @@
 // quiet is a log that nobody reads.
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-// house is a dispatcher in this process with a reader and two writers.
+// house is a dispatcher in this process with a prefill backend and two decode backends.
 type house struct {
 	t       *testing.T
 	site    *hosts.Site
@@ -42,7 +42,7 @@
 	system  system.System
 }
 
-// open starts everything; all of it has ended when the test has, and the boxes saw no rule broken.
+// open starts everything; all of it has ended when the test has, and the backends saw no rule broken.
 func enter(t *testing.T, change func(h *house, p *Place)) *house {
 	t.Helper()
 	before := goleak.IgnoreCurrent()
@@ -107,7 +107,7 @@
 	}
 }
 
-// write has both writers answer so; first only the first trip to either, and the others well.
+// write has both decode backends answer so; first only the first attempt to either, and the others well.
 func (h *house) write(do func(e *hosts.Exchange) bool) {
 	for _, w := range h.writers {
 		w.Do = do
@@ -138,7 +138,7 @@
 	return there
 }
 
-// settled waits until nothing is out, held or open, at the dispatcher as at the boxes: rule 5, and every count back at nought.
+// settled waits until nothing is out, held or open, at the dispatcher as at the backends: rule 5, and every count back at nought.
 func (h *house) settled() {
 	h.t.Helper()
 	h.until("nothing is left of the questions", func() bool {
@@ -261,7 +261,7 @@
 	h.settled()
 }
 
-// What ends a trip at the writer, and what the client of an unrepeatable and of an idempotent question gets then. Where the trip is
+// What ends an attempt at the decode backend, and what the client of an unrepeatable and of an idempotent request gets then. Where the attempt is
 // proven not to have run, another may follow for both.
 func TestEachEndOfATripIsTakenForWhatItProves(t *testing.T) {
 	spoilt := func(raw string) func(e *hosts.Exchange) bool {
@@ -273,7 +273,7 @@
 	for _, c := range []struct {
 		name string
 		do   func(e *hosts.Exchange) bool
-		once int // the status that the client of an unrepeatable question gets
+		once int // the status that the client of an unrepeatable request gets
 	}{
 		{"turned away", says(hosts.Refuse(503, true)), 200},
 		{"over at the box", says(hosts.Refuse(504, true)), 200},
@@ -305,7 +305,7 @@
 	}
 }
 
-// An unrepeatable question must not be asked again while its first trip may have run; an idempotent one may.
+// An unrepeatable request must not be asked again while its first attempt may have run; an idempotent one may.
 func TestAnIdempotentQuestionOutlivesASpoiltAnswer(t *testing.T) {
 	h := enter(t, nil)
 	h.first(func(e *hosts.Exchange) bool { return e.Write("HTTP/1.1 200 OK\r\n\x01\x02\r\n") && false })
@@ -332,12 +332,12 @@
 	}
 }
 
-// A state that no writer can be reached for is released in its time, also where the box that holds it can't be reached either.
+// A state that no decode backend can be reached for is released in its time, also where the backend that holds it can't be reached either.
 func TestAStateIsLetGoWhereNoConnectionComesUp(t *testing.T) {
 	h := enter(t, func(h *house, p *Place) {
 		p.Settings["familyInfo"].(map[string]any)["pinLimitUs"] = 300_000.0
 		h.site.Pin = 500 * time.Millisecond
-		h.site.Box("r2", hosts.Writer).State = "terminating" // it takes no questions, but that call
+		h.site.Box("r2", hosts.Writer).State = "terminating" // it takes no requests, but that call
 	})
 	h.reader.Do = func(e *hosts.Exchange) bool {
 		if e.Method == "POST" {
@@ -355,7 +355,7 @@
 	h.settled()
 }
 
-// A box that goes silent in a stream is given up within 5 s.
+// A backend that goes silent in a stream is given up within 5 s.
 func TestASilentStreamIsGivenUp(t *testing.T) {
 	h := enter(t, nil)
 	h.write(func(e *hosts.Exchange) bool {
@@ -428,7 +428,7 @@
 	})
 }
 
-// The id of a question that is open is refused, and the open one goes on.
+// The id of a request that is open is refused, and the open one goes on.
 func TestTheIDOfAnOpenQuestionIsRefused(t *testing.T) {
 	h := enter(t, nil)
 	hold := make(chan struct{})
@@ -447,7 +447,7 @@
 	h.settled()
 }
 
-// A client that goes away ends its trip, and nothing stays held, wherever its question was.
+// A client that goes away ends its attempt, and nothing stays held, wherever its request was.
 func TestAClientThatLeavesLeavesNothingBehind(t *testing.T) {
 	for _, at := range []string{"reading", "writing", "streaming"} {
 		t.Run(at, func(t *testing.T) {
@@ -459,7 +459,7 @@
 				}
 				switch at {
 				case "reading":
-					e.Hold() // it ends well just as the trip is called off
+					e.Hold() // it ends well just as the attempt is called off
 				case "streaming":
 					e.Write(hosts.Opening + hosts.Chunk(hosts.Event("a")))
 				}
@@ -512,7 +512,7 @@
 	h.settled()
 }
 
-// A state is released also where the box that may hold it can't be reached: any box takes the call.
+// A state is released also where the backend that may hold it can't be reached: any backend takes the call.
 func TestAStateIsReleasedThroughAnotherBox(t *testing.T) {
 	h := enter(t, nil)
 	h.reader.Do = func(e *hosts.Exchange) bool {
@@ -533,7 +533,7 @@
 	h.settled()
 }
 
-// A connection that its box has closed while it rested is not written to: for an unrepeatable question that would be a loss.
+// A connection that its backend has closed while it rested is not written to: for an unrepeatable request that would be a loss.
 func TestAClosedConnectionIsNotUsed(t *testing.T) {
 	h := enter(t, nil)
 	for range 3 {
@@ -547,7 +547,7 @@
 	}
 }
 
-// Connections that are refused in a rash of resets must not have the module take a box for restarting, and so for cold: a whole fleet
+// Connections that are refused in a rash of resets must not have the module take a backend for restarting, and so for cold: a whole fleet
 // was shut out by that.
 func TestARefusedConnectionAloneIsNoRestart(t *testing.T) {
 	h := enter(t, nil)
@@ -557,14 +557,14 @@
 		t.Errorf("%+v", got)
 	}
 	h.node.loop.Call(context.Background(), func() {
-		if b := h.node.loop.Believes(); b.Cold != 0 || h.node.loop.Tally.Outcomes[brain.Unreached] != 0 {
+		if b := h.node.loop.Believes(); b.Cold != 0 || h.node.loop.Tally.Outcomes[brain.Unreachable] != 0 {
 			t.Errorf("%+v, outcomes %v", b, h.node.loop.Tally.Outcomes)
 		}
 	})
 	h.settled()
 }
 
-// What a box says of the question itself is passed on, and speaks neither against the box nor for a trip elsewhere.
+// What a backend says of the request itself is passed on, and speaks neither against the backend nor for an attempt elsewhere.
 func TestAQuestionThatNoBoxCanUseIsNotRepeated(t *testing.T) {
 	h := enter(t, nil)
 	h.reader.Do = func(e *hosts.Exchange) bool { return e.Write(hosts.Refuse(400, false)) }
@@ -612,7 +612,7 @@
 	h.settled()
 }
 
-// A new configuration moves discovery; one that is torn or absent changes nothing. No question notices.
+// A new configuration moves discovery; one that is torn or absent changes nothing. No request notices.
 // A configuration that is still being written when its signal comes is read once it is whole, also while the dispatcher stops.
 func TestAHalfWrittenConfigurationIsReadOnceItIsWhole(t *testing.T) {
 	for _, stopping := range []bool{false, true} {
@@ -684,7 +684,7 @@
 	})
 }
 
-// At a stop every question that was taken gets its answer, streams that still run are cut, and new clients are sent elsewhere.
+// At a stop every request that was taken gets its answer, streams that still run are cut, and new clients are sent elsewhere.
 func TestAStopAnswersWhatWasTaken(t *testing.T) {
 	h := enter(t, nil)
 	h.write(func(e *hosts.Exchange) bool {
@@ -723,7 +723,7 @@
 	}
 }
 
-// A question that begins when streams are cut already has its first event all the same: a client without one has had no answer.
+// A request that begins when streams are cut already has its first event all the same: a client without one has had no answer.
 func TestAStreamIsNotCutBeforeItsFirstEvent(t *testing.T) {
 	h := enter(t, nil)
 	h.write(func(e *hosts.Exchange) bool {
@@ -741,7 +741,7 @@
 	h.node.frontend.cut = make(chan struct{}) // for the stop
 }
 
-// Ids of boxes and of clients that are always new leave nothing behind.
+// Ids of backends and of clients that are always new leave nothing behind.
 func TestChurnLeavesNothingBehind(t *testing.T) {
 	h := enter(t, nil)
 	for i := range 40 {
@@ -767,7 +767,7 @@
 	}
 }
 
-// News of siblings count by where they come from; a stranger's are dropped.
+// News of peers count by where they come from; a stranger's are dropped.
 func TestNewsOfStrangersAreDropped(t *testing.T) {
 	sibling, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
--- a/internal/platform/place.go
+++ b/internal/platform/place.go
@@ -1,6 +1,6 @@
 // Package platform is one dispatcher as the users' platform runs it: it reads the configuration that the platform hands over, takes
-// questions from clients, carries trips to boxes and follows discovery, all over the same dispatch.Loop and reach that serve has.
-// It decides nothing about questions, and knows the protocol only through chat and endpoints. Begin with Run.
+// requests from clients, carries attempts to backends and follows discovery, all over the same dispatch.Loop and reach that serve has.
+// It decides nothing about requests, and knows the protocol only through chat and endpoints. Begin with Run.
 package platform
 
 import (
@@ -89,12 +89,12 @@
 
 // Shares of the descriptors, and of the memory.
 const (
-	ownSockets  = 24   // what is neither a client's nor a box's: listener, discovery, siblings, the process's own
+	ownSockets  = 24   // what is neither a client's nor a backend's: listener, discovery, peers, the process's own
 	clientShare = 0.55 // of the rest, for connections of clients
 	boxShare    = 0.35 // of the rest, for attempts
 	callShare   = 0.08 // of the rest, for calls that release
 	heapShare   = 0.6  // of the memory, above which the collector works harder
-	bodyShare   = 0.2  // of the memory, for the bodies of questions
+	bodyShare   = 0.2  // of the memory, for the bodies of requests
 	socketsElse = 1024
 	memoryElse  = 192
 )
--- a/internal/platform/releases.go
+++ b/internal/platform/releases.go
@@ -32,7 +32,7 @@
 
 // Release has what is held for a request released. Any backend takes that call: the one that was heard last is asked first, then another
 // beside it each time that none has answered for a while, as a backend that is cut off keeps its caller waiting.
-func (c *transport) Release(b *dispatch.Box, a *dispatch.Asked) {
+func (c *transport) Release(b *dispatch.Backend, a *dispatch.ClientRequest) {
 	m, _ := a.Matter.(*payload)
 	if m == nil {
 		return
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -36,7 +36,7 @@
 	place     Place
 	facts     brain.Facts
 	log       *slog.Logger
-	life      context.Context // of trips, which outlive the wish to stop
+	life      context.Context // of attempts, which outlive the wish to stop
 	end       context.CancelFunc
 	trips     errgroup.Group
 	group     errgroup.Group
@@ -76,7 +76,7 @@
 	}
 	n.transport = &transport{
 		fields: facts.Names("report.fields"), boxes: boxes, life: n.life, group: &n.trips, log: log, notable: &notableLog{log: log}, monitor: n.monitor, pulse: n.pulse, passed: map[string]*passed{},
-		hosts: map[*dispatch.Box]*reach.Host{}, releaser: releaser{calls: make(chan struct{}, room.releases)}, since: since,
+		hosts: map[*dispatch.Backend]*reach.Host{}, releaser: releaser{calls: make(chan struct{}, room.releases)}, since: since,
 		slots: make(chan struct{}, room.boxes),
 	}
 	places := dispatch.Places{
@@ -196,7 +196,7 @@
 	})
 }
 
-// compare logs what the module believes of each box beside what passed on its connections, and forgets boxes that are gone.
+// compare logs what the module believes of each backend beside what passed on its connections, and forgets backends that are gone.
 func (n *node) compare() {
 	n.transport.mu.Lock()
 	defer n.transport.mu.Unlock()
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -19,12 +19,12 @@
 	w        http.ResponseWriter
 	control  *http.ResponseController
 	ctx      context.Context
-	asked    *dispatch.Asked
-	trip     *dispatch.Flight
+	asked    *dispatch.ClientRequest
+	trip     *dispatch.Attempt
 	last     []byte // what was passed on last
 }
 
-func (f *frontend) newPassing(w http.ResponseWriter, r *http.Request, a *dispatch.Asked, trip *dispatch.Flight) *passing {
+func (f *frontend) newPassing(w http.ResponseWriter, r *http.Request, a *dispatch.ClientRequest, trip *dispatch.Attempt) *passing {
 	return &passing{frontend: f, w: w, control: http.NewResponseController(w), ctx: r.Context(), asked: a, trip: trip}
 }
 
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -22,7 +22,7 @@
 
 const (
 	headTime  = 400 * time.Millisecond  // for an answer's head, and its first events, once its first byte has come
-	dialTries = 4                       // connections that are refused before a box counts as away
+	dialTries = 4                       // connections that are refused before a backend counts as away
 	dialWait  = 10 * time.Millisecond   // between them
 	stallTime = 4200 * time.Millisecond // without an event, after which a stream is taken for dead
 	shortMost = 64 << 10                // bytes of an answer that is no stream
@@ -31,7 +31,7 @@
 	arrivalTimes = 2
 )
 
-// payload is what is sent of a question.
+// payload is what is sent of a request.
 type payload struct {
 	head func(wait time.Duration) []byte
 	id   string
@@ -45,39 +45,39 @@
 	loop    *dispatch.Loop
 	life    context.Context
 	group   *errgroup.Group
-	tell    func(peer int, n brain.News)
-	hosts   map[*dispatch.Box]*reach.Host // the loop's
+	tell    func(peer int, n brain.PeerUpdate)
+	hosts   map[*dispatch.Backend]*reach.Host // the loop's
 	log     *slog.Logger
 	notable *notableLog
 	monitor *monitor.Monitor
 	pulse   *pulse
 	mu      sync.Mutex
-	passed  map[string]*passed // by box: what went over its connections
+	passed  map[string]*passed // by backend: what went over its connections
 
 	slots chan struct{}        // one for each attempt that has or makes a connection
 	since func() time.Duration // the loop's clock
 	releaser
 	Local     atomic.Int64 // connections that this machine could not begin
 	Unarrived atomic.Int64 // attempts called off, as their requests did not arrive
-	Stale     atomic.Int64 // trips that were not wanted any more when their connection was there
+	Stale     atomic.Int64 // attempts that were not wanted any more when their connection was there
 	Spoilt    atomic.Int64 // answers that could not be read
 	Strange   atomic.Int64 // answers that tell of a fault of this program: 400 and 404
 }
 
-func (c *transport) Reach(b *dispatch.Box, at []addresses.Spec) {
-	h := c.boxes.Set(b.Name, at, uint64(b.Host.ID))
+func (c *transport) Reach(b *dispatch.Backend, at []addresses.Spec) {
+	h := c.boxes.Set(b.Name, at, uint64(b.Known.ID))
 	if len(at) == 0 {
 		delete(c.hosts, b)
 		c.heard.remove(h)
 		return
 	}
 	c.hosts[b] = h
-	c.heard.add(h, failureDomain{b.Host.Role, b.Host.Zone})
+	c.heard.add(h, failureDomain{b.Known.Role, b.Known.Zone})
 }
 
-func (c *transport) Tell(peer int, n brain.News) { c.tell(peer, n) }
+func (c *transport) Tell(peer int, n brain.PeerUpdate) { c.tell(peer, n) }
 
-// passed is what went over a box's connections.
+// passed is what went over a backend's connections.
 type passed struct {
 	reads, writes int // requests that are out, since their last byte
 	sent          int64
@@ -85,15 +85,15 @@
 }
 
 // pass takes note of a request that went out whole, or of its end.
-func (c *transport) pass(f *dispatch.Flight, out int, load string) {
+func (c *transport) pass(f *dispatch.Attempt, out int, load string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.passed[f.Box.Name]
+	p := c.passed[f.Backend.Name]
 	if p == nil {
 		p = &passed{}
-		c.passed[f.Box.Name] = p
+		c.passed[f.Backend.Name] = p
 	}
-	if f.Trip.Stage == brain.ToRead {
+	if f.Planned.Stage == brain.ToRead {
 		p.reads += out
 	} else {
 		p.writes += out
@@ -106,11 +106,11 @@
 	}
 }
 
-// Carry starts a trip.
-func (c *transport) Carry(f *dispatch.Flight) {
+// Start starts an attempt.
+func (c *transport) Start(f *dispatch.Attempt) {
 	ctx, off := context.WithCancelCause(c.life)
 	f.Off = off
-	m, host := f.Asked.Matter.(*payload), c.hosts[f.Box]
+	m, host := f.Request.Matter.(*payload), c.hosts[f.Backend]
 	c.group.Go(func() error {
 		r := c.fly(ctx, f, host, m)
 		off(nil)
@@ -121,11 +121,11 @@
 }
 
 // tellEnd tells the loop of an attempt's end, and how long ago that was once it is its turn.
-func (c *transport) tellEnd(f *dispatch.Flight, id string, r brain.Result) {
+func (c *transport) tellEnd(f *dispatch.Attempt, id string, r brain.Result) {
 	ended := c.since()
 	switch r.Outcome {
-	case brain.TimedOut, brain.Broken, brain.Unreached:
-		c.notable.Info("an attempt has failed", "id", id, "backend", f.Box.Name, "stage", f.Stage(), "number", f.Trip.Number,
+	case brain.TimedOut, brain.Broken, brain.Unreachable:
+		c.notable.Info("an attempt has failed", "id", id, "backend", f.Backend.Name, "stage", f.Stage(), "number", f.Planned.Number,
 			"outcome", dispatch.OutcomeName(r.Outcome), "arrived", f.Arrived.Load(), "wait", f.Wait)
 	}
 	c.loop.Post(func() {
@@ -134,15 +134,15 @@
 	})
 }
 
-// fly is one trip. Its connection is closed before its end is told.
-func (c *transport) fly(ctx context.Context, f *dispatch.Flight, host *reach.Host, m *payload) (r brain.Result) {
+// fly is one attempt. Its connection is closed before its end is told.
+func (c *transport) fly(ctx context.Context, f *dispatch.Attempt, host *reach.Host, m *payload) (r brain.Result) {
 	conn, stop, err := c.open(ctx, f, host, m)
 	if err != nil {
 		return notSent(ctx, err)
 	}
 	load := ""
 	c.pass(f, 1, "")
-	if limit := f.Trip.Connect; limit > 0 {
+	if limit := f.Planned.Connect; limit > 0 {
 		defer time.AfterFunc(arrivalTimes*limit, func() { c.checkArrival(f, conn) }).Stop()
 	}
 	defer func() {
@@ -150,7 +150,7 @@
 		stop()
 		conn.Drop()
 		<-c.slots
-		c.monitor.AttemptEnds(m.id, f.Trip.Number, hasEffect(f), proves(r.Outcome), dispatch.OutcomeName(r.Outcome))
+		c.monitor.AttemptEnds(m.id, f.Planned.Number, hasEffect(f), proves(r.Outcome), dispatch.OutcomeName(r.Outcome))
 	}()
 	broken := func() brain.Result {
 		switch cause := context.Cause(ctx); {
@@ -167,7 +167,7 @@
 	}
 	f.Arrived.Store(true) // nothing else shows that the request has come to a running backend
 	c.heard.heard(host)
-	c.monitor.AttemptArrived(m.id, f.Trip.Number)
+	c.monitor.AttemptArrived(m.id, f.Planned.Number)
 	conn.SetReadDeadline(time.Now().Add(headTime))
 	var resp *http.Response
 	for range chat.InformMost {
@@ -180,19 +180,19 @@
 			break
 		}
 	}
-	if resp.StatusCode != http.StatusOK || f.Trip.Stage == brain.ToRead {
+	if resp.StatusCode != http.StatusOK || f.Planned.Stage == brain.ToRead {
 		body, err := io.ReadAll(io.LimitReader(resp.Body, shortMost+1))
 		if err != nil || len(body) > shortMost {
 			c.Spoilt.Add(1)
 			return broken()
 		}
 		if resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusNotFound {
-			// The question is at fault, not the box: it must not speak against the box, and no other would take it either.
+			// The request is at fault, not the backend: it must not speak against the backend, and no other would take it either.
 			c.Strange.Add(1)
 			f.Unfit = true
 			return brain.Result{Outcome: brain.Cancelled}
 		}
-		r.Outcome, r.Note = chat.Outcome(f.Trip.Stage, resp, body)
+		r.Outcome, r.Note = chat.Outcome(f.Planned.Stage, resp, body)
 		load = resp.Header.Get("X-Server-Load")
 		r.Load = chat.Load(load, c.fields)
 		return r
@@ -208,7 +208,7 @@
 			if load = stream.Report; load == "" {
 				load = resp.Header.Get("X-Server-Load")
 			}
-			return brain.Result{Outcome: brain.Answered, Note: stream.Kept, Load: chat.Load(load, c.fields)}
+			return brain.Result{Outcome: brain.Served, Note: stream.Kept, Load: chat.Load(load, c.fields)}
 		}
 		if err != nil {
 			if errors.Is(err, chat.ErrSpoilt) {
