--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -67,6 +68,7 @@
 		at := place{n.dispatcher, n.backend}
 		v.told[at] = append(v.told[at], n)
 	}
+	v.countDrains()
 	for _, q := range r.requests {
 		v.answer(q)
 		v.effects(q)
@@ -84,10 +86,11 @@
 
 type oracle struct {
 	Verdict
-	record *record
-	quiet  func(dispatcher int) []span
-	of     map[string][]*attempt
-	told   map[place][]*listing
+	record  *record
+	quiet   func(dispatcher int) []span
+	of      map[string][]*attempt
+	told    map[place][]*listing
+	drained map[int][]drainCount // by dispatcher
 }
 
 // place is a backend as a dispatcher knows it.
@@ -220,10 +223,12 @@
 			last = n
 		}
 	}
+	if v.draining(a.dispatcher, a.first) {
+		v.Chances[ruleDrain]++ // it might have gone there
+	}
 	if last == nil || last.ready {
 		return
 	}
-	v.Chances[ruleDrain]++
 	told := v.toldAt(l, last)
 	held := v.record.heldUp(a.dispatcher, told, a.first)
 	if late := a.first - told; late > drainMost+slack+held {
@@ -231,6 +236,38 @@
 	}
 }
 
+// draining tells whether some backend drained, as discovery had it for a dispatcher, at a time.
+func (v *oracle) draining(dispatcher int, at time.Duration) bool {
+	changes := v.drained[dispatcher]
+	i, _ := slices.BinarySearchFunc(changes, at, func(c drainCount, at time.Duration) int { return cmp.Compare(c.at, at) })
+	return i > 0 && changes[i-1].backends > 0
+}
+
+// drainCount is how many backends drain, from a time on.
+type drainCount struct {
+	at       time.Duration
+	backends int
+}
+
+// countDrains counts the backends that drain over time, for each dispatcher.
+func (v *oracle) countDrains() {
+	v.drained = map[int][]drainCount{}
+	drains := map[place]bool{}
+	count := map[int]int{}
+	for _, n := range v.record.listings {
+		at := place{n.dispatcher, n.backend}
+		if drains[at] == n.ready {
+			drains[at] = !n.ready
+			if n.ready {
+				count[n.dispatcher]--
+			} else {
+				count[n.dispatcher]++
+			}
+		}
+		v.drained[n.dispatcher] = append(v.drained[n.dispatcher], drainCount{n.at, count[n.dispatcher]})
+	}
+}
+
 // toldAt is when a change counts as told to a process: when it was written to it, or some seconds after discovery had it and could be
 // reached at its address.
 func (v *oracle) toldAt(l *life, n *listing) time.Duration {
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -1,8 +1,13 @@
 package soak
 
 import (
+	"io"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
+
+	"sloetrestle/internal/hosts"
 )
 
 const ms = time.Millisecond
@@ -117,6 +122,37 @@
 			s.lives[0].stops = []span{{1000 * ms, 1850 * ms}}
 			return s
 		}()},
+		"a run outside of the window for repeats": {ruleDuplicate, func() *story {
+			s := tell(false).attempt("w1", 1010*ms, 1100*ms, nil).attempt("w2", 1900*ms, 2000*ms, nil).answered(200, 2000*ms)
+			s.q.class.window = 800 * ms
+			return s
+		}()},
+		"a run within it": {"", func() *story {
+			s := tell(false).attempt("w1", 1010*ms, 1100*ms, nil).attempt("w2", 1800*ms, 2000*ms, nil).answered(200, 2000*ms)
+			s.q.class.window = 800 * ms
+			return s
+		}()},
+		"an event that is held back": {ruleEvents, func() *story {
+			s := tell(false).attempt("w1", 1010*ms, 1100*ms, nil).answered(200, 1500*ms)
+			s.q.events, s.q.late = 3, 400*ms
+			return s
+		}()},
+		"events as they come": {"", func() *story {
+			s := tell(false).attempt("w1", 1010*ms, 1100*ms, nil).answered(200, 1500*ms)
+			s.q.events, s.q.late = 3, 300*ms
+			return s
+		}()},
+		"a state that no call could be made for": {"", func() *story {
+			s := tell(false).attempt("r1", 1010*ms, 1100*ms, nil).held(1100*ms, true).held(2000*ms, false).answered(503, 1200*ms)
+			s.lives[0].cutOff = []span{{1200 * ms, 1400 * ms}}
+			return s
+		}()},
+		"shut out unread by a crowd": {"", func() *story { s := tell(false); s.q.refused, s.crowd = 1100*ms, true; return s }()},
+		"read in a crowd, and closed unanswered": {ruleLost, func() *story {
+			s := tell(false).attempt("w1", 1010*ms, 1100*ms, nil)
+			s.q.refused, s.crowd = 1100*ms, true
+			return s
+		}()},
 		"a process that ends by itself": {ruleCrash, func() *story {
 			s := tell(false).answered(200, 1200*ms)
 			s.lives[0].crashed, s.lives[0].ended = "exit 1", 5000*ms
@@ -139,6 +175,32 @@
 	}
 }
 
+// A chance to break the rule on drains is each attempt that is made while some backend drains.
+func TestDrainsCountTheirChances(t *testing.T) {
+	s := tell(false).drained(1500*ms, 1501*ms).attempt("w2", 1010*ms, 1100*ms, nil).attempt("w2", 1600*ms, 1700*ms, nil).answered(200, 1700*ms)
+	s.listings = append(s.listings, listing{"w1", 0, true, 3000 * ms, 3001 * ms})
+	s.attempt("w2", 3100*ms, 3200*ms, nil)
+	if got := judge(s.record, func(int) []span { return nil }).Chances[ruleDrain]; got != 1 {
+		t.Errorf("%d chances", got)
+	}
+}
+
+// An event tells when it was written, however its stream is cut into reads.
+func TestAnEventTellsByHowMuchItIsLate(t *testing.T) {
+	raw := hosts.Chunk(hosts.Event(eventText(0, 1000*ms))) + hosts.Chunk(hosts.Event(eventText(1, 1400*ms)))
+	for step := 1; step < len(raw); step++ {
+		e := &eventReader{from: iotest.OneByteReader(strings.NewReader(raw)), now: func() time.Duration { return 1500 * ms }}
+		for buffer := make([]byte, step); ; {
+			if _, err := io.ReadFull(e, buffer); err != nil {
+				break
+			}
+		}
+		if e.seen != 2 || e.late != 500*ms {
+			t.Fatalf("in steps of %d: %d events, late by %v", step, e.seen, e.late)
+		}
+	}
+}
+
 // The same seed has the same schedule, faults overlap, and every kind comes up.
 func TestASeedHasOneSchedule(t *testing.T) {
 	o := Options{Seed: 7, Length: 10 * time.Minute, Every: 400 * ms}
