--- a/internal/boxlist/follow.go
+++ b/internal/boxlist/follow.go
@@ -113,11 +113,7 @@
 	if err != nil {
 		return err
 	}
-	tmp := f.file() + ".new"
-	if err := os.WriteFile(tmp, raw, 0o644); err != nil {
-		return err
-	}
-	return os.Rename(tmp, f.file())
+	return system.Replace(f.file(), raw, 0o644)
 }
 
 // Follow stays connected until the context ends.
--- /dev/null
+++ b/internal/system/replace.go
@@ -0,0 +1,47 @@
+package system
+
+import (
+	"cmp"
+	"os"
+	"path/filepath"
+)
+
+// newSuffix is what the name of a file has while it is being written.
+const newSuffix = ".new"
+
+// Replace puts a file with new contents in the place of one. It is on the disk when Replace returns; a kill, a full disk or one that
+// fails leaves the old one as it was.
+func Replace(path string, raw []byte, mode os.FileMode) error {
+	written := path + newSuffix
+	if err := writeSynced(written, raw, mode); err != nil {
+		os.Remove(written)
+		return err
+	}
+	if err := os.Rename(written, path); err != nil {
+		os.Remove(written)
+		return err
+	}
+	return syncFolder(filepath.Dir(path))
+}
+
+// writeSynced writes a file and has it on the disk.
+func writeSynced(path string, raw []byte, mode os.FileMode) error {
+	file, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, mode)
+	if err != nil {
+		return err
+	}
+	if _, err = file.Write(raw); err == nil {
+		err = file.Sync()
+	}
+	return cmp.Or(err, file.Close())
+}
+
+// syncFolder has a folder's names on the disk.
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer folder.Close()
+	return folder.Sync()
+}
