--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,38 +35,6 @@
 	Allows     func(addresses.Spec) bool // nil: all of them
 }
 
-// ClientRequest is one request between its client and the module.
-type ClientRequest struct {
-	Request  *brain.Request
-	Ask      kserve.Ask
-	Grade    string
-	Channel  string
-	Matter   any                // what the carrier sends of it; dropped when the request is over
-	Tell     func(kserve.Final) // takes the final answer in place of the channel
-	began    chan *Attempt      // the attempt whose stream goes to the client
-	final    chan kserve.Final  // the one final answer
-	answered bool
-	left     bool
-	channel  int
-	paid     []paid   // set aside in budgets
-	unpaid   bool     // declined for a budget
-	stream   *Attempt // the attempt whose stream has begun
-	flight   *Attempt // the attempt that is out
-	waiting  map[*Backend]bool
-	from     time.Duration
-	over     atomic.Bool
-}
-
-// End says that nothing more may be sent for the request: it has its answer, its client has gone, or its time is up. Unlike a message
-// to the loop it does not wait its turn.
-func (a *ClientRequest) End() { a.over.Store(true) }
-
-// Over tells whether nothing more may be sent.
-func (a *ClientRequest) Over() bool { return a.over.Load() }
-
-// AttemptOut tells whether an attempt is out. It is the loop's.
-func (a *ClientRequest) AttemptOut() bool { return a.flight != nil }
-
 // message is something that the loop is to do.
 type message struct {
 	do func()
@@ -82,31 +49,6 @@
 // Key names a request at backends.
 func (l *Loop) Key(a *ClientRequest) string { return fmt.Sprintf("%s/%d", l.Epoch, a.Request.ID) }
 
-// Attempt is one attempt on its way.
-type Attempt struct {
-	Planned *brain.Attempt
-	Request *ClientRequest
-	Backend *Backend
-	State   *Backend // where the read state waits, for a write
-	Wait    time.Duration
-	Until   time.Duration   // when the wait is over, on the loop's clock
-	Off     func(why error) // calls it off: ErrLate or ErrLeft; set by the carrier
-	Tokens  chan []byte     // the stream, piece by piece; the carrier closes it at its end
-	ctx     context.Context
-	late    bool // its wait is over
-	Unfit   bool // its backend says that the request itself is none; set before its end is told
-
-	Key      string        // of its request, at backends
-	Arrived  atomic.Bool   // a byte of an answer has come: only that shows that the request had
-	Streamed atomic.Int64  // tokens that have come
-	Count    *kserve.Count // what its backend counted, if that came along
-}
-
-// Stage is the attempt's stage in the words of the wire.
-func (f *Attempt) Stage() string {
-	return [...]string{brain.ToRead: kserve.StageRead, brain.ToWrite: kserve.StageWrite, brain.Whole: kserve.StageWhole}[f.Planned.Stage]
-}
-
 // Loop owns the module.
 type Loop struct {
 	Epoch string // this dispatcher's name and start
@@ -380,52 +322,6 @@
 	}
 }
 
-// Start waits for the attempt whose stream goes to the client, or for a final answer without one: then there is no attempt. ok is false
-// where the context ended first.
-func (a *ClientRequest) Start(ctx context.Context) (trip *Attempt, f kserve.Final, ok bool) {
-	select {
-	case <-ctx.Done():
-		return nil, f, false
-	case trip = <-a.began:
-		return trip, f, true
-	case f = <-a.final:
-	}
-	// The end of a short answer may be seen before its beginning.
-	select {
-	case trip = <-a.began:
-		a.final <- f
-		return trip, kserve.Final{}, true
-	default:
-		return nil, f, true
-	}
-}
-
-// Final gives the one final answer.
-func (a *ClientRequest) Final() <-chan kserve.Final { return a.final }
-
-// MaySend tells, when a connection for an attempt is there, whether the attempt may still go out: while it was waited for, the backend may
-// have been told to drain, the request may have ended, and a repeat may have come too late.
-func (l *Loop) MaySend(f *Attempt) brain.Permission {
-	switch {
-	case f.late:
-		return brain.DeadlinePassed
-	case f.Request.left, f.Request.answered, f.Request.Over():
-		return brain.RequestOver
-	}
-	return l.module.MaySend(f.Planned)
-}
-
-// CallOff ends all attempts that are out, and tells how many are: their clients have gone or have their answers.
-func (l *Loop) CallOff() (out int) {
-	for _, a := range l.requests {
-		if a.flight != nil {
-			a.flight.Off(ErrLeft)
-			out++
-		}
-	}
-	return out
-}
-
 // News takes a peer's message.
 func (l *Loop) News(raw []byte) error {
 	got, err := news.Decode(raw, l.hosts)
@@ -435,72 +331,6 @@
 	return err
 }
 
-// Began takes word of an attempt's first token.
-func (l *Loop) Began(f *Attempt) {
-	if f.late || f.Planned.Ended || f.Planned.Began > 0 {
-		return // its time was up first: the attempt ends as timed out
-	}
-	a := f.Request
-	a.stream = f
-	clear(a.waiting)
-	if a.left || a.answered {
-		f.Off(ErrLeft) // a stream that nobody reads ends
-	} else {
-		a.began <- f
-	}
-	l.module.Began(f.Planned, l.now-f.Planned.Sent)
-	l.Tally.began(f.Planned)
-	l.forget(a)
-}
-
-// Ended takes the end of an attempt.
-func (l *Loop) Ended(f *Attempt, r brain.Result) {
-	t, a := f.Planned, f.Request
-	if t.Ended {
-		return
-	}
-	a.flight = nil
-	if f.Backend.out--; f.Backend.out == 0 && l.backends[f.Backend.Name] != f.Backend {
-		defer delete(l.byHost, t.Backend)
-	}
-	if r.Outcome == brain.Served && t.Began == 0 {
-		r.Outcome = brain.TimedOut // its first token came too late to be shown, and the rest with it
-	}
-	l.accountEnded(f, r)
-	r.Took = l.now - t.Sent
-	l.Tally.ended(t, r)
-	l.Log.Debug("trip over", "id", a.Ask.ID, "box", f.Backend.Name, "stage", f.Stage(), "number", t.Number, "outcome", r.Outcome, "took", r.Took, "wait", f.Wait,
-		"prompt", t.Request.Prompt, "left", t.Left, "kept", r.Note)
-	switch {
-	case r.Outcome == brain.Read:
-		a.waiting[f.Backend] = true
-	case t.Stage == brain.ToRead && r.Outcome != brain.Unreachable && r.Outcome != brain.NotSent && r.Outcome != brain.Rejected:
-		// The read may have ended at the backend just as it was given up on here: its state must not stay there.
-		l.release(f.Backend, a)
-	case r.Outcome == brain.Rejected && r.Note == 1 && f.State != nil:
-		// The prefill backend could not give the state just now; it may hold it all the same.
-		l.release(f.State, a)
-		delete(a.waiting, f.State)
-	}
-	if f.Unfit {
-		l.answer(a, kserve.Final{Final: kserve.Forfeited, Error: "no box can use it"})
-	}
-	r.Over = a.answered || a.left || r.Outcome == brain.Served || t.Began > 0
-	if r.Outcome == brain.Served {
-		l.answer(a, kserve.Final{Final: kserve.Satisfied})
-	} else if t.Began > 0 && !a.left {
-		l.answer(a, kserve.Final{Final: kserve.Forfeited, Error: "the stream broke at its box"})
-	}
-	if l.Guard != nil && !r.Over && cost(r.Outcome) && !l.Guard.MayTryAgain(l.now) {
-		a.Request.Last = true
-	}
-	l.module.Ended(t, r)
-	l.forget(a)
-}
-
-// cost tells whether an attempt that ended so may have cost its backend work for nothing.
-func cost(o brain.Outcome) bool { return o == brain.Failed || o == brain.TimedOut || o == brain.Broken }
-
 // Left takes word that a client has gone.
 func (l *Loop) Left(a *ClientRequest) {
 	if a.Request == nil || a.answered || a.left {
@@ -535,71 +365,3 @@
 
 // Heard takes a peer's news.
 func (l *Loop) Heard(n brain.PeerUpdate) { l.module.Heard(n) }
-
-// Now, Send and the rest are the module's door.
-func (l *Loop) Now() time.Duration { return l.now }
-
-func (l *Loop) Send(t *brain.Attempt, wait time.Duration) {
-	a := l.requests[t.Request]
-	f := &Attempt{Planned: t, Request: a, Backend: l.byHost[t.Backend], Wait: wait, Until: l.now + wait, Tokens: make(chan []byte, tokenRoom), Key: l.Key(a)}
-	if t.Stage == brain.ToWrite {
-		f.State = l.byHost[t.Request.State]
-	}
-	a.flight = f
-	f.Backend.out++
-	l.Tally.Trips++
-	if l.Guard != nil {
-		l.Guard.Sent(l.now, t.Number > 0 && cost(t.Request.Attempts[t.Number-1].Outcome))
-	}
-	l.Wake(wait, func() {
-		if !t.Ended && t.Began == 0 {
-			f.late = true
-			f.Off(ErrLate)
-		}
-	})
-	l.accountSent(f)
-	l.carrier.Start(f)
-}
-
-// tokenRoom is how many pieces of an answer wait for a client that reads slowly; then its backend has to wait.
-const tokenRoom = 64
-
-func (l *Loop) Cancel(t *brain.Attempt) {
-	if f := l.requests[t.Request].flight; f != nil && f.Planned == t {
-		f.Off(ErrLeft)
-	}
-}
-
-// Release has what waits for a request released. Beside an attempt it may go on waiting, for that attempt, and is released once more
-// at its end.
-func (l *Loop) Release(q *brain.Request) {
-	a := l.requests[q]
-	for b := range a.waiting {
-		l.release(b, a)
-	}
-	if !a.AttemptOut() {
-		clear(a.waiting)
-	}
-}
-
-func (l *Loop) Reject(q *brain.Request, after time.Duration) {
-	ticket := ""
-	if l.Guard != nil && after > 0 {
-		after, ticket = l.Guard.Book(l.now)
-	}
-	l.answer(l.requests[q], kserve.Final{Ticket: ticket, Final: kserve.Declined, Error: "not taken on: too much is asked just now", Harmless: true, AfterMs: after.Milliseconds()})
-}
-
-func (l *Loop) Fail(q *brain.Request) {
-	l.answer(l.requests[q], kserve.Final{Final: kserve.Forfeited, Error: "given up on; it may have run"})
-}
-
-func (l *Loop) Wake(after time.Duration, do func()) {
-	l.wakes.At(l.now+max(after, 0), do)
-}
-
-func (l *Loop) Watch(bool) {} // this list pushes unasked
-
-func (l *Loop) Tell(peer int, n brain.PeerUpdate) { l.carrier.Tell(peer, n) }
-
-func (l *Loop) Note(text string) { l.Log.Info(text) }
--- /dev/null
+++ b/internal/dispatch/runtime.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"time"
+
+	"sloetrestle/brain"
+	"sloetrestle/internal/kserve"
+)
+
+// The loop as the module's runtime: how the module acts.
+
+// Now, Send and the rest are the module's door.
+func (l *Loop) Now() time.Duration { return l.now }
+
+func (l *Loop) Send(t *brain.Attempt, wait time.Duration) {
+	a := l.requests[t.Request]
+	f := &Attempt{Planned: t, Request: a, Backend: l.byHost[t.Backend], Wait: wait, Until: l.now + wait, Tokens: make(chan []byte, tokenRoom), Key: l.Key(a)}
+	if t.Stage == brain.ToWrite {
+		f.State = l.byHost[t.Request.State]
+	}
+	a.flight = f
+	f.Backend.out++
+	l.Tally.Trips++
+	if l.Guard != nil {
+		l.Guard.Sent(l.now, t.Number > 0 && cost(t.Request.Attempts[t.Number-1].Outcome))
+	}
+	l.Wake(wait, func() {
+		if !t.Ended && t.Began == 0 {
+			f.late = true
+			f.Off(ErrLate)
+		}
+	})
+	l.accountSent(f)
+	l.carrier.Start(f)
+}
+
+// tokenRoom is how many pieces of an answer wait for a client that reads slowly; then its backend has to wait.
+const tokenRoom = 64
+
+func (l *Loop) Cancel(t *brain.Attempt) {
+	if f := l.requests[t.Request].flight; f != nil && f.Planned == t {
+		f.Off(ErrLeft)
+	}
+}
+
+// Release has what waits for a request released. Beside an attempt it may go on waiting, for that attempt, and is released once more
+// at its end.
+func (l *Loop) Release(q *brain.Request) {
+	a := l.requests[q]
+	for b := range a.waiting {
+		l.release(b, a)
+	}
+	if !a.AttemptOut() {
+		clear(a.waiting)
+	}
+}
+
+func (l *Loop) Reject(q *brain.Request, after time.Duration) {
+	ticket := ""
+	if l.Guard != nil && after > 0 {
+		after, ticket = l.Guard.Book(l.now)
+	}
+	l.answer(l.requests[q], kserve.Final{Ticket: ticket, Final: kserve.Declined, Error: "not taken on: too much is asked just now", Harmless: true, AfterMs: after.Milliseconds()})
+}
+
+func (l *Loop) Fail(q *brain.Request) {
+	l.answer(l.requests[q], kserve.Final{Final: kserve.Forfeited, Error: "given up on; it may have run"})
+}
+
+func (l *Loop) Wake(after time.Duration, do func()) {
+	l.wakes.At(l.now+max(after, 0), do)
+}
+
+func (l *Loop) Watch(bool) {} // this list pushes unasked
+
+func (l *Loop) Tell(peer int, n brain.PeerUpdate) { l.carrier.Tell(peer, n) }
+
+func (l *Loop) Note(text string) { l.Log.Info(text) }
--- /dev/null
+++ b/internal/soak/cause.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"sloetrestle/internal/system"
+)
+
+// Errors that the shims have calls fail with.
+var (
+	acceptErrors = []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS, syscall.EPROTO, syscall.ENETUNREACH, syscall.EINTR}
+	dialErrors   = []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.EHOSTUNREACH}
+	wallSteps    = []time.Duration{-time.Hour, -7 * time.Second, 7 * time.Second, time.Hour}
+)
+
+const (
+	restartTime  = 7 * time.Second // in which most backends are replaced
+	restartShare = 0.6
+	drainShare   = 0.25
+	muteShare    = 0.8
+)
+
+// cause has a fault happen.
+func (r *run) cause(ctx context.Context, f Fault) {
+	d := r.dispatchers[f.Target%len(r.dispatchers)]
+	b := r.farm.backends[f.Target%len(r.farm.backends)]
+	agent := r.discovery.agents[d.number]
+	until := r.record.now() + f.Length
+	switch f.Kind {
+	case Terminate, TerminateTwice, TerminateReload:
+		d.terminate(ctx, f)
+	case KillProcess:
+		d.crash(ctx)
+	case Stop:
+		d.stop(ctx, f.Length)
+	case Reload, ReloadTorn, ReloadTwice, ReloadBurst:
+		d.reload(ctx, f)
+	case WallStep:
+		d.order(Order{WallStep: wallSteps[f.Draw%uint64(len(wallSteps))]})
+	case AcceptFails:
+		d.order(Order{Accept: acceptErrors[f.Draw%uint64(len(acceptErrors))], For: f.Length})
+	case DialFails:
+		d.mu.Lock()
+		l := d.life
+		d.mu.Unlock()
+		r.record.with(func() { l.cutOff = append(l.cutOff, span{r.record.now(), until}) })
+		d.order(Order{Dial: dialErrors[f.Draw%uint64(len(dialErrors))], For: f.Length})
+	case ShortReads:
+		d.order(Order{ShortReads: true, For: f.Length})
+	case BackendRestarts:
+		b.restart()
+		r.discovery.change(b, "in_service")
+	case Drain:
+		r.discovery.change(b, "terminating")
+		if system.Sleep(ctx, f.Length) {
+			r.discovery.change(b, "in_service")
+		}
+	case MassRestart:
+		r.restartMost(ctx, f)
+	case MassDrain:
+		r.drainMany(ctx, f)
+	case RoleMute:
+		r.muteRole(f, until)
+	case BackendSilent:
+		b.cutOff(ctx, f.Length, f.Draw)
+	case DiscoverySilent:
+		agent.silence(until)
+	case DiscoverySlow:
+		agent.slowDown(until)
+	case DiscoveryResets:
+		agent.reset()
+	default:
+		b.goesWrong(f.Kind, until, f.Draw)
+	}
+}
+
+// drawn are so large a share of the backends, as a fault's draw has it.
+func (r *run) drawn(f Fault, share float64) []*backend {
+	rng := rand.New(rand.NewPCG(f.Draw, 0))
+	var chosen []*backend
+	for _, b := range r.farm.backends {
+		if rng.Float64() < share {
+			chosen = append(chosen, b)
+		}
+	}
+	return chosen
+}
+
+// restartMost has most backends be replaced one by one.
+func (r *run) restartMost(ctx context.Context, f Fault) {
+	chosen := r.drawn(f, restartShare)
+	for _, b := range chosen {
+		if !system.Sleep(ctx, restartTime/time.Duration(len(chosen))) {
+			return
+		}
+		b.restart()
+		r.discovery.change(b, "in_service")
+	}
+}
+
+// drainMany has many backends drain at once, and come back.
+func (r *run) drainMany(ctx context.Context, f Fault) {
+	chosen := r.drawn(f, drainShare)
+	for _, b := range chosen {
+		r.discovery.change(b, "terminating")
+	}
+	if !system.Sleep(ctx, f.Length) {
+		return
+	}
+	for _, b := range chosen {
+		r.discovery.change(b, "in_service")
+	}
+}
+
+// muteRole has four in five backends of one role fall silent together, but never all.
+func (r *run) muteRole(f Fault, until time.Duration) {
+	prefill := f.Target%2 == 0
+	var role []*backend
+	for _, b := range r.farm.backends {
+		if b.prefill == prefill {
+			role = append(role, b)
+		}
+	}
+	mute := min(int(muteShare*float64(len(role))+0.5), len(role)-1)
+	first := int(f.Draw % uint64(len(role)))
+	for i := range mute {
+		role[(first+i)%len(role)].goesWrong(BackendMute, until, 0)
+	}
+}
--- /dev/null
+++ b/internal/soak/result.go
@@ -0,0 +1,94 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Result is what came of a run.
+type Result struct {
+	Verdict
+	Seed     uint64
+	Faults   []Fault
+	Requests int
+	Attempts int
+	Statuses map[int]int
+	Resent   int
+	usage    usage
+	Late     time.Duration // by which the soak itself was late
+	Unjudged bool          // it was too late to tell whose a delay is
+}
+
+// Table prints what came of a run.
+func (res Result) Table(w io.Writer) {
+	fmt.Fprintf(w, "seed %d: %d requests, %d attempts, %d faults, %d sent again on a new connection, answers %v\n",
+		res.Seed, res.Requests, res.Attempts, len(res.Faults), res.Resent, res.Statuses)
+	kinds := map[Kind]int{}
+	for _, f := range res.Faults {
+		kinds[f.Kind]++
+	}
+	fmt.Fprint(w, "faults:")
+	for _, k := range slices.Sorted(maps.Keys(kinds)) {
+		fmt.Fprintf(w, " %s %d", k, kinds[k])
+	}
+	fmt.Fprintf(w, "\npairs that overlapped: %d kinds; the soak itself was late by up to %v\n", len(Overlaps(res.Faults)), res.Late.Round(time.Millisecond))
+	fmt.Fprintf(w, "a dispatcher needed %v\n", res.usage)
+	if res.Unjudged {
+		fmt.Fprintf(w, "NOT JUDGED: the soak lagged by over %v; what follows may be its own\n", latenessMost)
+	}
+	broken := map[string]int{}
+	for _, v := range res.Violations {
+		broken[v.Rule]++
+	}
+	for _, rule := range Rules {
+		note := ""
+		if res.Chances[rule] < fewChances {
+			note = "  (few chances)"
+		}
+		fmt.Fprintf(w, "  %-14s %6d chances, broken %d%s\n", rule, res.Chances[rule], broken[rule], note)
+	}
+	for _, v := range res.Violations {
+		fmt.Fprintf(w, "BROKEN %s at %.3f s: %s\n", v.Rule, v.At.Seconds(), v.Text)
+	}
+}
+
+// fewChances is below how many chances a rule's line says that they were few.
+const fewChances = 20
+
+// result judges what was recorded, with the processes still up.
+func (r *run) result(faults []Fault) Result {
+	res := Result{Seed: r.options.Seed, Faults: faults, Statuses: map[int]int{}}
+	res.usage = usageOf(r.pids())
+	r.record.mu.Lock()
+	res.Verdict = judge(r.record, func(dispatcher int) []span { return r.discovery.agents[dispatcher].quiet })
+	res.Requests, res.Attempts = len(r.record.requests), len(r.record.attempts)
+	for _, q := range r.record.requests {
+		res.Statuses[q.status]++
+		if len(q.sends) > 1 {
+			res.Resent++
+		}
+	}
+	r.record.mu.Unlock()
+	r.mu.Lock()
+	res.Late = r.late.most()
+	res.Unjudged = res.Late > latenessMost
+	res.Violations = append(res.Violations, r.bad...)
+	res.Chances[ruleBad] = r.saw
+	r.mu.Unlock()
+	return res
+}
+
+// pids are those of the processes that are up.
+func (r *run) pids() (pids []int) {
+	for _, d := range r.dispatchers {
+		d.mu.Lock()
+		if d.ready {
+			pids = append(pids, d.cmd.Process.Pid)
+		}
+		d.mu.Unlock()
+	}
+	return pids
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -9,8 +9,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -70,20 +68,6 @@
 	saw int         // bad clients that had their end
 }
 
-// Result is what came of a run.
-type Result struct {
-	Verdict
-	Seed     uint64
-	Faults   []Fault
-	Requests int
-	Attempts int
-	Statuses map[int]int
-	Resent   int
-	usage    usage
-	Late     time.Duration // by which the soak itself was late
-	Unjudged bool          // it was too late to tell whose a delay is
-}
-
 // Run plays one seed and judges it.
 func Run(ctx context.Context, o Options) (Result, error) {
 	v := drawVariant(o.Seed)
@@ -224,128 +208,6 @@
 	return up[rng.IntN(len(up))]
 }
 
-// Errors that the shims have calls fail with.
-var (
-	acceptErrors = []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS, syscall.EPROTO, syscall.ENETUNREACH, syscall.EINTR}
-	dialErrors   = []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ETIMEDOUT, syscall.EHOSTUNREACH}
-	wallSteps    = []time.Duration{-time.Hour, -7 * time.Second, 7 * time.Second, time.Hour}
-)
-
-// cause has a fault happen.
-func (r *run) cause(ctx context.Context, f Fault) {
-	d := r.dispatchers[f.Target%len(r.dispatchers)]
-	b := r.farm.backends[f.Target%len(r.farm.backends)]
-	agent := r.discovery.agents[d.number]
-	until := r.record.now() + f.Length
-	switch f.Kind {
-	case Terminate, TerminateTwice, TerminateReload:
-		d.terminate(ctx, f)
-	case KillProcess:
-		d.crash(ctx)
-	case Stop:
-		d.stop(ctx, f.Length)
-	case Reload, ReloadTorn, ReloadTwice, ReloadBurst:
-		d.reload(ctx, f)
-	case WallStep:
-		d.order(Order{WallStep: wallSteps[f.Draw%uint64(len(wallSteps))]})
-	case AcceptFails:
-		d.order(Order{Accept: acceptErrors[f.Draw%uint64(len(acceptErrors))], For: f.Length})
-	case DialFails:
-		d.mu.Lock()
-		l := d.life
-		d.mu.Unlock()
-		r.record.with(func() { l.cutOff = append(l.cutOff, span{r.record.now(), until}) })
-		d.order(Order{Dial: dialErrors[f.Draw%uint64(len(dialErrors))], For: f.Length})
-	case ShortReads:
-		d.order(Order{ShortReads: true, For: f.Length})
-	case BackendRestarts:
-		b.restart()
-		r.discovery.change(b, "in_service")
-	case Drain:
-		r.discovery.change(b, "terminating")
-		if system.Sleep(ctx, f.Length) {
-			r.discovery.change(b, "in_service")
-		}
-	case MassRestart:
-		r.restartMost(ctx, f)
-	case MassDrain:
-		r.drainMany(ctx, f)
-	case RoleMute:
-		r.muteRole(f, until)
-	case BackendSilent:
-		b.cutOff(ctx, f.Length, f.Draw)
-	case DiscoverySilent:
-		agent.silence(until)
-	case DiscoverySlow:
-		agent.slowDown(until)
-	case DiscoveryResets:
-		agent.reset()
-	default:
-		b.goesWrong(f.Kind, until, f.Draw)
-	}
-}
-
-const (
-	restartTime  = 7 * time.Second // in which most backends are replaced
-	restartShare = 0.6
-	drainShare   = 0.25
-	muteShare    = 0.8
-)
-
-// drawn are so large a share of the backends, as a fault's draw has it.
-func (r *run) drawn(f Fault, share float64) []*backend {
-	rng := rand.New(rand.NewPCG(f.Draw, 0))
-	var chosen []*backend
-	for _, b := range r.farm.backends {
-		if rng.Float64() < share {
-			chosen = append(chosen, b)
-		}
-	}
-	return chosen
-}
-
-// restartMost has most backends be replaced one by one.
-func (r *run) restartMost(ctx context.Context, f Fault) {
-	chosen := r.drawn(f, restartShare)
-	for _, b := range chosen {
-		if !system.Sleep(ctx, restartTime/time.Duration(len(chosen))) {
-			return
-		}
-		b.restart()
-		r.discovery.change(b, "in_service")
-	}
-}
-
-// drainMany has many backends drain at once, and come back.
-func (r *run) drainMany(ctx context.Context, f Fault) {
-	chosen := r.drawn(f, drainShare)
-	for _, b := range chosen {
-		r.discovery.change(b, "terminating")
-	}
-	if !system.Sleep(ctx, f.Length) {
-		return
-	}
-	for _, b := range chosen {
-		r.discovery.change(b, "in_service")
-	}
-}
-
-// muteRole has four in five backends of one role fall silent together, but never all.
-func (r *run) muteRole(f Fault, until time.Duration) {
-	prefill := f.Target%2 == 0
-	var role []*backend
-	for _, b := range r.farm.backends {
-		if b.prefill == prefill {
-			role = append(role, b)
-		}
-	}
-	mute := min(int(muteShare*float64(len(role))+0.5), len(role)-1)
-	first := int(f.Draw % uint64(len(role)))
-	for i := range mute {
-		role[(first+i)%len(role)].goesWrong(BackendMute, until, 0)
-	}
-}
-
 // badDone takes note of a bad client's end.
 func (r *run) badDone(dispatcher int, began, took time.Duration, err error) {
 	r.mu.Lock()
@@ -361,41 +223,6 @@
 	return held
 }
 
-// result judges what was recorded, with the processes still up.
-func (r *run) result(faults []Fault) Result {
-	res := Result{Seed: r.options.Seed, Faults: faults, Statuses: map[int]int{}}
-	res.usage = usageOf(r.pids())
-	r.record.mu.Lock()
-	res.Verdict = judge(r.record, func(dispatcher int) []span { return r.discovery.agents[dispatcher].quiet })
-	res.Requests, res.Attempts = len(r.record.requests), len(r.record.attempts)
-	for _, q := range r.record.requests {
-		res.Statuses[q.status]++
-		if len(q.sends) > 1 {
-			res.Resent++
-		}
-	}
-	r.record.mu.Unlock()
-	r.mu.Lock()
-	res.Late = r.late.most()
-	res.Unjudged = res.Late > latenessMost
-	res.Violations = append(res.Violations, r.bad...)
-	res.Chances[ruleBad] = r.saw
-	r.mu.Unlock()
-	return res
-}
-
-// pids are those of the processes that are up.
-func (r *run) pids() (pids []int) {
-	for _, d := range r.dispatchers {
-		d.mu.Lock()
-		if d.ready {
-			pids = append(pids, d.cmd.Process.Pid)
-		}
-		d.mu.Unlock()
-	}
-	return pids
-}
-
 // close ends all of it.
 func (r *run) close() {
 	for _, d := range r.dispatchers {
@@ -415,42 +242,6 @@
 	r.farm.done.Wait()
 }
 
-// Table prints what came of a run.
-func (res Result) Table(w io.Writer) {
-	fmt.Fprintf(w, "seed %d: %d requests, %d attempts, %d faults, %d sent again on a new connection, answers %v\n",
-		res.Seed, res.Requests, res.Attempts, len(res.Faults), res.Resent, res.Statuses)
-	kinds := map[Kind]int{}
-	for _, f := range res.Faults {
-		kinds[f.Kind]++
-	}
-	fmt.Fprint(w, "faults:")
-	for _, k := range slices.Sorted(maps.Keys(kinds)) {
-		fmt.Fprintf(w, " %s %d", k, kinds[k])
-	}
-	fmt.Fprintf(w, "\npairs that overlapped: %d kinds; the soak itself was late by up to %v\n", len(Overlaps(res.Faults)), res.Late.Round(time.Millisecond))
-	fmt.Fprintf(w, "a dispatcher needed %v\n", res.usage)
-	if res.Unjudged {
-		fmt.Fprintf(w, "NOT JUDGED: the soak lagged by over %v; what follows may be its own\n", latenessMost)
-	}
-	broken := map[string]int{}
-	for _, v := range res.Violations {
-		broken[v.Rule]++
-	}
-	for _, rule := range Rules {
-		note := ""
-		if res.Chances[rule] < fewChances {
-			note = "  (few chances)"
-		}
-		fmt.Fprintf(w, "  %-14s %6d chances, broken %d%s\n", rule, res.Chances[rule], broken[rule], note)
-	}
-	for _, v := range res.Violations {
-		fmt.Fprintf(w, "BROKEN %s at %.3f s: %s\n", v.Rule, v.At.Seconds(), v.Text)
-	}
-}
-
-// fewChances is below how many chances a rule's line says that they were few.
-const fewChances = 20
-
 // Shrink drops faults from a schedule as long as fails says that the rest still fails, and returns the shortest that was found.
 func Shrink(faults []Fault, fails func([]Fault) bool) []Fault {
 	for size := max(len(faults)/2, 1); size >= 1; size /= 2 {
