--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,12 +35,13 @@
 )
 
 // New starts an instance from its settings and the seed for its chance.
-func New(facts Facts, seed uint64, door Runtime) (*Dispatcher, error) {
+func New(facts Facts, seed uint64, runtime Runtime) (*Dispatcher, error) {
 	if err := facts.Sound(); err != nil {
 		return nil, err
 	}
 	facts = facts.Complete()
-	d := &Dispatcher{facts: facts, parameters: parametersOf(facts), runtime: door, rng: NewPCG(seed), own: Mix(seed, 1), credit: burst}
+	d := &Dispatcher{facts: facts, parameters: parametersOf(facts), runtime: runtime, rng: NewPCG(seed)}
+	d.own, d.credit = Mix(seed, 1), burst
 	d.unread.Width, d.asked.Width, d.begins.Width = refresh, refresh, refresh
 	var err error
 	if d.classes, err = facts.Grades(); err != nil {
@@ -52,10 +53,10 @@
 		d.listeners = min(int(gossip/dear), int(d.parameters.dispatchers)-1)
 	}
 	if facts.Text("discovery") == "subscribe" {
-		door.Watch(true)
+		runtime.Watch(true)
 	}
 	// Its own phase: dispatchers that start together would all turn to the same backends in one moment.
-	door.Wake(time.Duration(d.rng.Float()*float64(refresh)), d.refresh)
+	runtime.Wake(time.Duration(d.rng.Float()*float64(refresh)), d.refresh)
 	return d, nil
 }
 
