A release is repeated at the end of each further attempt: it may have been heard with one out

Request: a decode attempt times out at 10.652, its state is released, and a whole attempt is sent in the same moment; it times out at 11.164, and the state is still held at 11.47. Cause: a release lets go of what no attempt waits for, and by the time that it was heard one was out again. The module took its own release for the other side's state. It showed since an attempt that timed out gives its state no further time, so that the request starts over at once; before, the state went to another backend first. Change: brain.releaseAgain, at the end of each further attempt that neither has a state of its own nor has begun to answer; the loop keeps in mind what may be held.

--- a/brain/outcomes.go
+++ b/brain/outcomes.go
@@ -13,7 +13,7 @@
 		return
 	}
 	t.Began = d.runtime.Now()
-	t.Request.State, t.Request.Released = nil, false
+	t.Request.State, t.Request.Released, t.Request.Lingers = nil, false, false
 	d.settle(t.Request)
 	d.learn(t, took, true, false)
 	d.firstToken.Add((t.Began - t.Request.Dispatched).Seconds(), 0.1)
@@ -96,6 +96,9 @@
 			q.Class.Reading.Add(left, 0.02)
 		}
 	}
+	if t.Began == 0 && r.Outcome != Served {
+		d.releaseAgain(q)
+	}
 	if q.Over {
 		d.settle(q)
 		d.letGo(q)
--- a/brain/release.go
+++ b/brain/release.go
@@ -57,10 +57,18 @@
 	if q.State == nil || q.Out() != nil {
 		return
 	}
-	q.State, q.Released = nil, false
+	q.State, q.Released, q.Lingers = nil, false, true
 	d.runtime.Release(q)
 }
 
+// releaseAgain releases once more, at the end of an attempt, what was released before that attempt was sent: by the time that a release
+// is heard a further attempt may be out, and a backend that holds a state for it keeps it.
+func (d *Dispatcher) releaseAgain(q *Request) {
+	if q.Lingers && q.State == nil && q.Out() == nil {
+		d.runtime.Release(q)
+	}
+}
+
 // arrived tells whether the outcome proves that the attempt came to its backend. A connection that broke, or a time that was up, does
 // not: the state has waited all the while.
 func (o Outcome) arrived() bool {
--- a/brain/release_test.go
+++ b/brain/release_test.go
@@ -100,3 +100,30 @@
 		t.Errorf("the state is due after %v", got)
 	}
 }
+
+// A release may be heard once a further attempt is out, and do nothing: it is repeated at the end of each, unless that one has a state
+// of its own or has begun to answer.
+func TestAReleaseIsRepeatedBehindFurtherAttempts(t *testing.T) {
+	for _, c := range []struct {
+		outcome Outcome
+		stage   Stage
+		again   bool
+	}{
+		{TimedOut, Whole, true}, {Broken, Whole, true}, {Failed, Whole, true}, {Rejected, Whole, true}, {Unreachable, Whole, true}, {TimedOut, ToRead, true},
+		{Read, ToRead, false}, {Served, Whole, false},
+	} {
+		d, out, q, decode, _ := waiting(t)
+		out.now += holdLimit
+		d.Ended(decode, Result{Outcome: TimedOut}) // the state is released, and the request starts over
+		further := out.sent[len(out.sent)-1]
+		further.Stage, q.Last = c.stage, c.outcome != Read
+		released := len(out.released)
+		if released != 1 || further == decode {
+			t.Fatalf("released %d times", released)
+		}
+		d.Ended(further, Result{Outcome: c.outcome, Over: c.outcome == Served})
+		if got := len(out.released) - released; (got == 1) != c.again || got > 1 {
+			t.Errorf("after %v at stage %v it is released %d times more", c.outcome, c.stage, got)
+		}
+	}
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -271,6 +271,7 @@
 	Attempts    []*Attempt
 	State       *Backend      // where its read state waits
 	Waits       time.Duration // since when it does, with no attempt that is known to have arrived
+	Lingers     bool          // one that was released may be there all the same
 	Released    bool          // it was released beside the attempt that is out, and may or may not be there
 	TargetAt    time.Duration
 	Deadline    time.Duration
--- a/internal/dispatch/runtime.go
+++ b/internal/dispatch/runtime.go
@@ -43,16 +43,13 @@
 	}
 }
 
-// Release has what waits for a request released. Beside an attempt it may go on waiting, for that attempt, and is released once more
-// at its end.
+// Release has what may wait for a request released. It may go on waiting, for an attempt that is out by the time that a release is heard;
+// the module then asks for a further one at that attempt's end.
 func (l *Loop) Release(q *brain.Request) {
 	a := l.requests[q]
 	for b := range a.waiting {
 		l.release(b, a)
 	}
-	if !a.AttemptOut() {
-		clear(a.waiting)
-	}
 }
 
 func (l *Loop) Reject(q *brain.Request, after time.Duration) {
