--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -283,8 +283,9 @@
 	from := d.run.record.now()
 	d.signal(syscall.SIGSTOP)
 	system.Sleep(context.WithoutCancel(ctx), length)
-	d.signal(syscall.SIGCONT)
+	// Whoever has waited for the process may be judged the moment it goes on.
 	d.run.record.with(func() { l.stops = append(l.stops, span{from, d.run.record.now()}) })
+	d.signal(syscall.SIGCONT)
 }
 
 // reload moves discovery and tells the process.
