A first request has its time from when its connection was complete, not from when accept returned it

Cause: clientConn.until counted 2.7 s from newClientConn; with accept failing for 0.6 s before, a client that stops in a body had its end after 3.32 s, where 3 s are owed. The same class as a request's age: accepted is not complete. Change: firstUntil counts from the time since when the limiter takes the connection for complete, at least 0.5 s from now; it also bounds a connection on which nothing has come. TestAClientThatWaitedForAcceptHasItsEndInTime failed before (3.32 s) and passes.

--- a/internal/platform/accept_test.go
+++ b/internal/platform/accept_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -184,3 +185,30 @@
 		listener.Close()
 	}
 }
+
+// A client that stops in the middle of a request, or says nothing, is owed its end within 3 s of connecting, also where accept failed for
+// a part of them.
+func TestAClientThatWaitedForAcceptHasItsEndInTime(t *testing.T) {
+	const owed, failed = 3 * time.Second, 600 * time.Millisecond
+	h, flaky := enterFailing(t, syscall.ENOBUFS)
+	for name, raw := range map[string]string{"half a request": "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Le", "half a body": strings.TrimSuffix(h.ask("hut-booking"), "}"), "nothing": ""} {
+		t.Run(name, func(t *testing.T) {
+			flaky.left.Store(1e6)
+			time.AfterFunc(failed, func() { flaky.left.Store(0) })
+			h.client() // the call of accept that waits already takes it
+			time.Sleep(20 * time.Millisecond)
+			began := time.Now()
+			c, err := net.Dial("tcp", h.at)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, raw)
+			c.SetReadDeadline(time.Now().Add(2 * owed))
+			io.Copy(io.Discard, c)
+			if took := time.Since(began); took > owed || took < time.Second {
+				t.Errorf("its end came after %v", took)
+			}
+		})
+	}
+}
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -28,6 +28,18 @@
 // receivedLeast is from when on the system's word counts of how long ago bytes came: it is told in steps of some milliseconds.
 const receivedLeast = 10 * time.Millisecond
 
+// requestLeast is for a first request whose connection waited to be accepted for most of requestMost.
+const requestLeast = 500 * time.Millisecond
+
+// firstUntil is when the first request of a connection has to be whole that is accepted now and may have been complete for a while.
+func firstUntil(now, complete time.Time) time.Time {
+	until, least := complete.Add(requestMost), now.Add(requestLeast)
+	if until.Before(least) {
+		return least
+	}
+	return until
+}
+
 // atOnce is how soon after its connection a request may come that was there before it.
 const atOnce = 10 * time.Millisecond
 
@@ -153,7 +165,7 @@
 		return nil
 	}
 	deadline := c.deadline
-	if c.state == connReading && (deadline.IsZero() || c.until.Before(deadline)) {
+	if (c.state == connReading || c.state == connNew) && (deadline.IsZero() || c.until.Before(deadline)) {
 		deadline = c.until
 	}
 	return c.Conn.SetReadDeadline(deadline)
--- a/internal/platform/limiter.go
+++ b/internal/platform/limiter.go
@@ -184,6 +184,7 @@
 		return nil, err
 	}
 	c.waited, c.earliest = complete, earliest
+	c.until = firstUntil(time.Now(), complete)
 	l.mu.Lock()
 	l.conns[c] = true
 	l.mu.Unlock()
