How long a call of accept took shows nothing: a request's age is bounded by 3 s alone

Cause: limiter.waitingSince took a call of accept of over 1 ms for one that had waited, and so the backlog for empty; on a busy machine each call takes as long. A case with a busy accept failed before and passes.

--- a/internal/platform/accept_test.go
+++ b/internal/platform/accept_test.go
@@ -21,12 +21,14 @@
 	system.Listener
 	errno syscall.Errno
 	left  atomic.Int64
+	busy  time.Duration // for which a call does not get the processor
 }
 
 func (l *failingListener) Accept() (system.Conn, error) {
 	if l.left.Add(-1) >= 0 {
 		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", l.errno)}
 	}
+	time.Sleep(l.busy)
 	return l.Listener.Accept()
 }
 
@@ -154,11 +156,14 @@
 	for name, c := range map[string]struct {
 		most   int
 		errors int64
+		busy   time.Duration
 	}{
-		"accept fails":    {100, 8},
-		"there's no room": {2, 0},
+		"accept fails":        {100, 8, 0},
+		"there's no room":     {2, 0, 0},
+		"the machine is busy": {100, 8, 30 * time.Millisecond},
 	} {
 		listener, _ := failing(t, syscall.ENOBUFS, c.errors)
+		listener.busy = c.busy
 		l := newLimiter(listener, c.most, slog.New(slog.DiscardHandler))
 		var sent []time.Time
 		for range clients {
--- a/internal/platform/limiter.go
+++ b/internal/platform/limiter.go
@@ -18,8 +18,8 @@
 	idleFor   = 2 * time.Second       // one without an open request may be closed by then
 	roomWait  = 10 * time.Millisecond // until another look, where none makes room
 
-	// emptyLeast is how long a call of accept takes that had to wait for a connection.
-	emptyLeast = time.Millisecond
+	// waitMost is how long a connection is taken to have waited to be accepted at most.
+	waitMost = 3 * time.Second
 
 	// At the end of accepting, for connections that the system has completed already: how long a look waits for one, until
 	// drainMost is over and after that.
@@ -52,7 +52,7 @@
 	conns    map[*clientConn]bool
 	draining bool         // connections without an open request are closed
 	failures timeSpan     // in which accept failed last; the accepting goroutine's
-	empty    time.Time    // when no connection waited to be accepted, as last seen; the accepting goroutine's
+	opened   time.Time    // since when connections may have come
 	ending   time.Time    // when acceptLast was called; set before last is
 	last     atomic.Bool  // what is completed already is accepted, and no more
 	Pushed   atomic.Int64 // connections that made room
@@ -63,7 +63,7 @@
 }
 
 func newLimiter(listener system.Listener, most int, log *slog.Logger) *limiter {
-	return &limiter{listener: listener, most: most, log: log, conns: map[*clientConn]bool{}, empty: time.Now()}
+	return &limiter{listener: listener, most: most, log: log, conns: map[*clientConn]bool{}, opened: time.Now()}
 }
 
 // Addr is where the limiter listens.
@@ -85,7 +85,7 @@
 		}
 		switch {
 		case err == nil:
-			if c, err := l.admit(raw, l.completedAt(noRoom, called), l.waitingSince(called)); err == nil {
+			if c, err := l.admit(raw, l.completedAt(noRoom, called), l.waitingSince(time.Now())); err == nil {
 				return c, nil
 			}
 			raw.Close()
@@ -113,14 +113,13 @@
 	return now
 }
 
-// waitingSince is since when at the earliest a connection that was accepted now was complete: a call that found it there shows only that
-// it came after the last one that had to wait.
-func (l *limiter) waitingSince(called time.Time) time.Time {
-	now := time.Now()
-	if now.Sub(called) > emptyLeast {
-		l.empty = now
+// waitingSince is since when at the earliest a connection that was accepted now was complete. How long the call took shows nothing: on a
+// busy machine a call that finds a connection there takes as long as one that waits for it.
+func (l *limiter) waitingSince(now time.Time) time.Time {
+	if earliest := now.Add(-waitMost); earliest.After(l.opened) {
+		return earliest
 	}
-	return l.empty
+	return l.opened
 }
 
 // awaitRoom waits until one more connection may be open, or accepting ends, and tells since when; zero: there was room at once.
