In a large fleet a request that starts over has its own homes, and one that all share is home to all

Found by reading the change once more; both only with over 128 backends. Cause 1: candidates were kept by request, time and number of attempts, not by whether a state waits: a request whose state found no backend started over in the same moment with the candidates of its decode, and the homes of whoever was looked at before. Cause 2: withMoreHomes turned 2^64 into uint64, which overflows, so a beginning with half of the requests or more was at home at half of the backends.

--- a/brain/candidates.go
+++ b/brain/candidates.go
@@ -21,15 +21,18 @@
 	homeRacks = 4
 	// keepersMost is how many backends are remembered to keep one beginning or session there.
 	keepersMost = 8
+	// ranks is how many places there are in the order of a key.
+	ranks = 1 << 64
 	// sizesAge is how old the comparison of backends' sizes may be there: it walks all of them.
 	sizesAge = 250 * time.Millisecond
 )
 
 // candidateSet are the candidates of one choice.
 type candidateSet struct {
-	question *Request
+	request  *Request
 	at       time.Duration
-	trips    int
+	attempts int      // that the request had
+	state    *Backend // that waited for it
 	hosts    []*Backend
 	homes    [3][]*Backend // of the request's beginning, by role
 	mark     uint64        // that the backends among them bear
@@ -56,10 +59,10 @@
 		return d.backends
 	}
 	c, now := &d.chosenFrom, d.runtime.Now()
-	if c.question == q && c.at == now && c.trips == len(q.Attempts) {
+	if c.request == q && c.at == now && c.attempts == len(q.Attempts) && c.state == q.State {
 		return c.hosts
 	}
-	c.question, c.at, c.trips, c.hosts = q, now, len(q.Attempts), c.hosts[:0]
+	c.request, c.at, c.attempts, c.state, c.hosts = q, now, len(q.Attempts), q.State, c.hosts[:0]
 	c.mark++
 	first := int(d.rng.Float() * float64(len(d.backends)))
 	for i := range stretch {
@@ -151,9 +154,9 @@
 	if !d.large() || wanted <= homesMost {
 		return homes
 	}
-	most := uint64(min(float64(wanted)/float64(len(d.byRole[role])), 1) * (math.MaxUint64 / 2) * 2)
+	share := float64(wanted) / float64(len(d.byRole[role]))
 	for _, h := range able {
-		if Mix(key, uint64(h.ID)) <= most && !slices.Contains(homes, h) {
+		if float64(Mix(key, uint64(h.ID))) < share*ranks && !slices.Contains(homes, h) {
 			homes = append(homes, h)
 		}
 	}
--- a/brain/candidates_test.go
+++ b/brain/candidates_test.go
@@ -137,3 +137,33 @@
 		t.Errorf("%d backends by role", got)
 	}
 }
+
+// A state that finds no backend to take it starts its request over in the same moment: its homes are then its own, not those of whoever
+// was looked at before.
+func TestARequestThatStartsOverHasItsOwnHomes(t *testing.T) {
+	d, _ := largeFleet(t, 1)
+	other := ask(d)
+	other.Shared = 77
+	d.candidates(other)
+	q := ask(d)
+	q.State = Only(d.backends, (*Backend).ReadsOnly)[0]
+	d.candidates(q)
+	q.State = nil
+	all := Only(d.backends, (*Backend).ReadsOnly)
+	Order(all, q.Shared)
+	if got := d.homes(q, Reads, d.able(q, (*Backend).ReadsOnly)); !slices.Equal(ids(got), ids(all[:2])) {
+		t.Errorf("its homes are %v, wanted %v", ids(got), ids(all[:2]))
+	}
+}
+
+// A beginning that all requests share is at home everywhere.
+func TestABeginningOfAllRequestsIsAtHomeEverywhere(t *testing.T) {
+	d, out := largeFleet(t, 1)
+	d.asked.Add(out.now, 1e6)
+	d.begins.Add(9, out.now, 1e6)
+	q := ask(d)
+	able := d.able(q, (*Backend).ReadsOnly)
+	if homes := d.homes(q, Reads, slices.Clone(able)); len(homes) != len(able) {
+		t.Errorf("%d of %d backends that were looked at are homes", len(homes), len(able))
+	}
+}
