--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -123,9 +124,8 @@
 	c.procs = append(c.procs, p)
 	c.Logf("%s: started, pid %d", name, cmd.Process.Pid)
 	go func() {
-		err := cmd.Wait()
+		cmd.Wait()
 		c.Logf("%s: pid %d ended: %v", name, cmd.Process.Pid, cmd.ProcessState)
-		_ = err
 		close(p.exited)
 	}()
 	return p
@@ -184,12 +184,18 @@
 	return c.WriteFile(name, raw)
 }
 
-// FreeAddress returns a loopback address with a free port, for TCP and for UDP.
+// Dispatchers listen on ports below the ephemeral range: an outgoing connection could otherwise take the port of one
+// that restarts.
+const minPort, maxPort = 20_000, 32_000
+
+// FreeAddress returns a loopback address with a port that is free for TCP and for UDP.
 func FreeAddress() string {
-	for range 50 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Must(err)
-		address := listener.Addr().String()
+	for range 200 {
+		address := fmt.Sprintf("127.0.0.1:%d", minPort+rand.IntN(maxPort-minPort))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
 		packets, err := net.ListenPacket("udp", address)
 		listener.Close()
 		if err == nil {
