State line and GET /state: requests and timers that the event loop keeps

A dispatcher that turns requests away grows by some 6 KB for each of them until it is killed for memory. The state line had what the handlers hold (open), not what the event loop holds, so a table that is never emptied and a backlog of work looked alike.

held_requests and held_timers (the latter was in GET /state only) tell them apart.

--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -386,5 +386,9 @@
 	return estimates
 }
 
+// Retained returns how many requests and timers the loop keeps. At rest it keeps no request, and only the periodic
+// timers.
+func (l *Loop) Retained() (requests, timers int) { return len(l.requests), l.timers.Len() }
+
 // ApplyPeerUpdate hands a peer's update to the scheduler.
 func (l *Loop) ApplyPeerUpdate(update scheduler.PeerUpdate) { l.scheduler.PeerUpdated(update) }
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -303,8 +303,8 @@
 		counters := loop.Counters
 		out["taken"], out["satisfied"], out["declined"], out["forfeited"] =
 			counters.Accepted, counters.Served, counters.Rejected, counters.Failed
-		out["left"], out["overdue"], out["trips"], out["held_timers"] =
-			counters.Disconnected, counters.Overdue, counters.Attempts, loop.timers.Len()
+		out["left"], out["overdue"], out["trips"] = counters.Disconnected, counters.Overdue, counters.Attempts
+		out["held_requests"], out["held_timers"] = loop.Retained()
 		out["damped"] = counters.Throttled
 		if accounting := loop.accounting; accounting != nil {
 			out["budgets"] = loop.budgetState()
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -204,6 +204,7 @@
 	n.loop.Call(n.lifetime, func() {
 		tally := n.loop.Counters
 		turn, wait, timer := n.loop.Lag.TakePeriod()
+		requests, timers := n.loop.Retained()
 		n.log.Info("state", "taken", tally.Accepted, "again", frontend.Resubmitted.Load(),
 			"rest", frontend.Continuations.Load(),
 			"moved", frontend.MovedStreams.Load(), "satisfied", tally.Served, "declined", tally.Rejected,
@@ -211,7 +212,7 @@
 			"outcomes", fmt.Sprint(tally.Outcomes), "prefills", fmt.Sprint(tally.Prefills), "began", tally.FirstTokens,
 			"in_time", tally.OnTime, "held_ms", tally.QueueTime.Milliseconds(), "first_ms", tally.FirstTokenTime.Milliseconds(),
 			"believes", fmt.Sprintf("%+v", n.loop.Estimates()), "open", frontend.openRequests.Load(),
-			"bodies", frontend.bodyBytes.Load(),
+			"bodies", frontend.bodyBytes.Load(), "held_requests", requests, "held_timers", timers,
 			"clients", limiter.count(), "pushed", limiter.Evicted.Load(), "waited", limiter.CapacityWaits.Load(),
 			"accept_failed", limiter.AcceptErrors.Load(), "shut", limiter.ClosedUnread.Load(),
 			"refused", frontend.refusalCounts(),
