dispatch: a request given up in another turn is forgotten with its answer

Cause: a request left Loop.requests only by forgetIfOver, which the loop called at the end of the request's own events (submitted, attempt begun or ended, client gone, overdue). The scheduler also gives requests up where none of these happens: shedLate from the queue's timer, and dispatch in another request's turn or at an endpoint list. Reject and Fail answered those, and nothing forgot them; the overdue timer passes over what is answered. So the ClientRequest stayed in the map with its Payload (the client's http.Request, connection and buffers) and its budget reservations.

Change: answer, the one place that gives a final answer, forgets the request if nothing more is to come for it. The scheduler marks a request as finished before it rejects or fails it and uses it no more, so this holds in whatever turn it happens. Calls that this makes superfluous are gone (after Submit, after a rejection for budget, and at a first token, where it never had an effect).

--- a/internal/dispatch/accounting.go
+++ b/internal/dispatch/accounting.go
@@ -90,7 +90,6 @@
 					Outcome: kserve.Rejected, Error: "the budget of " + local.Terms.Name + " is used up",
 					SafeToRetry: true, RetryAfterMs: verdict.RetryAfter.Milliseconds(),
 				})
-				l.forgetIfOver(request)
 			default:
 				reserveFrom(i + 1)
 			}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -53,7 +53,6 @@
 	}
 	l.scheduler.FirstToken(attempt.Scheduled, l.now-attempt.Scheduled.SentAt)
 	l.Counters.began(attempt.Scheduled)
-	l.forgetIfOver(request)
 }
 
 // AttemptEnded handles the end of an attempt.
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -287,7 +287,6 @@
 	l.reserveBudgets(request, func() {
 		request.Scheduled.Timeout = timeLeft - (l.now - request.submittedAt)
 		l.scheduler.Submit(request.Scheduled, class, tenant)
-		l.forgetIfOver(request)
 	})
 }
 
@@ -303,7 +302,8 @@
 }
 
 // answer gives a request its final answer. It is the only place that does, so that every request gets at most one
-// (rule 1).
+// (rule 1). The scheduler may give a request up in any turn, also in that of another request or of a timer, so the
+// request is forgotten here if nothing more is to come for it.
 func (l *Loop) answer(request *ClientRequest, final kserve.FinalResponse) {
 	if request.answered {
 		return
@@ -331,12 +331,14 @@
 		"final", final.Outcome, "trips", final.Attempts, "took", l.now-request.submittedAt, "error", final.Error)
 	if request.OnFinal != nil {
 		request.OnFinal(final)
-		return
+	} else {
+		request.final <- final
 	}
-	request.final <- final
+	l.forgetIfOver(request)
 }
 
-// forgetIfOver drops a request that is over and has no attempt in flight.
+// forgetIfOver drops a request that is over and has no attempt in flight. It has to be called after every change that
+// may end the request or its last attempt.
 func (l *Loop) forgetIfOver(request *ClientRequest) {
 	if request.Scheduled.Finished && request.Scheduled.InFlight() == nil {
 		delete(l.requests, request.Scheduled)
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -155,6 +155,8 @@
 			int(c.node.frontend.bodyBytes.Load()) +
 			int(c.node.transport.pending.Load())
 		c.node.loop.Call(context.Background(), func() {
+			requests, _ := c.node.loop.Retained()
+			remaining += requests
 			for _, b := range []*testbackends.Backend{c.prefill, c.decoders[0], c.decoders[1]} {
 				if known := c.node.loop.SchedulerBackend(b.UID); known != nil &&
 					(known.Streams != 0 || known.KVTokens != 0 || known.PrefillBacklog != 0) {
