dispatch: a request's timers end with it, not at the deadline its client set

What callers saw: with well-formed requests that give an hour for their answers (chat takes up to an hour), a dispatcher that turns them away is still killed for its memory, only later.

Submit schedules the timer that fails an overdue request, and Send one that times an attempt out; neither was removed when the request or the attempt was over, so each kept its ClientRequest and what that refers to until the deadline.

The overdue timer is cancelled when the loop forgets the request, an attempt's timer at its first token or end.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/timerqueue"
 	"sloetrestle/scheduler"
 )
 
@@ -21,8 +22,9 @@
 	Tokens         chan []byte     // the stream, one piece per token; the transport closes it at the end
 	ctx            context.Context
 
-	timedOut       bool // Timeout is over
-	RequestInvalid bool // its backend says so; set by the transport before it reports the end
+	timedOut       bool              // Timeout is over
+	timeoutTimer   *timerqueue.Timer // cancels it when Timeout is over; nil before it is sent
+	RequestInvalid bool              // its backend says so; set by the transport before it reports the end
 
 	RequestKey      string              // the request's key at backends
 	ResponseStarted atomic.Bool         // a byte of an answer has come: only that shows that the backend has the request
@@ -43,6 +45,7 @@
 	if attempt.timedOut || attempt.Scheduled.Ended || attempt.Scheduled.FirstTokenAt > 0 {
 		return // its timeout came first, so it ends as timed out
 	}
+	l.timers.Cancel(attempt.timeoutTimer)
 	request := attempt.Request
 	request.streaming = attempt
 	clear(request.kvHolders)
@@ -61,6 +64,7 @@
 	if scheduled.Ended {
 		return
 	}
+	l.timers.Cancel(attempt.timeoutTimer)
 	request.inFlight = nil
 	if attempt.Backend.inFlight--; attempt.Backend.inFlight == 0 &&
 		l.backends[attempt.Backend.Name] != attempt.Backend {
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -274,7 +274,7 @@
 	}
 	l.requests[request.Scheduled] = request
 	// The scheduler answers every request before its deadline; if it ever failed to, the client must not hang.
-	l.Schedule(timeLeft+overdueGrace, func() {
+	request.overdueTimer = l.startTimer(timeLeft+overdueGrace, func() {
 		begun := request.inFlight != nil && request.inFlight.Scheduled.FirstTokenAt > 0
 		if !request.answered && !request.disconnected && !begun {
 			l.Counters.Overdue++
@@ -342,7 +342,8 @@
 func (l *Loop) forgetIfOver(request *ClientRequest) {
 	if request.Scheduled.Finished && request.Scheduled.InFlight() == nil {
 		delete(l.requests, request.Scheduled)
-		request.Payload = nil // timers refer to the request for seconds more
+		l.timers.Cancel(request.overdueTimer)
+		request.Payload = nil // timers of the scheduler may refer to the request for some time more
 		l.settleBudgets(request)
 	}
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/timerqueue"
 	"sloetrestle/scheduler"
 )
 
@@ -30,6 +31,7 @@
 	inFlight     *Attempt
 	kvHolders    map[*Backend]bool // prefill backends that hold the request's KV cache
 	submittedAt  time.Duration
+	overdueTimer *timerqueue.Timer // fails it if it has no answer in time
 	over         atomic.Bool
 }
 
--- a/internal/dispatch/retention_test.go
+++ b/internal/dispatch/retention_test.go
@@ -99,3 +99,29 @@
 		t.Errorf("%.0f tokens are reserved, the requests without an answer need %.0f", reserved, open)
 	}
 }
+
+// Guards against timers that keep what a request held until its deadline, which its client sets: with an hour for each
+// answer, the timers of rejected requests grew until the process was killed for its memory.
+func TestTimersOfFinishedRequestsAreCancelled(t *testing.T) {
+	l, transport := newTestLoop(t, "idempotent")
+	_, periodic := l.Retained()
+	submitted, _ := overload(t, l, transport)
+	for i := 0; i < len(transport.attempts); i++ { // each end may start another attempt
+		attempt := transport.attempts[i]
+		if attempt.Scheduled.Stage == scheduler.StagePrefill {
+			l.RunTurn(func() { l.AttemptEnded(attempt, scheduler.Result{Outcome: scheduler.Prefilled}) })
+			continue
+		}
+		l.RunTurn(func() { l.AttemptBegan(attempt) })
+		l.RunTurn(func() { l.AttemptEnded(attempt, scheduler.Result{Outcome: scheduler.Served}) })
+	}
+	transport.run(l, 2*time.Second) // for the scheduler's timers
+	for _, request := range submitted {
+		if !request.answered {
+			t.Fatal("a request has no answer")
+		}
+	}
+	if requests, timers := l.Retained(); requests != 0 || timers != periodic {
+		t.Errorf("%d requests and %d timers are kept, at rest there are %d timers", requests, timers, periodic)
+	}
+}
--- a/internal/dispatch/runtime.go
+++ b/internal/dispatch/runtime.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/timerqueue"
 	"sloetrestle/scheduler"
 )
 
@@ -30,7 +31,7 @@
 		l.RetryThrottle.AttemptSent(l.now,
 			scheduled.Number > 0 && wastesWork(scheduled.Request.Attempts[scheduled.Number-1].Outcome))
 	}
-	l.Schedule(wait, func() {
+	attempt.timeoutTimer = l.startTimer(wait, func() {
 		if !scheduled.Ended && scheduled.FirstTokenAt == 0 {
 			attempt.timedOut = true
 			attempt.Cancel(ErrAttemptTimeout)
@@ -78,8 +79,11 @@
 }
 
 // Schedule calls a function in the loop after some time, at the earliest after the present turn.
-func (l *Loop) Schedule(after time.Duration, callback func()) {
-	l.timers.Schedule(l.now+max(after, 0), callback)
+func (l *Loop) Schedule(after time.Duration, callback func()) { l.startTimer(after, callback) }
+
+// startTimer is Schedule with the timer, by which it can be cancelled.
+func (l *Loop) startTimer(after time.Duration, callback func()) *timerqueue.Timer {
+	return l.timers.Schedule(l.now+max(after, 0), callback)
 }
 
 // WatchEndpoints does nothing: service discovery pushes its list to the loop.
