platform: rejected requests leave nothing behind, over real sockets

TestRejectedRequestsLeaveNothingBehind: 120 clients ask at once with an hour for their answers, more than half are rejected from the queue, a quarter leave; then the event loop must keep no request and only periodic timers.

--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -829,6 +829,42 @@
 	}
 }
 
+// Guards against memory that is kept for requests that were rejected while they waited, some of them given up on by
+// their clients: nothing of them may remain, neither in the event loop nor on the connections.
+func TestRejectedRequestsLeaveNothingBehind(t *testing.T) {
+	const clients = 120
+	cluster := startCluster(t, nil)
+	release := make(chan struct{})
+	cluster.onDecode(func(e *testbackends.Exchange) bool { <-release; return e.Serve() })
+	var open []*testClient
+	for range clients {
+		client := cluster.dial()
+		io.WriteString(client, cluster.request("trail-info", "X-Timeout-Ms: 3000", "X-Timeout-Ms: 3600000"))
+		open = append(open, client)
+	}
+	cluster.await("some requests are rejected", func() bool {
+		rejected := int64(0)
+		cluster.node.loop.Call(context.Background(), func() { rejected = cluster.node.loop.Counters.Rejected })
+		return rejected > clients/2
+	})
+	for _, client := range open[:clients/4] {
+		client.Close()
+	}
+	close(release)
+	for _, client := range open[clients/4:] {
+		if got := client.readResponse(); got.status != 200 && got.status != 503 {
+			t.Errorf("%+v", got)
+		}
+	}
+	cluster.awaitIdle()
+	const periodicTimers = 5 // a bound: the scheduler's refresh, and the last sweeps of its queue
+	cluster.await("no timer of a request remains", func() bool {
+		timers := 0
+		cluster.node.loop.Call(context.Background(), func() { _, timers = cluster.node.loop.Retained() })
+		return timers <= periodicTimers
+	})
+}
+
 // Peer updates are identified by the address that they come from; those from an unknown address, or of a wrong size,
 // are dropped.
 func TestPeerUpdatesFromUnknownAddressesAreDropped(t *testing.T) {
