budget, connpool, dispatch: one file for each type, shutdown and report

Declarations are moved, none is changed: the sorted lines before and after differ in imports and package clauses only.

--- /dev/null
+++ b/internal/budget/messages.go
@@ -0,0 +1,47 @@
+package budget
+
+import (
+	"math"
+	"time"
+)
+
+// LeaseRequest is sent by a local budget to the owner. Its sums only grow within a month, so that lost, late and
+// repeated messages do no harm.
+type LeaseRequest struct {
+	Name          string
+	Holder        string // the epoch of the requesting dispatcher
+	Month         int64
+	Lent          float64 `cbor:"Lent"`     // tokens leased to it this month, as far as it knows
+	Returned      float64 `cbor:"Returned"` // tokens of these that it has returned
+	EmergencyUsed float64 `cbor:"Own"`      // tokens used beside these while the owner was unreachable
+	Wanted        float64 `cbor:"Want"`     // further tokens
+	Minimum       float64 `cbor:"Least"`    // a smaller lease is of no use
+	Number        uint64
+}
+
+// LeaseReply is the owner's answer to a LeaseRequest.
+type LeaseReply struct {
+	Name       string
+	Holder     string
+	Month      int64
+	Lent       float64       `cbor:"Lent"`  // tokens leased to the holder this month, in total
+	RetryAfter time.Duration `cbor:"After"` // where less was leased than wanted: when there may be more
+	Number     uint64        // of the request
+	Terms      Terms
+}
+
+// Valid reports whether a request that came over a network is plausible.
+func (r LeaseRequest) Valid() bool {
+	for _, tokens := range []float64{r.Lent, r.Returned, r.EmergencyUsed, r.Wanted, r.Minimum} {
+		if !(tokens >= 0 && tokens < math.MaxInt64) {
+			return false
+		}
+	}
+	return r.Returned <= r.Lent && r.Holder != ""
+}
+
+// Valid reports whether a reply that came over a network is plausible. Months are counted from January 1970.
+func (r LeaseReply) Valid() bool {
+	return r.Terms.Valid() && r.Terms.Name == r.Name && r.Lent >= 0 && r.Lent < math.MaxInt64 &&
+		r.RetryAfter >= 0 && r.RetryAfter <= 366*24*time.Hour && r.Month >= 0 && r.Month < 12*1000
+}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -5,50 +5,20 @@
 package connpool
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"math"
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/system"
 )
 
-// Manager holds the connection pools of all backends that a dispatcher connects to. The exported fields must not change
-// after the first use.
-type Manager struct {
-	DialTimeout        time.Duration        // for getting a connection, all addresses together
-	MaxConnsPerBackend int                  // open connections to one backend
-	Now                func() time.Duration // the time on a monotonic clock
-	Context            context.Context      // its end (shutdown) closes idle connections and stops background attempts
-	Group              *errgroup.Group      // runs the connection attempts
-
-	// Dial opens a connection; nil means the operating system's.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
-	// SkipVerify is for backends that cannot verify a connection: it counts as verified once it is established, takes
-	// one request, and none is opened in the background.
-	SkipVerify bool
-
-	mu            sync.Mutex
-	pools         map[string]*Pool
-	ordered       []*Pool // in the order in which they were added
-	hasRemoved    bool    // some of the pools belong to removed backends
-	recheckBudget addresses.RecheckBudget
-}
-
 // Pool is the connection pool of one backend.
 type Pool struct {
 	Name    string
@@ -64,39 +34,6 @@
 	removed  bool          // the backend was removed
 }
 
-// Conn is one use of a verified connection.
-type Conn struct {
-	net.Conn
-	Address   *addresses.Address
-	pool      *Pool
-	reader    *responseReader
-	idleSince time.Duration
-	written   int64 // bytes of the current request
-}
-
-// responseReader reads a connection. It limits the bytes that it reads for the head of a response.
-type responseReader struct {
-	*bufio.Reader
-	limited io.LimitedReader
-}
-
-func newResponseReader(conn net.Conn) *responseReader {
-	r := &responseReader{limited: io.LimitedReader{R: conn, N: math.MaxInt64}}
-	r.Reader = bufio.NewReader(&r.limited)
-	return r
-}
-
-// readHead reads the head of the response to a request.
-func (r *responseReader) readHead(request *http.Request) (*http.Response, error) {
-	r.limited.N = maxHeadBytes
-	resp, err := http.ReadResponse(r.Reader, request)
-	if err != nil && r.limited.N == 0 {
-		err = errHeadTooLong
-	}
-	r.limited.N = math.MaxInt64
-	return resp, err
-}
-
 var (
 	// ErrUnreachable means that no address of the backend gave a verified connection in time, or that the backend was
 	// removed.
@@ -117,30 +54,6 @@
 	maxDrainBytes  = 64 << 10 // that may follow the last event of a response
 )
 
-// SetAddresses sets the addresses of a backend and returns its pool; no addresses means that the backend was removed.
-// Connections to addresses that it no longer has are closed if they are idle, and otherwise when their request ends.
-// The seed is that of the random draws in the order of addresses.
-func (m *Manager) SetAddresses(name string, specs []addresses.Spec, seed uint64) *Pool {
-	m.mu.Lock()
-	if m.pools == nil {
-		m.pools = map[string]*Pool{}
-	}
-	pool := m.pools[name]
-	if pool == nil {
-		pool = &Pool{Name: name, manager: m, tracker: addresses.NewTracker(seed), changed: make(chan struct{})}
-		m.pools[name] = pool
-		m.ordered = append(m.ordered, pool)
-	}
-	m.hasRemoved = m.hasRemoved || len(specs) == 0
-	pool.mu.Lock() // before m is unlocked, so that a removed pool that is in use again is not pruned in between
-	defer pool.mu.Unlock()
-	m.mu.Unlock()
-	pool.tracker.Set(specs)
-	pool.removed = len(specs) == 0
-	pool.closeIdle(func(c *Conn) bool { return c.Address.Removed })
-	return pool
-}
-
 // Addresses returns the backend's addresses as text, in the order in which they would be tried now.
 func (p *Pool) Addresses() []string {
 	p.mu.Lock()
@@ -152,25 +65,6 @@
 	return texts
 }
 
-// ForEach calls visit for each backend, with its address tracker and its numbers of open and idle connections. The
-// tracker must not be used after visit returns.
-func (m *Manager) ForEach(visit func(name string, tracker *addresses.Tracker, open, idle int)) {
-	for _, p := range m.snapshot() {
-		p.mu.Lock()
-		visit(p.Name, p.tracker, p.open, len(p.idle))
-		p.mu.Unlock()
-	}
-}
-
-// Len returns the number of pools.
-func (m *Manager) Len() int { return len(m.snapshot()) }
-
-func (m *Manager) snapshot() []*Pool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return slices.Clone(m.ordered)
-}
-
 // closeIdle closes the idle connections that a condition holds for. The pool must be locked.
 func (p *Pool) closeIdle(condition func(*Conn) bool) {
 	if len(p.idle) == 0 {
@@ -269,29 +163,6 @@
 	return nil
 }
 
-// alive tells whether the far side of an idle connection has neither closed it nor sent anything.
-func (c *Conn) alive() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	sysConn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sysConn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		n, _, e := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = n < 0 && (e == syscall.EAGAIN || e == syscall.EWOULDBLOCK)
-		return true
-	})
-	return err == nil && quiet
-}
-
 // race runs one race. The caller has counted its connection as open.
 func (p *Pool) race(ctx context.Context, race *addresses.Race) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.manager.DialTimeout)
@@ -437,96 +308,6 @@
 	return addresses.Refused
 }
 
-// verify requests the far side's name over a connection and compares it with the backend's.
-func verify(conn net.Conn, reader *responseReader, name string) addresses.Result {
-	if _, err := fmt.Fprintf(conn, "GET /v2 HTTP/1.1\r\nHost: %s\r\n\r\n", name); err != nil {
-		return addresses.Disconnected
-	}
-	resp, err := reader.readHead(nil)
-	if err != nil {
-		return addresses.Disconnected
-	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxVerifyBytes+1))
-	resp.Body.Close()
-	if err != nil || len(raw) > maxVerifyBytes || resp.Close {
-		return addresses.Disconnected
-	}
-	var metadata struct {
-		Name string `json:"name"`
-	}
-	if json.Unmarshal(raw, &metadata) != nil || resp.StatusCode != http.StatusOK || metadata.Name != name {
-		return addresses.WrongBackend
-	}
-	return addresses.Verified
-}
-
-// reverify verifies a connection that was idle again. A failure counts against the address, whose other idle
-// connections are closed too.
-func (c *Conn) reverify(ctx context.Context, timeout time.Duration) bool {
-	startedAt := c.pool.manager.Now()
-	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
-	c.Conn.SetDeadline(time.Now().Add(timeout))
-	result := verify(c.Conn, c.reader, c.pool.Name)
-	c.Conn.SetDeadline(time.Time{})
-	if !stop() {
-		c.discard()
-		return false
-	}
-	p := c.pool
-	p.mu.Lock()
-	now := p.manager.Now()
-	if result == addresses.Disconnected && now-startedAt >= timeout {
-		result = addresses.TimedOut
-	}
-	p.tracker.Record(now, c.Address, result, now-startedAt)
-	if result != addresses.Verified {
-		p.closeIdle(func(other *Conn) bool { return other.Address == c.Address })
-	}
-	p.mu.Unlock()
-	if result != addresses.Verified {
-		c.discard()
-	}
-	return result == addresses.Verified
-}
-
-// Write writes to the connection and counts the bytes.
-func (c *Conn) Write(data []byte) (int, error) {
-	n, err := c.Conn.Write(data)
-	c.written += int64(n)
-	return n, err
-}
-
-// Sent tells whether a byte of the request was sent. From then on the request is bound to this connection.
-func (c *Conn) Sent() bool { return c.written > 0 }
-
-// Do sends a request over the connection and returns the response, whose body must be closed; then the connection is
-// put back into the pool or closed. On an error the connection is closed. ErrNotSent means that the request may be
-// sent over another connection.
-func (c *Conn) Do(ctx context.Context, r *http.Request) (*http.Response, error) {
-	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
-	fail := func(err error) (*http.Response, error) {
-		stop()
-		c.discard()
-		if !c.Sent() {
-			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
-		}
-		return nil, err
-	}
-	out := bufio.NewWriter(c)
-	if err := r.Write(out); err != nil {
-		return fail(err)
-	}
-	if err := out.Flush(); err != nil {
-		return fail(err)
-	}
-	resp, err := c.reader.readHead(r)
-	if err != nil {
-		return fail(err)
-	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, conn: c, stop: stop, last: resp.Close}
-	return resp, nil
-}
-
 // Send sends a request over a connection of the pool. It tries connections until a byte of the request was sent over
 // one, for as long as getting one connection may take; newRequest is called for each. Without an error the body of
 // the response must be closed.
@@ -551,162 +332,6 @@
 	}
 }
 
-// responseBody puts the connection back into the pool when the response was read to its end.
-type responseBody struct {
-	io.ReadCloser
-	conn   *Conn
-	stop   func() bool
-	last   bool // the far side closes the connection after this response
-	ended  bool
-	closed bool
-}
-
-// Read reads from the body and notes its end.
-func (b *responseBody) Read(buf []byte) (int, error) {
-	n, err := b.ReadCloser.Read(buf)
-	b.ended = b.ended || err == io.EOF
-	return n, err
-}
-
-// Close reads what little may follow the last event of a response. If more follows, the connection is closed.
-func (b *responseBody) Close() error {
-	if b.closed {
-		return nil
-	}
-	b.closed = true
-	if !b.ended && !b.last {
-		b.conn.SetReadDeadline(time.Now().Add(maxDrainTime))
-		io.CopyN(io.Discard, b, maxDrainBytes)
-		b.conn.SetReadDeadline(time.Time{})
-	}
-	if !b.stop() || !b.ended || b.last {
-		b.conn.discard()
-		return nil
-	}
-	p := b.conn.pool
-	p.mu.Lock()
-	p.putIdle(b.conn, false)
-	p.mu.Unlock()
-	return nil
-}
-
-// WriteRequest sends the bytes of a request and tells whether all of them were sent. Until then the request cannot
-// have run.
-func (c *Conn) WriteRequest(parts ...[]byte) (complete bool, err error) {
-	total := int64(0)
-	for _, part := range parts {
-		total += int64(len(part))
-	}
-	buffers := net.Buffers(parts)
-	n, err := buffers.WriteTo(c.Conn)
-	c.written += n
-	return n == total, err
-}
-
-// ReadResponse reads the head of a response; what follows it is read from Reader.
-func (c *Conn) ReadResponse(request *http.Request) (*http.Response, error) {
-	return c.reader.readHead(request)
-}
-
-// Reader returns the buffered reader of the connection.
-func (c *Conn) Reader() *bufio.Reader { return c.reader.Reader }
-
-// Discard closes the connection and frees its place in the pool. It must be called at most once.
-func (c *Conn) Discard() { c.discard() }
-
-func (c *Conn) discard() {
-	c.Conn.Close()
-	p := c.pool
-	p.mu.Lock()
-	p.open--
-	p.notify()
-	p.mu.Unlock()
-}
-
-// ReportServed records that a request over the connection was served.
-func (c *Conn) ReportServed() { c.record(addresses.Served) }
-
-// ReportFailed records that a request over the connection failed. The idle connections to the address are closed, so
-// that the next request to it goes over a newly verified one.
-func (c *Conn) ReportFailed() { c.record(addresses.RequestFailed) }
-
-func (c *Conn) record(result addresses.Result) {
-	p := c.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.tracker.Record(p.manager.Now(), c.Address, result, 0)
-	if result == addresses.RequestFailed {
-		p.closeIdle(func(other *Conn) bool { return other.Address == c.Address })
-	}
-}
-
-// Run rechecks suspected addresses, keeps connections ready and closes idle ones until the manager's context ends.
-func (m *Manager) Run() error {
-	const interval = 250 * time.Millisecond
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-m.Context.Done():
-			for _, pool := range m.snapshot() {
-				pool.mu.Lock()
-				pool.closeIdle(func(*Conn) bool { return true })
-				pool.mu.Unlock()
-			}
-			return nil
-		case <-ticker.C:
-		}
-		m.pruneRemoved()
-		if !m.SkipVerify {
-			m.recheck()
-		}
-		for _, pool := range m.snapshot() {
-			pool.maintainIdle()
-		}
-	}
-}
-
-// pruneRemoved forgets removed backends that have no connection left.
-func (m *Manager) pruneRemoved() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.hasRemoved {
-		return
-	}
-	m.hasRemoved = false
-	m.ordered = slices.DeleteFunc(m.ordered, func(p *Pool) bool {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if !p.removed || p.open > 0 || p.dialing > 0 {
-			m.hasRemoved = m.hasRemoved || p.removed
-			return false
-		}
-		delete(m.pools, p.Name)
-		return true
-	})
-}
-
-// recheck connects to one suspected address, if one is due and the budget allows it.
-func (m *Manager) recheck() {
-	pools := m.snapshot()
-	var trackers []*addresses.Tracker
-	for _, pool := range pools {
-		pool.mu.Lock()
-		trackers = append(trackers, pool.tracker)
-	}
-	tracker, a := m.recheckBudget.Next(m.Now(), trackers)
-	for _, pool := range pools {
-		pool.mu.Unlock()
-	}
-	if a == nil {
-		return
-	}
-	pool := pools[slices.Index(trackers, tracker)]
-	m.dialInBackground(pool, a, func(now time.Duration, result addresses.Result, took time.Duration) {
-		tracker.RecordRecheck(now, a, result, took)
-	})
-}
-
 // maintainIdle closes connections that were idle for too long, and opens one connection if one should be kept ready.
 func (p *Pool) maintainIdle() {
 	p.mu.Lock()
@@ -729,32 +354,3 @@
 		})
 	}
 }
-
-// dialInBackground opens one connection, passes its result to record and puts the connection among the idle ones.
-func (m *Manager) dialInBackground(
-	p *Pool, addr *addresses.Address, record func(time.Duration, addresses.Result, time.Duration),
-) {
-	p.mu.Lock()
-	p.dialing++
-	spec := addr.Spec
-	p.mu.Unlock()
-	m.Group.Go(func() error {
-		ctx, cancel := context.WithTimeout(m.Context, m.DialTimeout)
-		defer cancel()
-		startedAt := m.Now()
-		conn, reader, result, _ := p.connect(ctx, spec)
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.dialing--
-		record(m.Now(), result, m.Now()-startedAt)
-		if result == addresses.Verified {
-			p.putIdle(&Conn{Conn: conn, Address: addr, pool: p, reader: reader}, true)
-		}
-		p.notify()
-		return nil
-	})
-}
-
-// URL returns the base URL for requests to a backend. It has the backend's name for a host: requests are not sent by
-// name, but over a connection of the backend's pool.
-func URL(name string) string { return "http://" + strings.ReplaceAll(name, " ", "-") }
--- /dev/null
+++ b/internal/dispatch/drain.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"sloetrestle/internal/kserve"
+	"sloetrestle/scheduler"
+)
+
+// drain waits until no request is open, at most for the timeout, and tells whether none is. It waits a minimum time in
+// any case, so that clients that a load balancer still sends here get a rejection and not a refused connection.
+func (s *Server) drain(timeout time.Duration) bool {
+	const step, minimum = 10 * time.Millisecond, 300 * time.Millisecond
+	for waited := time.Duration(0); waited < timeout; waited += step {
+		if waited >= minimum && s.openRequests.Load() == 0 {
+			return true
+		}
+		time.Sleep(step)
+	}
+	return s.openRequests.Load() == 0
+}
+
+// waitIdle waits until all attempts have ended and all releases are sent, at most for the timeout. A cancelled attempt
+// ends a little later, and its end may require another release.
+func (c *HTTPTransport) waitIdle(ctx context.Context, timeout time.Duration) {
+	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		requests := 0
+		c.loop.Call(ctx, func() { requests = len(c.loop.requests) })
+		c.mu.Lock()
+		queues := len(c.releases)
+		c.mu.Unlock()
+		if requests+queues == 0 {
+			return
+		}
+	}
+}
+
+// EndUnstarted ends the requests without a first token, so that their clients may retry at another dispatcher. Queued
+// requests are rejected where a rejection is still allowed and failed otherwise; those with an attempt in flight get no
+// further attempt.
+func (l *Loop) EndUnstarted() {
+	for scheduled, request := range l.requests {
+		switch attempt := request.inFlight; {
+		case request.answered || request.disconnected:
+			if attempt != nil {
+				attempt.Cancel(ErrNotNeeded) // its KV cache has to be released before the process ends
+			}
+		case attempt != nil && attempt.Scheduled.FirstTokenAt > 0:
+		case attempt != nil:
+			scheduled.NoMoreAttempts = true
+			attempt.timedOut = true
+			attempt.Cancel(ErrAttemptTimeout)
+		default:
+			if scheduler.MayReject(scheduled) == scheduler.Allowed {
+				l.answer(request, kserve.FinalResponse{
+					Outcome: kserve.Rejected, Error: "this dispatcher is stopping", SafeToRetry: true, RetryAfterMs: 1,
+				})
+			} else {
+				l.Fail(scheduled)
+			}
+			l.scheduler.ClientDisconnected(scheduled)
+			l.forgetIfOver(request)
+		}
+	}
+}
+
+// failAll fails the requests that are left when the time for a graceful shutdown is over.
+func (l *Loop) failAll() {
+	for scheduled, request := range l.requests {
+		if !request.answered && !request.disconnected {
+			l.Fail(scheduled)
+			l.scheduler.ClientDisconnected(scheduled)
+		}
+		if request.inFlight != nil {
+			request.inFlight.Cancel(ErrNotNeeded)
+		}
+		l.forgetIfOver(request)
+	}
+}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -16,10 +16,8 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
-	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/connpool"
 	"sloetrestle/internal/endpointlist"
-	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/retrythrottle"
 	"sloetrestle/internal/setup"
 	"sloetrestle/internal/system"
@@ -203,34 +201,6 @@
 	return err
 }
 
-// drain waits until no request is open, at most for the timeout, and tells whether none is. It waits a minimum time in
-// any case, so that clients that a load balancer still sends here get a rejection and not a refused connection.
-func (s *Server) drain(timeout time.Duration) bool {
-	const step, minimum = 10 * time.Millisecond, 300 * time.Millisecond
-	for waited := time.Duration(0); waited < timeout; waited += step {
-		if waited >= minimum && s.openRequests.Load() == 0 {
-			return true
-		}
-		time.Sleep(step)
-	}
-	return s.openRequests.Load() == 0
-}
-
-// waitIdle waits until all attempts have ended and all releases are sent, at most for the timeout. A cancelled attempt
-// ends a little later, and its end may require another release.
-func (c *HTTPTransport) waitIdle(ctx context.Context, timeout time.Duration) {
-	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		requests := 0
-		c.loop.Call(ctx, func() { requests = len(c.loop.requests) })
-		c.mu.Lock()
-		queues := len(c.releases)
-		c.mu.Unlock()
-		if requests+queues == 0 {
-			return
-		}
-	}
-}
-
 // HasReadyBackend tells whether a backend that decodes is ready.
 func (l *Loop) HasReadyBackend() bool {
 	for _, backend := range l.backends {
@@ -241,139 +211,3 @@
 	}
 	return false
 }
-
-// EndUnstarted ends the requests without a first token, so that their clients may retry at another dispatcher. Queued
-// requests are rejected where a rejection is still allowed and failed otherwise; those with an attempt in flight get no
-// further attempt.
-func (l *Loop) EndUnstarted() {
-	for scheduled, request := range l.requests {
-		switch attempt := request.inFlight; {
-		case request.answered || request.disconnected:
-			if attempt != nil {
-				attempt.Cancel(ErrNotNeeded) // its KV cache has to be released before the process ends
-			}
-		case attempt != nil && attempt.Scheduled.FirstTokenAt > 0:
-		case attempt != nil:
-			scheduled.NoMoreAttempts = true
-			attempt.timedOut = true
-			attempt.Cancel(ErrAttemptTimeout)
-		default:
-			if scheduler.MayReject(scheduled) == scheduler.Allowed {
-				l.answer(request, kserve.FinalResponse{
-					Outcome: kserve.Rejected, Error: "this dispatcher is stopping", SafeToRetry: true, RetryAfterMs: 1,
-				})
-			} else {
-				l.Fail(scheduled)
-			}
-			l.scheduler.ClientDisconnected(scheduled)
-			l.forgetIfOver(request)
-		}
-	}
-}
-
-// failAll fails the requests that are left when the time for a graceful shutdown is over.
-func (l *Loop) failAll() {
-	for scheduled, request := range l.requests {
-		if !request.answered && !request.disconnected {
-			l.Fail(scheduled)
-			l.scheduler.ClientDisconnected(scheduled)
-		}
-		if request.inFlight != nil {
-			request.inFlight.Cancel(ErrNotNeeded)
-		}
-		l.forgetIfOver(request)
-	}
-}
-
-// statusReport returns what GET /state reports to operators.
-func statusReport(
-	ctx context.Context, loop *Loop, discovery *endpointlist.Follower, transport *HTTPTransport, server *Server,
-	uptime time.Duration,
-) map[string]any {
-	age, received := discovery.Staleness()
-	out := map[string]any{
-		"dispatcher": loop.Epoch, "up_s": uptime.Seconds(), "open": server.openRequests.Load(),
-		"stopping": server.stopping.Load(), "list_heard": received, "list_age_s": age.Seconds(),
-		"list_gaps": discovery.Gaps(), "releases_refused": transport.DroppedReleases.Load(),
-	}
-	if transport.Peers != nil {
-		out["messages_dropped"] = transport.Peers.Dropped.Load()
-	}
-	loop.Call(ctx, func() {
-		counters := loop.Counters
-		out["taken"], out["satisfied"], out["declined"], out["forfeited"] =
-			counters.Accepted, counters.Served, counters.Rejected, counters.Failed
-		out["left"], out["overdue"], out["trips"] = counters.Disconnected, counters.Overdue, counters.Attempts
-		out["held_requests"], out["held_timers"] = loop.Retained()
-		out["damped"] = counters.Throttled
-		if accounting := loop.accounting; accounting != nil {
-			out["budgets"] = loop.budgetState()
-			if accounting.Account != nil {
-				out["account"] = accounting.Account.Counts
-			}
-		}
-		if guard := loop.RetryThrottle; guard != nil {
-			out["storm"] = map[string]any{
-				"on": guard.Active(loop.now), "again_share": guard.RetryShare(loop.now),
-				"promised_returns": guard.BookedRetries(loop.now),
-				"rate":             guard.ServiceRate(loop.now), "counts": guard.Counters,
-			}
-		}
-		outcomes := map[string]int64{}
-		for i, n := range counters.Outcomes {
-			outcomes[outcomeNames[i]] = n
-		}
-		out["outcomes"] = outcomes
-		var backends []map[string]any
-		for _, backend := range loop.backends {
-			known := backend.SchedulerState
-			backends = append(backends, map[string]any{
-				"name": backend.Name, "at": backend.Addresses,
-				"standing": [...]string{"draining", "ready", "gone"}[known.State],
-				"role":     [...]string{"reader", "writer", "mixed"}[known.Role], "streams": known.Streams,
-				"tokens": known.KVTokens, "util": known.Util, "queue": known.QueueLength,
-			})
-		}
-		out["boxes"] = backends
-	})
-	out["addresses"] = backendAddresses(transport, uptime)
-	return out
-}
-
-// backendAddresses reports the health of each address of each backend.
-func backendAddresses(transport *HTTPTransport, now time.Duration) []PoolState {
-	var out []PoolState
-	transport.Pools.ForEach(func(name string, health *addresses.Tracker, open, idle int) {
-		state := PoolState{Name: name, Open: open, Idle: idle}
-		for _, address := range health.Addresses() {
-			state.Addresses = append(state.Addresses, AddressState{
-				address.Spec.String(), address.Preference, address.Suspected(now), address.Summary(now),
-			})
-		}
-		out = append(out, state)
-	})
-	return out
-}
-
-// PoolState is the connection pool of a backend in the report to operators.
-type PoolState struct {
-	Name      string         `json:"name"`
-	Open      int            `json:"open"` // connections
-	Idle      int            `json:"idle"` // connections
-	Addresses []AddressState `json:"addresses"`
-}
-
-// AddressState is an address of a backend in the report to operators.
-type AddressState struct {
-	Address string `json:"at"`
-	Prefer  int    `json:"prefer"`
-	Suspect bool   `json:"doubtful"` // under suspicion after failures
-	Reason  string `json:"why"`
-}
-
-// OutcomeName returns an outcome's name in logs and counters.
-func OutcomeName(outcome scheduler.Outcome) string { return outcomeNames[outcome] }
-
-var outcomeNames = [...]string{
-	"answered", "read", "failed", "full", "timed_out", "unreached", "broken", "cancelled", "moot",
-}
