--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"log/slog"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +10,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"sloetrestle/internal/addresses"
-	"sloetrestle/internal/chat"
 	"sloetrestle/internal/connpool"
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/monitor"
@@ -21,11 +17,8 @@
 )
 
 const (
-	responseHeadTimeout = 400 * time.Millisecond  // from a response's first byte to its first event or the end of its body
-	maxDialAttempts     = 4                       // refused connections before a backend counts as unreachable
-	dialRetryDelay      = 10 * time.Millisecond   // between two of them
-	streamStallTimeout  = 4200 * time.Millisecond // without an event, after which a stream counts as broken
-	maxShortBody        = 64 << 10                // bytes of a response body that is not streamed
+	maxDialAttempts = 4                     // refused connections before a backend counts as unreachable
+	dialRetryDelay  = 10 * time.Millisecond // between two of them
 
 	// ackTimeoutFactor times the connect timeout is how long the backend's machine has to acknowledge a request while
 	// a KV cache waits.
@@ -147,96 +140,18 @@
 	if err != nil {
 		return notSentResult(ctx, err)
 	}
-	load := ""
 	c.recordTraffic(attempt, 1, "")
 	if limit := attempt.Scheduled.ConnectTimeout; limit > 0 {
 		defer time.AfterFunc(ackTimeoutFactor*limit, func() { c.checkAcknowledged(attempt, conn) }).Stop()
 	}
+	sent := &exchange{transport: c, ctx: ctx, attempt: attempt, id: outgoing.id, pool: pool, conn: conn}
 	defer func() {
-		c.recordTraffic(attempt, -1, load)
+		c.recordTraffic(attempt, -1, sent.load)
 		stop()
 		conn.Discard()
 		<-c.attemptSlots
 		c.monitor.AttemptEnds(outgoing.id, attempt.Scheduled.Number, hasEffect(attempt),
 			provenEnd(result.Outcome), dispatch.OutcomeName(result.Outcome))
 	}()
-	interrupted := func() scheduler.Result {
-		switch cause := context.Cause(ctx); {
-		case errors.Is(cause, dispatch.ErrAttemptTimeout):
-			return scheduler.Result{Outcome: scheduler.TimedOut}
-		case errors.Is(cause, dispatch.ErrNotNeeded):
-			return scheduler.Result{Outcome: scheduler.Cancelled}
-		}
-		return scheduler.Result{Outcome: scheduler.ConnectionLost}
-	}
-	if _, err := conn.Reader().Peek(1); err != nil {
-		c.activity.recordSilence(pool)
-		return interrupted()
-	}
-	attempt.ResponseStarted.Store(true) // only a response shows that the request has reached a running backend
-	c.activity.recordActivity(pool)
-	c.monitor.AttemptArrived(outgoing.id, attempt.Scheduled.Number)
-	conn.SetReadDeadline(time.Now().Add(responseHeadTimeout))
-	var resp *http.Response
-	for range chat.MaxInformational {
-		var err error
-		if resp, err = conn.ReadResponse(nil); err != nil {
-			c.Malformed.Add(1)
-			return interrupted()
-		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
-			break
-		}
-	}
-	if resp.StatusCode != http.StatusOK || attempt.Scheduled.Stage == scheduler.StagePrefill {
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxShortBody+1))
-		if err != nil || len(body) > maxShortBody {
-			c.Malformed.Add(1)
-			return interrupted()
-		}
-		if resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusNotFound {
-			// The request is at fault: this must not count against the backend, and no other backend would accept the
-			// request either.
-			c.BadRequest.Add(1)
-			attempt.RequestInvalid = true
-			return scheduler.Result{Outcome: scheduler.Cancelled}
-		}
-		result.Outcome, result.Detail = chat.ClassifyResponse(attempt.Scheduled.Stage, resp, body)
-		load = resp.Header.Get("X-Server-Load")
-		result.LoadReport = chat.ParseLoad(load, c.loadFields)
-		return result
-	}
-	if len(resp.TransferEncoding) != 1 || resp.TransferEncoding[0] != "chunked" {
-		c.Malformed.Add(1)
-		return interrupted()
-	}
-	stream := chat.NewStream(conn.Reader())
-	for begun := false; ; {
-		piece, err := stream.Next()
-		if err == io.EOF {
-			if load = stream.LoadReport; load == "" {
-				load = resp.Header.Get("X-Server-Load")
-			}
-			return scheduler.Result{Outcome: scheduler.Served, Detail: stream.CachedTokens,
-				LoadReport: chat.ParseLoad(load, c.loadFields)}
-		}
-		if err != nil {
-			if errors.Is(err, chat.ErrMalformed) {
-				c.Malformed.Add(1)
-			}
-			return interrupted()
-		}
-		if !begun {
-			begun = true
-			c.monitor.CacheReleased(outgoing.id, "response started")
-			c.loop.Post(func() { c.loop.AttemptBegan(attempt) })
-		}
-		c.activity.recordActivity(pool)
-		conn.SetReadDeadline(time.Now().Add(streamStallTimeout))
-		select {
-		case attempt.Tokens <- piece:
-		case <-ctx.Done():
-			return interrupted()
-		}
-	}
+	return sent.run()
 }
