--- a/internal/testbackends/backends.go
+++ b/internal/testbackends/backends.go
@@ -5,16 +5,11 @@
 
 import (
 	"bufio"
-	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -41,19 +36,6 @@
 {"name":"hut-booking","effect":"once","aimUs":800000,"worth":5,"lateWorth":0.3,"giveUpUs":4000000}],
 "tenants":[{"name":"web-app","quotaPerS":1000}],"overShareWorth":0.05,"valueBy":"work"}`
 
-// Exchange is one request that a backend has received completely.
-type Exchange struct {
-	Backend      *Backend
-	Method       string
-	URI          string
-	ID           string
-	Header       http.Header
-	Body         string
-	ClientClosed <-chan struct{} // closed when the dispatcher has closed the connection
-	conn         net.Conn
-	finished     bool
-}
-
 // Platform is a set of backends, their service discovery and the record of both.
 type Platform struct {
 	mu         sync.Mutex
@@ -245,40 +227,6 @@
 	}
 }
 
-// Serve is the default response. A prefill backend holds a KV cache, a decode backend answers with a short stream,
-// and a DELETE releases the KV cache.
-func (e *Exchange) Serve() bool {
-	platform := e.Backend.platform
-	switch {
-	case e.Method == http.MethodDelete:
-		platform.mu.Lock()
-		platform.removeKVCache(strings.TrimPrefix(e.URI, "/v1/holds/"))
-		platform.mu.Unlock()
-		return e.WriteRaw("HTTP/1.1 204 No Content\r\n\r\n")
-	case e.Backend.Kind == PrefillKind:
-		e.HoldKVCache()
-		return e.WriteRaw("HTTP/1.1 202 Accepted\r\nX-Server-Load: util=0.5,queue=2,x0=0.25\r\n" +
-			"Content-Length: 21\r\n\r\n{\"cached_tokens\":100}")
-	}
-	return e.WriteRaw(StreamHead) &&
-		e.WriteRaw(EncodeChunk(TextEvent("a"))+EncodeChunk(TextEvent("b"))) &&
-		e.WriteRaw(EncodeChunk(UsageEvent+DoneEvent)+LastChunk)
-}
-
-// finish notes that the request is no longer in flight. Repeated calls have no effect.
-func (e *Exchange) finish() {
-	platform := e.Backend.platform
-	platform.mu.Lock()
-	defer platform.mu.Unlock()
-	if !e.finished && e.ID != "" {
-		platform.inFlight[e.ID]--
-		if platform.heldBy[e.ID] != "" && platform.inFlight[e.ID] == 0 {
-			platform.idleSince[e.ID] = time.Now()
-		}
-	}
-	e.finished = true
-}
-
 // endIdleHold ends the time during which a KV cache was held with no copy of its request in flight, and records a
 // violation if that was longer than HoldLimit. p.mu must be held.
 func (p *Platform) endIdleHold(id string) {
@@ -335,59 +283,6 @@
 	}
 }
 
-// HoldKVCache notes that the backend holds the KV cache of the request.
-func (e *Exchange) HoldKVCache() {
-	e.Backend.platform.mu.Lock()
-	defer e.Backend.platform.mu.Unlock()
-	e.Backend.platform.heldBy[e.ID] = e.Backend.UID
-}
-
-// WriteRaw writes bytes unchanged and reports whether that succeeded. When a decode backend sends the head of its
-// stream, it has fetched the KV cache; with the last byte of a response the request is no longer in flight.
-func (e *Exchange) WriteRaw(raw string) bool {
-	if strings.HasPrefix(raw, StreamHead) && e.Backend.Kind == DecodeKind {
-		e.Backend.platform.mu.Lock()
-		e.Backend.platform.removeKVCache(e.ID)
-		e.Backend.platform.mu.Unlock()
-	}
-	if strings.HasSuffix(raw, LastChunk) ||
-		strings.HasPrefix(raw, "HTTP/1.1 ") && raw[9] > '1' && !strings.HasPrefix(raw, "HTTP/1.1 200") {
-		e.finish() // after the last byte the dispatcher may send the next attempt
-	}
-	_, err := io.WriteString(e.conn, raw)
-	return err == nil
-}
-
-// Parts of a streamed response: its head, the usage event with a load report, the event that ends the stream, and
-// the last chunk.
-const (
-	StreamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-	UsageEvent = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":400,\"completion_tokens\":2," +
-		"\"prompt_tokens_details\":{\"cached_tokens\":40}}}\n\n" +
-		": X-Server-Load: util=0.6,queue=1,x0=0.5\n\n"
-	DoneEvent = "data: [DONE]\n\n"
-	LastChunk = "0\r\n\r\n"
-)
-
-// TextEvent returns a stream event with a piece of text.
-func TextEvent(text string) string {
-	return fmt.Sprintf(
-		"data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", text)
-}
-
-// EncodeChunk returns text as one chunk of the chunked transfer encoding.
-func EncodeChunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
-
-// Rejection returns a response without a stream. With notProcessed it carries the header that says that the
-// request was not processed.
-func Rejection(code int, notProcessed bool) string {
-	header := ""
-	if notProcessed {
-		header = "X-Not-Processed: 1\r\n"
-	}
-	return fmt.Sprintf("HTTP/1.1 %d No\r\n%sContent-Length: 0\r\n\r\n", code, header)
-}
-
 // Requests lists the requests with a method that a backend received; an empty uid stands for all backends.
 func (p *Platform) Requests(uid, method string) []*Exchange {
 	p.mu.Lock()
@@ -419,211 +314,6 @@
 	return total
 }
 
-// UpdateDiscovery changes what service discovery lists and pushes the new list to the watches.
-func (p *Platform) UpdateDiscovery(change func()) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	change()
-	p.rev++
-	for _, a := range p.agents {
-		a.push(p.discoveryList(false))
-	}
-}
-
-// Target is a backend in the list of service discovery.
-type Target struct {
-	UID      string  `json:"uid"`
-	Endpoint string  `json:"endpoint"`
-	Zone     string  `json:"az"`
-	Kind     string  `json:"model"`
-	Rack     int     `json:"pod_group"`
-	State    string  `json:"state"`
-	Units    float64 `json:"capacity_hint"`
-	Boot     int64   `json:"boot_ms"`
-}
-
-// discoveryList encodes the list of service discovery. p.mu must be held.
-func (p *Platform) discoveryList(full bool) []byte {
-	targets := []Target{}
-	for i, b := range p.backends {
-		targets = append(targets, Target{b.UID, b.Address, "hall-1", b.Kind, i % 2, b.State, 1, 0})
-	}
-	raw, err := json.Marshal(map[string]any{"rev": p.rev, "all": full, "targets": targets})
-	if err != nil {
-		panic(err)
-	}
-	return raw
-}
-
-// DiscoveryList returns the full list of service discovery, encoded.
-func (p *Platform) DiscoveryList() []byte {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.discoveryList(true)
-}
-
-// Agent is the service discovery at one address.
-type Agent struct {
-	Address       string
-	platform      *Platform
-	listener      net.Listener
-	watches       map[net.Conn]bool
-	conns         map[net.Conn]bool
-	requestURIs   []string
-	silent        bool // accepts connections and sends nothing
-	indent        bool
-	delay         time.Duration // before a response
-	truncateAfter int           // bytes of a response to a watch, after which nothing more is sent; 0: no limit
-}
-
-// AddAgent starts another agent, on a loopback address.
-func (p *Platform) AddAgent() *Agent {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	agent := &Agent{
-		Address: listener.Addr().String(), platform: p, listener: listener,
-		watches: map[net.Conn]bool{}, conns: map[net.Conn]bool{},
-	}
-	p.mu.Lock()
-	p.agents = append(p.agents, agent)
-	p.mu.Unlock()
-	p.accept(listener, agent.conns, agent.serve)
-	return agent
-}
-
-func (a *Agent) serve(conn net.Conn) {
-	platform := a.platform
-	defer func() {
-		conn.Close()
-		platform.mu.Lock()
-		delete(a.watches, conn)
-		delete(a.conns, conn)
-		platform.mu.Unlock()
-	}()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		platform.mu.Lock()
-		delay := a.delay
-		platform.mu.Unlock()
-		if delay > 0 && !waitWhileOpen(conn, reader, delay) {
-			return
-		}
-		platform.mu.Lock()
-		a.requestURIs = append(a.requestURIs, request.RequestURI)
-		switch {
-		case a.silent:
-		case request.URL.Query().Get("stream") == "":
-			raw := a.format(platform.discoveryList(true))
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(raw), raw)
-		default:
-			raw := string(a.format(platform.discoveryList(true))) + "\n"
-			response := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + EncodeChunk(raw)
-			if a.truncateAfter > 0 {
-				io.WriteString(conn, response[:min(a.truncateAfter, len(response))])
-				break
-			}
-			a.watches[conn] = true
-			io.WriteString(conn, response)
-		}
-		platform.mu.Unlock()
-	}
-}
-
-// waitWhileOpen waits for a duration. It returns false if the peer has closed the connection before.
-func waitWhileOpen(conn net.Conn, reader *bufio.Reader, wait time.Duration) bool {
-	conn.SetReadDeadline(time.Now().Add(wait))
-	defer conn.SetReadDeadline(time.Time{})
-	_, err := reader.Peek(1)
-	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
-}
-
-// push writes a list to the watches. The platform's mu must be held.
-func (a *Agent) push(raw []byte) {
-	if a.silent {
-		return
-	}
-	for c := range a.watches {
-		io.WriteString(c, EncodeChunk(string(a.format(raw))+"\n"))
-	}
-}
-
-// format returns a list in the form in which the agent writes it.
-func (a *Agent) format(raw []byte) []byte {
-	if !a.indent {
-		return raw
-	}
-	var b bytes.Buffer
-	json.Indent(&b, raw, "", "  ")
-	return b.Bytes()
-}
-
-// SetIndent makes the agent write a list over many lines.
-func (a *Agent) SetIndent(indent bool) {
-	a.platform.mu.Lock()
-	defer a.platform.mu.Unlock()
-	a.indent = indent
-}
-
-// SetTruncateAfter makes the agent stop in the middle of a response to a watch, after limit bytes; 0 removes the
-// limit.
-func (a *Agent) SetTruncateAfter(limit int) {
-	a.platform.mu.Lock()
-	defer a.platform.mu.Unlock()
-	a.truncateAfter = limit
-}
-
-// SetDelay sets the delay of a response.
-func (a *Agent) SetDelay(delay time.Duration) {
-	a.platform.mu.Lock()
-	defer a.platform.mu.Unlock()
-	a.delay = delay
-}
-
-// WriteRaw writes bytes unchanged to the watches.
-func (a *Agent) WriteRaw(raw string) {
-	a.platform.mu.Lock()
-	defer a.platform.mu.Unlock()
-	for c := range a.watches {
-		io.WriteString(c, raw)
-	}
-}
-
-// CloseConns closes all connections; the agent still listens.
-func (a *Agent) CloseConns() {
-	a.platform.mu.Lock()
-	defer a.platform.mu.Unlock()
-	for c := range a.conns {
-		c.Close()
-	}
-}
-
-// SetSilent makes the agent send nothing, or respond again.
-func (a *Agent) SetSilent(silent bool) {
-	a.platform.mu.Lock()
-	defer a.platform.mu.Unlock()
-	a.silent = silent
-}
-
-// RequestURIs lists the URIs of the requests that the agent received.
-func (a *Agent) RequestURIs() []string {
-	a.platform.mu.Lock()
-	defer a.platform.mu.Unlock()
-	return slices.Clone(a.requestURIs)
-}
-
-// WatchCount returns the number of open watches.
-func (a *Agent) WatchCount() int {
-	a.platform.mu.Lock()
-	defer a.platform.mu.Unlock()
-	return len(a.watches)
-}
-
 // Close ends all backends and agents. It panics if their goroutines don't end within 10 seconds.
 func (p *Platform) Close() {
 	p.mu.Lock()
