endpoints: the test of a silent watch waits until there is a watch

Cause: the test, not the program. startSite returns once the first list is there, which is the answer to a request of its own; the watch is a second request. Where the agent read that one only after SetSilent(false), nothing was ever silent, and the change came with the watch's first answer. Shown in a scratch copy with a sleep of 5 ms before the second request: it fails in 3 of 3 runs.

Change: the test waits until the agent has the watch before it falls silent. With the sleep it then passes in 3 of 3 runs; with the follower's silence timeout at an hour it fails as before.

--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -185,6 +185,7 @@
 // A watch that has gone silent is reopened, and silence removes nothing from the list.
 func TestSilentWatchIsReopened(t *testing.T) {
 	site, backend, agent, follower := startSite(t)
+	eventually(t, func() bool { return agent.WatchCount() == 1 }) // the first list comes before the watch is open
 	agent.SetSilent(true)
 	site.UpdateDiscovery(func() { backend.State = "terminating" })
 	agent.SetSilent(false)
@@ -225,6 +226,7 @@
 // stalls in the middle of its response.
 func TestChangeDuringSilentWatchIsKnownInTime(t *testing.T) {
 	site, backend, agent, follower := startSite(t)
+	eventually(t, func() bool { return agent.WatchCount() == 1 }) // the first list comes before the watch is open
 	agent.SetSilent(true)
 	start := time.Now()
 	site.UpdateDiscovery(func() { backend.State = "terminating" })
