platform: the test of a drain before the send waits for the lists on their way

Cause: the test, not the program. It sets the backend's state by hand, right after the dispatcher is ready. Ready needs the first list; the watch's first answer is the whole list once more, with the backend in service. Where that comes behind the state set by hand, it undoes it, and the attempt is allowed.

Change: the test waits until the watch is open and has brought a change and its reverse, so that no earlier list is on its way.

--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -63,6 +63,12 @@
 // another backend.
 func TestDrainLearnedBeforeSendStopsTheAttempt(t *testing.T) {
 	cluster := startCluster(t, nil)
+	// A list that is still on its way would undo the state that is set below; a change that is seen came behind it.
+	cluster.await("the watch is open", func() bool { return cluster.agent.WatchCount() == 1 })
+	cluster.site.UpdateDiscovery(func() { cluster.prefill.State = "terminating" })
+	cluster.await("r1 drains", func() bool { return cluster.backendState("r1") == scheduler.Draining })
+	cluster.site.UpdateDiscovery(func() { cluster.prefill.State = "in_service" })
+	cluster.await("r1 is ready", func() bool { return cluster.backendState("r1") == scheduler.Ready })
 	request := cluster.submit("q1", 0, func(*dispatch.ClientRequest) {
 		cluster.node.loop.SchedulerBackend("r1").State = scheduler.Draining
 	})
