dispatch: no guard behind a cancelled timer, one count of kept requests

An attempt's timer is cancelled at its first token and at its end (AttemptBegan and AttemptEnded, the only callers of what sets FirstTokenAt and Ended), so the check of both in its callback could not fail any more. waitIdle asks Retained in place of the table's length. No change of behaviour; go test ./internal/dispatch ./internal/fleet passes.

--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -26,7 +26,7 @@
 func (c *HTTPTransport) waitIdle(ctx context.Context, timeout time.Duration) {
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		requests := 0
-		c.loop.Call(ctx, func() { requests = len(c.loop.requests) })
+		c.loop.Call(ctx, func() { requests, _ = c.loop.Retained() })
 		c.mu.Lock()
 		queues := len(c.releases)
 		c.mu.Unlock()
--- a/internal/dispatch/runtime.go
+++ b/internal/dispatch/runtime.go
@@ -31,11 +31,10 @@
 		l.RetryThrottle.AttemptSent(l.now,
 			scheduled.Number > 0 && wastesWork(scheduled.Request.Attempts[scheduled.Number-1].Outcome))
 	}
+	// The timer is cancelled at the attempt's first token and at its end.
 	attempt.timeoutTimer = l.startTimer(wait, func() {
-		if !scheduled.Ended && scheduled.FirstTokenAt == 0 {
-			attempt.timedOut = true
-			attempt.Cancel(ErrAttemptTimeout)
-		}
+		attempt.timedOut = true
+		attempt.Cancel(ErrAttemptTimeout)
 	})
 	l.accountSent(attempt)
 	l.transport.Start(attempt)
