--- a/review/kit2/hosts.go
+++ b/review/kit2/hosts.go
@@ -31,6 +31,7 @@
 	held     map[string]string        // reader that holds a read state, by request id
 	heldFrom map[string]time.Duration // since when
 	given    map[string]bool          // requests of which a first token was written
+	waiting  map[string]int           // attempts at writers that wait for the state, by request id
 	arrivals []*arrival
 }
 
@@ -95,10 +96,23 @@
 func (f *fleet) letGo(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.letGoLocked(id)
+}
+
+func (f *fleet) letGoLocked(id string) {
 	delete(f.held, id)
 	delete(f.heldFrom, id)
 }
 
+// release lets go of what is held for a request and no attempt waits for.
+func (f *fleet) release(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.waiting[id] == 0 {
+		f.letGoLocked(id)
+	}
+}
+
 // hold keeps a read state at a reader.
 func (f *fleet) hold(id, uid string) {
 	f.mu.Lock()
@@ -112,7 +126,7 @@
 	if id, ok := strings.CutPrefix(r.URL.Path, "/v1/holds/"); ok {
 		f.world.note("%s: %s %s", h.uid, r.Method, id)
 		if r.Method == http.MethodDelete {
-			f.letGo(id)
+			f.release(id)
 			w.WriteHeader(http.StatusNoContent)
 		} else {
 			w.WriteHeader(http.StatusNotFound)
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -19,6 +19,7 @@
 	"old-list":      oldList,
 	"paused-stream": pausedStream,
 	"reset-reads":   resetReads,
+	"leavers":       leavers,
 	"half-heads":    halfHeads,
 }
 
--- a/review/kit2/memory.go
+++ b/review/kit2/memory.go
@@ -41,6 +41,14 @@
 	return anonymous, whole
 }
 
+// envInt returns a number from the environment.
+func envInt(name string, otherwise int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return otherwise
+}
+
 // halfHead returns the beginning of a request that stops within its head.
 func halfHead() string {
 	var head strings.Builder
