--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -20,6 +20,7 @@
 	"paused-stream": pausedStream,
 	"reset-reads":   resetReads,
 	"leavers":       leavers,
+	"lost-counts":   lostCounts,
 	"half-heads":    halfHeads,
 }
 
--- a/review/kit2/world.go
+++ b/review/kit2/world.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -80,15 +81,8 @@
 
 // freeAddress returns a loopback address with a port that is free now, below the range of outgoing connections.
 func freeAddress() string {
-	for port := 20000 + os.Getpid()%9000; ; port++ {
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		freeMu.Lock()
-		used := freeUsed[port]
-		freeUsed[port] = true
-		freeMu.Unlock()
-		if used {
-			continue
-		}
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
 		if listener, err := net.Listen("tcp", address); err == nil {
 			listener.Close()
 			return address
@@ -96,11 +90,6 @@
 	}
 }
 
-var (
-	freeMu   sync.Mutex
-	freeUsed = map[int]bool{}
-)
-
 // dispatcher is one process of the project.
 type dispatcher struct {
 	world      *world
