--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,4 +1,9 @@
 #!/bin/sh
-# Builds the stand-ins of the second review, after the build of the deploy file. It needs no network.
-cd "$(dirname "$0")/.." || exit 2
-mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/review2 ./review/kit2
+# Builds the cases of the second review and their stand-ins, after the build of the deploy file. It needs no network.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p bin
+for number in 6 7 8 9 10; do
+	CGO_ENABLED=1 go build -ldflags=-linkmode=external -o "bin/review2-$number" "./review/$number"
+done
+CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/review2 ./review/kit2/review2
--- a/review/kit2/bills.go
+++ b/review/kit2/bills.go
@@ -1,4 +1,4 @@
-package main
+package kit2
 
 import (
 	"bytes"
--- a/review/kit2/main.go
+++ b/review/kit2/play.go
@@ -1,4 +1,4 @@
-package main
+package kit2
 
 import (
 	"fmt"
@@ -30,17 +30,14 @@
 	text   string
 }
 
-func main() {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: review2 CASE RECORD")
-		os.Exit(couldNot)
-	}
-	play, ok := cases[os.Args[1]]
+// Play plays the named case, writes its record to a file and returns its exit code.
+func Play(name, recordFile string) int {
+	play, ok := cases[name]
 	if !ok {
-		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
-		os.Exit(couldNot)
+		fmt.Fprintln(os.Stderr, "no such case:", name)
+		return couldNot
 	}
-	os.Exit(run(play, os.Args[2]))
+	return run(play, recordFile)
 }
 
 // run plays a case and returns its exit code.
--- a/review/kit2/settings.go
+++ b/review/kit2/settings.go
@@ -1,4 +1,4 @@
-package main
+package kit2
 
 // class is a class of requests, as the settings state it.
 type class struct {
--- a/review/kit2/world.go
+++ b/review/kit2/world.go
@@ -1,7 +1,7 @@
-// Command review2 holds the stand-ins of the second review and plays its cases: model hosts, service discovery and
-// clients of the platform's protocol on loopback addresses, and dispatchers as processes of their own, started by the
-// `run` line of deploy/balancer.toml. It is not part of the product.
-package main
+// Package kit2 holds the stand-ins of the second review and plays its cases: model hosts, service discovery and clients
+// of the platform's protocol on loopback addresses, and dispatchers as processes of their own, started by the `run` line
+// of deploy/balancer.toml. It is not part of the product. Begin with Play.
+package kit2
 
 import (
 	"context"
