--- a/review/kit3/world.go
+++ b/review/kit3/world.go
@@ -433,6 +433,12 @@
 // NewClient returns a client with an open connection.
 func NewClient(conn net.Conn) *Client { return &Client{conn, bufio.NewReader(conn)} }
 
+// Send sends bytes.
+func (cl *Client) Send(text string) error {
+	_, err := io.WriteString(cl.conn, text)
+	return err
+}
+
 // Close closes the client's connection.
 func (cl *Client) Close() { cl.conn.Close() }
 
