--- a/review/kit3/box.go
+++ b/review/kit3/box.go
@@ -22,6 +22,7 @@
 	Runs         map[string][]string // text of the requests that ran, by mark
 	SecondAnswer time.Duration       // after a stream, until a second copy of the answer; 0: none
 	SecondEvery  int                 // of so many streams one has a second answer
+	Prompt       time.Duration       // that a prompt takes, before anything of the answer is written
 	TokenTime    time.Duration
 	Tokens       int
 	Counts       bool // counts are sent along and told
@@ -199,6 +200,7 @@
 		b.open[in.Parameters.Dispatcher]--
 		b.mu.Unlock()
 	}()
+	time.Sleep(b.Prompt)
 	write.Lock()
 	defer write.Unlock()
 	var whole bytes.Buffer
