--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Builds the cases of the second review and their stand-ins, after the build of the deploy file. It needs no network.
+# Builds the cases 6 to 10 with their stand-ins, and the plays of the issue's first sitting (review/kit2), after the build of the deploy file. It
+# needs no network.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p bin
--- /dev/null
+++ b/review/kit2/earlier/6/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Bad clients stop in the middle of a head and stay.
+# Exit code: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../../../.." || exit 2
+[ -x bin/review2 ] && [ -x bin/sloetrestle ] || { echo "build first: the deploy file's build, then review/build-2.sh"; exit 2; }
+exec bin/review2 half-heads "$here/record.txt"
