--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,7 +1,6 @@
 #!/bin/sh
-# Connections are reset under reads just before the reads end.
-# Exit code: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
-here=$(cd "$(dirname "$0")" && pwd) || exit 2
-cd "$here/../.." || exit 2
-[ -x bin/review2-10 ] && [ -x bin/sloetrestle ] || { echo "build first: the deploy file's build, then review/build-2.sh"; exit 2; }
-RECORD="$here/record.txt" exec bin/review2-10
+# Runs the case; TROUBLE=0 runs it without the disruption. Exit: 0 the rule held, 1 it was broken, 2 the case couldn't run.
+folder=$(cd "$(dirname "$0")" && pwd) && cd "$folder/../.." || exit 2
+[ -x bin/sloetrestle ] || { echo "build first, with the deploy file's build"; exit 2; }
+[ -x bin/review2-10 ] || sh review/build-2.sh || exit 2
+exec bin/review2-10 "$folder"
