platform: count and log late answers that the memory for bodies has no room for

The state line now has late_no_memory, and at level debug a line with the request's id says when the memory ran out, which stands beside the loop's own line on the final answer.

--- a/internal/platform/buffered.go
+++ b/internal/platform/buffered.go
@@ -49,6 +49,8 @@
 	}
 	if b.store(events) > b.frontend.maxBodyBytes {
 		b.refused = true
+		b.frontend.BufferNoMemory.Add(1)
+		b.frontend.log.Debug("no memory for the rest of a buffered answer", "id", b.request.Params.ID, "stored", len(b.events))
 		loop := b.frontend.loop
 		loop.Post(func() { loop.GiveUpBuffered(b.request, string(rejectedBodyBytes)) })
 	}
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -48,6 +48,7 @@
 	openLate       atomic.Int64  // those of them that came late in the shutdown
 	Late           atomic.Int64  // requests that came late in the shutdown
 	Buffered       atomic.Int64  // answers to late requests that were sent whole
+	BufferNoMemory atomic.Int64  // answers to late requests for which there was no memory left
 	Resubmitted    atomic.Int64  // requests that their clients sent before
 	Continuations  atomic.Int64  // requests for the rest of a stream
 	MovedStreams   atomic.Int64  // streams cut to be continued at another dispatcher
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -247,7 +247,7 @@
 			"clients", limiter.count(), "pushed", limiter.Evicted.Load(), "waited", limiter.CapacityWaits.Load(),
 			"accept_failed", limiter.AcceptErrors.Load(), "shut", limiter.ClosedUnread.Load(),
 			"refused", frontend.refusalCounts(), "late", frontend.Late.Load(),
-			"late_whole", frontend.Buffered.Load(),
+			"late_whole", frontend.Buffered.Load(), "late_no_memory", frontend.BufferNoMemory.Load(),
 			"released", transport.Delivered.Load(), "unheard", transport.Undelivered.Load(), "stale", transport.Stale.Load(),
 			"local", transport.LocalFailures.Load(), "unarrived", transport.Unacknowledged.Load(),
 			"spoilt", transport.Malformed.Load(), "strange", transport.BadRequest.Load(),
