platform: a served late answer is sent with all its events when memory is short

Cause: bufferedAnswer.add dropped the events for which there was no memory and asked the event loop to give the request up, but the loop had already answered it as served (AttemptEnded was queued first), and finish sent what was left, together with events behind the dropped ones.

Change: nothing is dropped any more. Without memory the handler reads no further and asks the loop to give the request up.

--- a/internal/platform/buffered.go
+++ b/internal/platform/buffered.go
@@ -10,7 +10,8 @@
 )
 
 // bufferedAnswer receives the stream of one backend and sends nothing of it before all of it has come. Until then the
-// event loop may still reject or fail the request.
+// event loop may still reject or fail the request. Only the loop decides whether the request is served: no event is
+// dropped, so that the answer to a served request is whole whenever that was decided.
 type bufferedAnswer struct {
 	frontend *frontend
 	w        http.ResponseWriter
@@ -18,20 +19,23 @@
 	request  *dispatch.ClientRequest
 	attempt  *dispatch.Attempt
 	events   []byte
-	refused  bool // for lack of memory: further events are dropped
 }
 
 // run answers the request: with the whole stream, or as the event loop ends it. The context ends at the deadline.
 func (b *bufferedAnswer) run(ctx context.Context) {
 	defer func() { b.frontend.bodyBytes.Add(-int64(len(b.events))) }()
-	tokens := b.attempt.Tokens
+	unread := b.attempt.Tokens // nil once nothing more is read before the final answer
 	for {
 		select {
-		case events, more := <-tokens:
-			if !more {
-				tokens = nil // the final answer follows
+		case events, more := <-unread:
+			taken := b.store(events)
+			switch {
+			case !more:
+				unread = nil
+			case taken > b.frontend.maxBodyBytes:
+				unread = nil
+				b.askToGiveUp()
 			}
-			b.add(events)
 		case final := <-b.request.Final():
 			b.finish(final)
 			return
@@ -42,26 +46,21 @@
 	}
 }
 
-// add buffers events, and gives the request up if there is no memory left.
-func (b *bufferedAnswer) add(events []byte) {
-	if b.refused {
-		return
-	}
-	if b.store(events) > b.frontend.maxBodyBytes {
-		b.refused = true
-		b.frontend.BufferNoMemory.Add(1)
-		b.frontend.log.Debug("no memory for the rest of a buffered answer", "id", b.request.Params.ID, "stored", len(b.events))
-		loop := b.frontend.loop
-		loop.Post(func() { loop.GiveUpBuffered(b.request, string(rejectedBodyBytes)) })
-	}
-}
-
 // store buffers events and returns how much of the memory for bodies, which they are part of, is taken.
 func (b *bufferedAnswer) store(events []byte) (taken int64) {
 	b.events = append(b.events, events...)
 	return b.frontend.bodyBytes.Add(int64(len(events)))
 }
 
+// askToGiveUp asks the event loop to end the request for lack of memory. The loop does so unless the attempt has ended
+// and the request is served; what is unread of the stream has been received then, and takes no further memory.
+func (b *bufferedAnswer) askToGiveUp() {
+	b.frontend.BufferNoMemory.Add(1)
+	b.frontend.log.Debug("no memory for the rest of a buffered answer", "id", b.request.Params.ID, "stored", len(b.events))
+	loop := b.frontend.loop
+	loop.Post(func() { loop.GiveUpBuffered(b.request, string(rejectedBodyBytes)) })
+}
+
 // finish sends the answer.
 func (b *bufferedAnswer) finish(final kserve.FinalResponse) {
 	if final.Outcome != kserve.Served {
