serve: a gathered answer with an event that is not a token fails instead of losing it

What callers saw: generate and infer answered 200 with a part of the text missing, if a backend sent an event that is JSON but not a token.

Cause: Server.bufferAnswer passed over what json.Unmarshal could not read into a token. The transport ends an attempt only at events that are not JSON.

Change: such a request fails with 502, like an answer that is too long to be gathered; appendToken has both checks. The length is checked before the text is appended.

--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -259,35 +259,41 @@
 	if attempt == nil {
 		return nil, final, true
 	}
+	tokens := attempt.Tokens
+	var finals <-chan kserve.FinalResponse // nil until all tokens have been read
 	for {
 		select {
 		case <-r.Context().Done():
 			s.disconnected(request)
 			return nil, final, false
-		case piece, more := <-attempt.Tokens:
+		case final = <-finals:
+			return text, final, true
+		case piece, more := <-tokens:
 			if !more {
-				select {
-				case final = <-request.final:
-					return text, final, true
-				case <-r.Context().Done():
-					s.disconnected(request)
-					return nil, final, false
-				}
+				tokens, finals = nil, request.Final()
+				continue
 			}
-			var token kserve.Token
-			if json.Unmarshal(piece, &token) == nil {
-				text = append(text, token.Text...)
-			}
-			if len(text) > maxBufferedAnswer {
+			var failure string
+			if text, failure = appendToken(text, piece); failure != "" {
 				s.disconnected(request)
-				return nil, kserve.FinalResponse{
-					Outcome: kserve.Failed, Error: "the answer is too long to be gathered; ask for a stream",
-				}, true
+				return nil, kserve.FinalResponse{Outcome: kserve.Failed, Error: failure}, true
 			}
 		}
 	}
 }
 
+// appendToken appends the text of a token, or tells why the answer cannot be gathered.
+func appendToken(text, piece []byte) (appended []byte, failure string) {
+	var token kserve.Token
+	if json.Unmarshal(piece, &token) != nil {
+		return nil, "the answer has an event that is not a token"
+	}
+	if len(text)+len(token.Text) > maxBufferedAnswer {
+		return nil, "the answer is too long to be gathered; ask for a stream"
+	}
+	return append(text, token.Text...), ""
+}
+
 // answerWhole answers with the whole text at once, in the form that write gives it. A request that is not served gets a
 // plain final answer.
 func (s *Server) answerWhole(
--- a/internal/faultmatrix/token_test.go
+++ b/internal/faultmatrix/token_test.go
@@ -48,3 +48,34 @@
 		})
 	}
 }
+
+// Guards against a gathered answer that is sent as whole with a part missing: an event that is JSON, but no token, was
+// left out of the text.
+func TestGatheredAnswerWithAnUnreadableTokenFails(t *testing.T) {
+	s := startCluster(t, func(s *testCluster) {
+		s.eachBackend("writer", func(b *testBackend) {
+			b.onAttempt = func(c *call) {
+				c.takeKVCache()
+				c.startStream()
+				c.countFault()
+				c.finish(kserve.OutcomeCompleted)
+				c.writeRaw("data: {\"text_output\":[\"lost\"]}\n\n" + endEvent)
+			}
+		})
+	})
+	for _, test := range []struct{ endpoint, body string }{
+		{"generate", `{"text_input":"x","parameters":{"max_tokens":8}}`},
+		{"infer", `{"inputs":[{"name":"text_input","shape":[1],"datatype":"BYTES","data":["x"]}],"parameters":{"max_tokens":8}}`},
+	} {
+		resp, err := http.Post("http://"+s.addr+"/v2/models/lodge/"+test.endpoint, "application/json",
+			strings.NewReader(test.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusBadGateway || !strings.Contains(string(raw), "not a token") {
+			t.Errorf("%s: %s: %.200s", test.endpoint, resp.Status, raw)
+		}
+	}
+}
