scheduler: requests before the first endpoints are rejected by their target

What callers saw: at a dispatcher that has no list yet, requests behind the first one in the queue were rejected 40 ms before their deadline, long after their latency target.

Cause: before the first endpoints the window is zero. shedLate divides a request's position by the rate that follows from it: an infinite time, or not a number for the first position, whose conversion to a duration differs by machine and never counted as late here.

Change: the rate has the smallest window as its lower bound, which adjustWindow has too. With endpoints the window is never below it, so nothing else changes.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -117,7 +117,8 @@
 		overload = overload || float64(now-req.ReceivedAt) > overloadWaitShare*float64(req.TargetAt-req.ReceivedAt)
 	}
 	expected := d.expectedTimeToFirstToken()
-	rate := d.window / max(expected, queueSweepInterval.Seconds())
+	// Before the first endpoints the window is zero: nothing is known then of how fast the queue will move.
+	rate := max(d.window, d.smallestWindow()) / max(expected, queueSweepInterval.Seconds())
 	position := 0.0
 	for _, req := range slices.Clone(d.queue) {
 		timeToFirstToken := time.Duration((position/rate + expected) * float64(time.Second))
@@ -209,9 +210,12 @@
 	case gotFirstToken && binding:
 		d.window *= change
 	}
-	d.window = max(min(d.window, windowPerBackend*float64(len(d.backends))), 1/d.parameters.dispatchers)
+	d.window = max(min(d.window, windowPerBackend*float64(len(d.backends))), d.smallestWindow())
 }
 
+// smallestWindow is the share of one dispatcher in a fleet that may send one request.
+func (d *Dispatcher) smallestWindow() float64 { return 1 / d.parameters.dispatchers }
+
 // applyPeerShare applies the latency that a peer reports for one of its requests.
 func (d *Dispatcher) applyPeerShare(update PeerUpdate) {
 	if update.TargetShare == 0 || update.ClassIndex >= len(d.classes) {
--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -241,3 +241,33 @@
 		}
 	}
 }
+
+// Guards against requests that wait until their deadline although no backend has been listed yet: the rate of a window
+// of zero made their time to the first token infinite, and what that converts to differs by machine.
+func TestRequestsBeforeTheFirstEndpointsAreRejectedByTheirTarget(t *testing.T) {
+	settings := testSettings()
+	settings["requestClasses"], settings["requestClasses.1.effect"] = 2.0, "repeatable"
+	settings["requestClasses.1.aimUs"], settings["requestClasses.1.worth"] = 10e6, 100.0
+	runtime := &fakeRuntime{now: 100 * time.Second}
+	d, err := New(settings, 1, runtime)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var requests []*Request
+	for id, class := range []int{1, 0, 0} { // the first one is worth most and has time until long after the others
+		request := &Request{ID: uint64(id + 1), PromptTokens: 100, MaxOutputTokens: 50, Timeout: 20 * time.Second}
+		d.Submit(request, class, 0)
+		requests = append(requests, request)
+	}
+	for _, request := range []*Request{requests[1], requests[0]} {
+		for ; runtime.now < request.TargetAt; runtime.now += queueSweepInterval {
+			d.sweepQueue()
+		}
+		if !request.Finished {
+			t.Errorf("request %d still waits at its target", request.ID)
+		}
+	}
+	if len(runtime.rejected) != len(requests) || len(runtime.sent) != 0 {
+		t.Errorf("%d of %d requests were rejected, %d attempts sent", len(runtime.rejected), len(requests), len(runtime.sent))
+	}
+}
