platform: a new process sends nothing to a backend before discovery has answered it

Cause: newNode handed the list of the configuration to the event loop as if discovery had sent it, and /ready waited only 1 s for discovery. What the agent has counts as told from the first moment of a process (STANDING), so any backend of an earlier process's list may drain. A request that came before /ready said yes was sent as well (the test).

Change: of that list only the revision is used (Follower.SetLastKnown). Until 1 s after the start requests wait for the first list, then mayAccept rejects them at once with Retry-After. Without a list the dispatcher is ready after 5 s (the platform wants 6 s) and goes on rejecting. The state line has "listed"; the log says when the first list came and when a dispatcher is ready without one.

--- a/internal/endpoints/follower.go
+++ b/internal/endpoints/follower.go
@@ -70,22 +70,31 @@
 	errStaleList      = errors.New("discovery has an older list than the one applied")
 )
 
-// Apply applies a message that was received by other means, such as the list that a dispatcher is started with.
-func (f *Follower) Apply(raw []byte) error {
+// SetLastKnown sets the list that an earlier process had. Its revision counts, by which an older list of discovery is
+// recognised. Its backends are not passed on: only discovery knows which of them are still in service.
+func (f *Follower) SetLastKnown(raw []byte) error {
 	f.tableMu.Lock()
 	defer f.tableMu.Unlock()
-	return f.apply(raw)
+	_, _, err := f.decode(raw)
+	return err
+}
+
+// decode applies a message to the table and returns what it changes. The caller holds tableMu.
+func (f *Follower) decode(raw []byte) (lines []endpointlist.Endpoint, full bool, err error) {
+	now := f.Monotonic()
+	lines, full, refused, err := f.table.Apply(now, f.table.clock.now(now, f.WallClock), raw)
+	if len(refused) > 0 {
+		f.Log.Warn("ignored part of the endpoint list", "why", strings.Join(refused, "; "))
+	}
+	return lines, full, err
 }
 
 // apply applies a message and passes its changes on. The caller holds tableMu.
 func (f *Follower) apply(raw []byte) error {
-	lines, full, refused, err := f.table.Apply(f.Monotonic(), f.table.clock.now(f.Monotonic(), f.WallClock), raw)
+	lines, full, err := f.decode(raw)
 	if err != nil {
 		return err
 	}
-	if len(refused) > 0 {
-		f.Log.Warn("ignored part of the endpoint list", "why", strings.Join(refused, "; "))
-	}
 	if len(lines) > 0 || full {
 		endpointlist.SortByName(lines)
 		f.OnUpdate(lines, full)
@@ -110,7 +119,9 @@
 	}
 	f.needFullList = false
 	f.table.clock.synced = true
-	f.synced.Store(true)
+	if !f.synced.Swap(true) {
+		f.Log.Info("discovery has sent its first list", "revision", f.table.Revision, "after", f.Monotonic())
+	}
 	return nil
 }
 
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -30,8 +30,12 @@
 	return conn, err
 }
 
+// unknownBackend is what backendState returns for a backend that the scheduler does not know.
+const unknownBackend scheduler.BackendState = -1
+
 // backendState returns the state of a backend as the scheduler knows it.
 func (c *testCluster) backendState(name string) (state scheduler.BackendState) {
+	state = unknownBackend
 	c.node.loop.Call(context.Background(), func() {
 		if backend := c.node.loop.SchedulerBackend(name); backend != nil {
 			state = backend.State
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -36,8 +36,9 @@
 	maxOpen       int64          // bound on open requests
 	maxBodyBytes  int64          // bound on the bytes of all buffered bodies
 
-	hasBackends    func() bool // reports whether some backend can serve
-	nearConnLimit  func() bool // reports whether the connection limit is near
+	becomesReady   func() bool          // reports whether the dispatcher is ready, until it is
+	unlistedFor    func() time.Duration // how long it has run without a list of service discovery; 0: it has one
+	nearConnLimit  func() bool          // reports whether the connection limit is near
 	ready          atomic.Bool
 	stopping       atomic.Bool   // connections are closed after their responses
 	stoppingSince  time.Time     // when the shutdown began; set before stopping
@@ -127,9 +128,10 @@
 		return
 	}
 	defer f.openRequests.Add(-1)
-	if reason := mayAccept(
-		f.rejectAll.Load(), f.openRequests.Add(1), f.maxOpen, f.loop.QueueDelay(),
-	); reason != notRejected {
+	if reason := mayAccept(condition{
+		stopped: f.rejectAll.Load(), open: f.openRequests.Add(1), maxOpen: f.maxOpen, loopLag: f.loop.QueueDelay(),
+		unlisted: f.unlistedFor(),
+	}); reason != notRejected {
 		f.reject(w, r, reason)
 		return
 	}
@@ -141,9 +143,9 @@
 // errDuplicateID refuses a request whose id another request has.
 var errDuplicateID = &chat.RequestError{Status: http.StatusConflict, Reason: "open id"}
 
-// isReady reports whether there are backends that can serve. Once there were, it stays true.
+// isReady reports whether the dispatcher is ready. Once it was, it stays so.
 func (f *frontend) isReady() bool {
-	if !f.ready.Load() && f.hasBackends() {
+	if !f.ready.Load() && f.becomesReady() {
 		f.ready.Store(true)
 	}
 	return f.ready.Load()
--- a/internal/platform/lifecycle.go
+++ b/internal/platform/lifecycle.go
@@ -37,6 +37,23 @@
 // unread reports whether no byte of a request has been read in a state.
 func unread(state connState) bool { return state == connNew || state == connIdle }
 
+// A dispatcher that starts is given the list that an earlier process had, and does not use its backends: what service
+// discovery has counts as known to the dispatcher from its start, and any of them may drain by then.
+const (
+	// firstListWait is how long after the start requests may wait for the first list, which comes at once unless
+	// discovery is down.
+	firstListWait = time.Second
+	// readyTimeout is when a dispatcher that still has no list is ready all the same: the platform takes one that is not
+	// ready 6 s after its start for one that fails to start.
+	readyTimeout = 5 * time.Second
+)
+
+// mayBeReady reports whether a dispatcher may say that it is ready, given how long it has run without a list of service
+// discovery (0: it has one), and whether the list has a backend that can serve.
+func mayBeReady(unlisted time.Duration, canServe bool) bool {
+	return canServe || unlisted >= readyTimeout
+}
+
 // rejection is why a valid request is not accepted. Its text is sent to the client.
 type rejection string
 
@@ -46,22 +63,32 @@
 	rejectedOpenRequests rejection = "questions"
 	rejectedBodyBytes    rejection = "bodies"
 	rejectedLoopLag      rejection = "event loop"
+	rejectedUnlisted     rejection = "endpoints"
 )
 
 // maxLoopLag is the event loop's lag up to which a further request is accepted. The request would wait as long before
 // it is processed, and so would everything that is due for the others.
 const maxLoopLag = 250 * time.Millisecond
 
-// mayAccept reports whether a further request may be accepted, or why not, given the number of open requests including
-// it, and the event loop's lag.
-func mayAccept(stopped bool, open, limit int64, lag time.Duration) rejection {
+// condition is what is known of the dispatcher when a further request has come.
+type condition struct {
+	stopped       bool // open requests have been ended before SIGKILL
+	open, maxOpen int64
+	loopLag       time.Duration
+	unlisted      time.Duration // for how long it has run without a list of service discovery; 0: it has one
+}
+
+// mayAccept reports whether a further request, which open includes, may be accepted, or why not.
+func mayAccept(c condition) rejection {
 	switch {
-	case stopped:
+	case c.stopped:
 		return rejectedAtShutdown
-	case open > limit:
+	case c.open > c.maxOpen:
 		return rejectedOpenRequests
-	case lag > maxLoopLag:
+	case c.loopLag > maxLoopLag:
 		return rejectedLoopLag
+	case c.unlisted > firstListWait:
+		return rejectedUnlisted
 	}
 	return notRejected
 }
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -26,9 +26,6 @@
 const (
 	serviceHost      = "backend.local" // the Host header of requests to backends
 	stateLogInterval = 5 * time.Second
-	// discoveryWait is how long a dispatcher that starts with last-known endpoints waits for those of service
-	// discovery before it is ready: what discovery lists counts as known to the dispatcher from its start.
-	discoveryWait = time.Second
 )
 
 // node is one dispatcher with its listeners, its connections to backends and its background goroutines.
@@ -98,7 +95,8 @@
 	n.limiter = newLimiter(listener, int(float64(shares.clients)/(1+closingShare)), log)
 	n.frontend = newFrontend(n.loop, n.settings, shares.bodies, n.monitor, n.stalls, log)
 	n.frontend.nearConnLimit = n.limiter.NearLimit
-	n.frontend.hasBackends = n.hasBackends
+	n.frontend.becomesReady = n.becomesReady
+	n.frontend.unlistedFor = n.unlistedFor
 	return n, nil
 }
 
@@ -146,7 +144,7 @@
 	return err
 }
 
-// createFollower creates the follower of service discovery, which begins with the last-known endpoints.
+// createFollower creates the follower of service discovery.
 func (n *node) createFollower(sys system.System) {
 	observer := &discoveryObserver{n.monitor, map[string]bool{}}
 	n.follower = &endpoints.Follower{
@@ -157,20 +155,31 @@
 		},
 	}
 	if len(n.config.LastKnown) > 0 {
-		if err := n.follower.Apply(n.config.LastKnown); err != nil {
+		if err := n.follower.SetLastKnown(n.config.LastKnown); err != nil {
 			n.log.Warn("cannot read the last-known endpoints of the configuration, ignoring them", "error", err)
 		}
 	}
 	n.follower.SetAddress(n.config.Discovery)
 }
 
-// hasBackends reports whether some backend can serve, by endpoints that are known well enough.
-func (n *node) hasBackends() bool {
-	if !n.follower.Synced() && n.uptime() < discoveryWait {
-		return false
+// unlistedFor returns how long the dispatcher has run without a list of service discovery, or 0 once it has one.
+func (n *node) unlistedFor() time.Duration {
+	if n.follower.Synced() {
+		return 0
+	}
+	return max(n.uptime(), 1)
+}
+
+// becomesReady reports whether the dispatcher, which has not been ready before, is ready now.
+func (n *node) becomesReady() bool {
+	unlisted, canServe := n.unlistedFor(), false
+	if unlisted == 0 {
+		n.loop.Call(n.lifetime, func() { canServe = n.loop.HasReadyBackend() })
+	}
+	ready := mayBeReady(unlisted, canServe)
+	if ready && unlisted > 0 {
+		n.log.Warn("ready without a list of service discovery, requests are rejected until it answers", "after", unlisted)
 	}
-	ready := false
-	n.loop.Call(n.lifetime, func() { ready = n.loop.HasReadyBackend() })
 	return ready
 }
 
@@ -251,7 +260,7 @@
 			"released", transport.Delivered.Load(), "unheard", transport.Undelivered.Load(), "stale", transport.Stale.Load(),
 			"local", transport.LocalFailures.Load(), "unarrived", transport.Unacknowledged.Load(),
 			"spoilt", transport.Malformed.Load(), "strange", transport.BadRequest.Load(),
-			"watch_lost", n.follower.WatchFailures(),
+			"listed", n.follower.Synced(), "watch_lost", n.follower.WatchFailures(),
 			"strangers", n.peers.Dropped.Load(), "broken", n.monitor.Counts(), "due", transport.Due.Load(),
 			"too_late", frontend.LateAnswers.Load(),
 			"turn_ms", turn.Milliseconds(), "queued_ms", wait.Milliseconds(), "timer_ms", timer.Milliseconds(),
