soak: what the agent had counts as told to a process from its start

Now a change that the agent had by then counts as told when the process starts; what changes while the agent is silent does not.

The unit case fails without the change of the oracle.

--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -298,19 +298,16 @@
 	}
 }
 
-// notifiedAt returns when a process counts as notified of a change: when the change was written to it, or
-// discoveryLag after it was listed and discovery could be reached at its address.
+// notifiedAt returns when a process counts as notified of a change: when the change was written to it, when it started
+// if its agent had the change by then, or discoveryLag after it was listed and discovery could be reached at its address.
 func (v *oracle) notifiedAt(p *process, change *stateChange) time.Duration {
 	if change.written > 0 && change.written >= p.started {
 		return change.written
 	}
-	reachable := max(change.at, p.started)
-	for _, outage := range v.outages(p.dispatcher) {
-		if outage.overlaps(reachable, reachable) {
-			reachable = outage.to
-		}
+	if v.reachableFrom(p.dispatcher, change.at) < p.started {
+		return p.started
 	}
-	notified := reachable + discoveryLag
+	notified := v.reachableFrom(p.dispatcher, max(change.at, p.started)) + discoveryLag
 	for _, move := range p.moves {
 		if move.overlaps(change.at-reloadLag, notified) {
 			notified = max(notified, move.to+discoveryLag)
@@ -319,6 +316,16 @@
 	return notified
 }
 
+// reachableFrom returns from when on, at the given time or later, the agent of a dispatcher hears changes and answers.
+func (v *oracle) reachableFrom(dispatcher int, at time.Duration) time.Duration {
+	for _, outage := range v.outages(dispatcher) {
+		if outage.overlaps(at, at) {
+			at = outage.to
+		}
+	}
+	return at
+}
+
 // checkDeadline checks that an attempt states no more time than its client has left.
 func (v *oracle) checkDeadline(a *attempt) {
 	req := v.record.byID[a.id]
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -60,6 +60,13 @@
 	return b
 }
 
+// restarted ends the process of dispatcher 0 by SIGKILL and starts another.
+func (b *recordBuilder) restarted(killed, started time.Duration) *recordBuilder {
+	b.processes[0].killed, b.processes[0].ended = true, killed
+	b.processes = append(b.processes, &process{dispatcher: 0, started: started, ready: started + 100*ms})
+	return b
+}
+
 func (b *recordBuilder) cacheEvent(at time.Duration, stored bool) *recordBuilder {
 	b.cacheEvents = append(b.cacheEvents, cacheEvent{"q", at, stored})
 	return b
@@ -140,6 +147,11 @@
 		"attempt to a draining backend within the grace time": {"", newRecordBuilder(false).drained(800*ms, 801*ms).
 			attempt("w1", 1010*ms, 1100*ms, nil).
 			answered(200, 1200*ms)},
+		"attempt to a backend that began to drain before the process started": {ruleDrain,
+			newRecordBuilder(false).drained(500*ms, 501*ms).restarted(600*ms, 800*ms).
+				attempt("w1", 1400*ms, 1500*ms, nil).answered(200, 1500*ms)},
+		"the same within the grace time": {"", newRecordBuilder(false).drained(500*ms, 501*ms).restarted(600*ms, 900*ms).
+			attempt("w1", 1140*ms, 1200*ms, nil).answered(200, 1200*ms)},
 		"attempt to a draining backend before notification": {"", newRecordBuilder(false).drained(500*ms, 0).
 			attempt("w1", 1010*ms, 1100*ms, nil).
 			answered(200, 1200*ms)},
@@ -267,6 +279,16 @@
 	}
 }
 
+// While discovery is down its agent hears nothing: a process that starts then is not told of what changes meanwhile.
+func TestChangesDuringAnOutageAreNotKnownToAProcessThatStartsInIt(t *testing.T) {
+	outage := span{400 * ms, 5000 * ms}
+	b := newRecordBuilder(false).drained(500*ms, 0).restarted(600*ms, 800*ms).
+		attempt("w1", 1400*ms, 1500*ms, nil).answered(200, 1500*ms)
+	if got := checkRecord(b.record, func(int) []span { return []span{outage} }); len(got.Violations) != 0 {
+		t.Error(got.Violations)
+	}
+}
+
 // Each attempt made while some backend drains counts as a chance to break the drain rule.
 func TestDrainChancesCountAttemptsDuringDrains(t *testing.T) {
 	b := newRecordBuilder(false).drained(1500*ms, 1501*ms).
