endpoints, platform: a watch and the state line in files and short functions of their own

Follower.watch (60 lines of closures) is a type with a method for each step, in watch.go; the race of attempts is in race.go. The state line is put together from five groups in statelog.go.

--- a/internal/endpoints/follower.go
+++ b/internal/endpoints/follower.go
@@ -1,17 +1,10 @@
 package endpoints
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"io"
 	"log/slog"
 	"net"
-	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,21 +15,10 @@
 )
 
 const (
-	heartbeatInterval = 2 * time.Second           // at which discovery sends an empty line
-	silenceTimeout    = heartbeatInterval * 5 / 4 // after which a watch that sends nothing counts as broken
-
-	// attemptInterval is how long an attempt may go without a response before another starts beside it: discovery
-	// either responds at once or is slow. It is also the time within which a message that has begun must be complete.
-	attemptInterval     = 1500 * time.Millisecond
-	responseTimeout     = 3 * attemptInterval // for the head of a response, or for one list
-	maxParallelAttempts = 3
-
 	initialBackoff = 20 * time.Millisecond // before the next attempt, doubled after each failure up to maxBackoff
 	maxBackoff     = 300 * time.Millisecond
 	stableWatch    = time.Second // how long a watch that received lists must last for the backoff to begin anew
 	logInterval    = time.Second // between two log lines on watches that ended
-	maxPushBytes   = 8 << 20
-	dialTimeout    = 2 * time.Second
 )
 
 // Follower keeps a watch on service discovery.
@@ -185,144 +167,6 @@
 	f.Log.Warn("watch on discovery ended", "discovery", address, "error", err, "ended", failures)
 }
 
-// watchResult tells how an attempt at a watch ended.
-type watchResult struct {
-	attempt  int
-	received bool // a list was applied
-	err      error
-}
-
-// raceWatches keeps the watch of the first attempt that gets a response. While none has, another attempt starts
-// beside the others at each attemptInterval: discovery may be back after an outage, while a slow one may still
-// respond to the earlier attempts.
-func (f *Follower) raceWatches(ctx context.Context, address string, followed bool) (received bool, err error) {
-	responded, ended := make(chan int, 2*maxParallelAttempts), make(chan watchResult, 2*maxParallelAttempts)
-	var cancels []context.CancelFunc
-	var pending []int // attempts that run without a response, the oldest first
-	start := func() {
-		attempt := len(cancels)
-		pending = append(pending, attempt)
-		attemptCtx, cancel := context.WithCancel(ctx)
-		cancels = append(cancels, cancel)
-		go func() {
-			received, err := f.watch(attemptCtx, address, followed, func() { responded <- attempt })
-			ended <- watchResult{attempt, received, err}
-		}()
-	}
-	start()
-	ticker := time.NewTicker(attemptInterval)
-	defer ticker.Stop()
-	winner := -1 // the attempt that got the first response
-	for running := 1; running > 0; {
-		select {
-		case attempt := <-responded:
-			if winner >= 0 {
-				continue
-			}
-			winner = attempt
-			for i, cancel := range cancels {
-				if i != attempt {
-					cancel()
-				}
-			}
-		case result := <-ended:
-			running--
-			cancels[result.attempt]()
-			pending = slices.DeleteFunc(pending, func(attempt int) bool { return attempt == result.attempt })
-			received = received || result.received
-			if err == nil || result.attempt == winner || winner < 0 {
-				err = result.err
-			}
-			if winner < 0 || result.attempt == winner {
-				f.logEnd(address, result.err)
-			}
-		case <-ticker.C:
-			if winner >= 0 {
-				continue
-			}
-			if len(pending) >= maxParallelAttempts {
-				// The oldest attempt makes way for a new one: discovery may just be back.
-				cancels[pending[0]]()
-				pending = pending[1:]
-			}
-			start()
-			running++
-		}
-	}
-	return received, err
-}
-
-// watch keeps one watch and calls responded at its first response. If the address was not followed before, or no
-// usable list is known, the full list is fetched first.
-func (f *Follower) watch(
-	ctx context.Context, address string, followed bool, responded func(),
-) (received bool, err error) {
-	notifyResponded := sync.OnceFunc(responded)
-	dial := f.Dial
-	if dial == nil {
-		dial = system.Real().Dial
-	}
-	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
-	conn, err := dial(dialCtx, "tcp", address)
-	cancelDial()
-	if err != nil {
-		return false, err
-	}
-	defer conn.Close()
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	reader := bufio.NewReader(conn)
-	get := func(target string) (*http.Response, error) {
-		conn.SetDeadline(time.Now().Add(responseTimeout))
-		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, address); err != nil {
-			return nil, err
-		}
-		resp, err := http.ReadResponse(reader, nil)
-		if err == nil && resp.StatusCode != http.StatusOK {
-			err = fmt.Errorf("discovery responded to GET %s with %s", target, resp.Status)
-		}
-		return resp, err
-	}
-	if f.mustFetchFullList(followed) {
-		resp, err := get("/v1/endpoints")
-		if err != nil {
-			return false, err
-		}
-		raw, err := io.ReadAll(io.LimitReader(resp.Body, maxPushBytes))
-		if err != nil {
-			return false, err
-		}
-		if err := f.applyWatched(ctx, raw); err != nil {
-			return false, err
-		}
-		received = true
-		notifyResponded()
-		if resp.Close {
-			return received, errors.New("discovery closed the connection after the full list")
-		}
-	}
-	resp, err := get(fmt.Sprintf("/v1/endpoints?stream=1&index=%d", f.revision()))
-	if err != nil {
-		return received, err
-	}
-	notifyResponded()
-	pushes := &pushReader{conn: conn, body: resp.Body, remaining: maxPushBytes, onHeartbeat: f.noteUnchanged}
-	for decoder := json.NewDecoder(pushes); ; {
-		var raw json.RawMessage
-		if err := decoder.Decode(&raw); err != nil {
-			var syntaxErr *json.SyntaxError
-			f.noteDecodeError(errors.As(err, &syntaxErr))
-			return received, err
-		}
-		if err := f.applyWatched(ctx, raw); err != nil {
-			return received && !errors.Is(err, errStaleList), err
-		}
-		received = true
-		buffered, _ := io.ReadAll(decoder.Buffered())
-		pushes.remaining, pushes.pushStart = maxPushBytes, time.Time{}
-		pushes.observe(buffered)
-	}
-}
-
 // mustFetchFullList tells whether the full list has to be fetched before a watch; followed tells whether lists were
 // last received from the same address.
 func (f *Follower) mustFetchFullList(followed bool) bool {
@@ -350,40 +194,3 @@
 	defer f.tableMu.Unlock()
 	f.needFullList = f.needFullList || syntaxError
 }
-
-// pushReader reads the body of a watch. Every byte shows that the connection is alive, but not that discovery makes
-// progress: a message that has begun must be complete within attemptInterval, however slowly its bytes arrive, and
-// within maxPushBytes.
-type pushReader struct {
-	conn        net.Conn
-	body        io.Reader
-	remaining   int       // bytes that the current message may still have
-	pushStart   time.Time // when the current message began; zero: only empty lines were received since the last one
-	onHeartbeat func()    // called when an empty line is received: the list has not changed
-}
-
-func (p *pushReader) Read(into []byte) (int, error) {
-	if p.remaining <= 0 {
-		return 0, fmt.Errorf("discovery message exceeds the limit of %d bytes", maxPushBytes)
-	}
-	deadline := time.Now().Add(silenceTimeout)
-	if !p.pushStart.IsZero() {
-		deadline = p.pushStart.Add(attemptInterval)
-	}
-	p.conn.SetReadDeadline(deadline)
-	n, err := p.body.Read(into[:min(len(into), p.remaining)])
-	p.observe(into[:n])
-	return n, err
-}
-
-// observe accounts for received bytes.
-func (p *pushReader) observe(raw []byte) {
-	if p.pushStart.IsZero() && len(bytes.TrimSpace(raw)) > 0 {
-		p.pushStart = time.Now()
-	}
-	if !p.pushStart.IsZero() {
-		p.remaining -= len(raw)
-	} else if len(raw) > 0 {
-		p.onHeartbeat()
-	}
-}
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -23,10 +23,7 @@
 	"sloetrestle/scheduler"
 )
 
-const (
-	serviceHost      = "backend.local" // the Host header of requests to backends
-	stateLogInterval = 5 * time.Second
-)
+const serviceHost = "backend.local" // the Host header of requests to backends
 
 // node is one dispatcher with its listeners, its connections to backends and its background goroutines.
 type node struct {
@@ -235,54 +232,3 @@
 	n.shutdown(server)
 	return err
 }
-
-// logState logs the counters of all components.
-func (n *node) logState() {
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
-	transport, frontend, limiter := n.transport, n.frontend, n.limiter
-	n.loop.Call(n.lifetime, func() {
-		tally := n.loop.Counters
-		turn, wait, timer := n.loop.Lag.TakePeriod()
-		requests, timers := n.loop.Retained()
-		n.log.Info("state", "taken", tally.Accepted, "again", frontend.Resubmitted.Load(),
-			"rest", frontend.Continuations.Load(),
-			"moved", frontend.MovedStreams.Load(), "satisfied", tally.Served, "declined", tally.Rejected,
-			"forfeited", tally.Failed, "left", tally.Disconnected, "overdue", tally.Overdue, "trips", tally.Attempts,
-			"outcomes", fmt.Sprint(tally.Outcomes), "prefills", fmt.Sprint(tally.Prefills), "began", tally.FirstTokens,
-			"in_time", tally.OnTime, "held_ms", tally.QueueTime.Milliseconds(), "first_ms", tally.FirstTokenTime.Milliseconds(),
-			"believes", fmt.Sprintf("%+v", n.loop.Estimates()), "open", frontend.openRequests.Load(),
-			"bodies", frontend.bodyBytes.Load(), "held_requests", requests, "held_timers", timers,
-			"clients", limiter.count(), "pushed", limiter.Evicted.Load(), "waited", limiter.CapacityWaits.Load(),
-			"accept_failed", limiter.AcceptErrors.Load(), "shut", limiter.ClosedUnread.Load(),
-			"refused", frontend.refusalCounts(), "late", frontend.Late.Load(),
-			"late_whole", frontend.Buffered.Load(), "late_no_memory", frontend.BufferNoMemory.Load(),
-			"released", transport.Delivered.Load(), "unheard", transport.Undelivered.Load(), "stale", transport.Stale.Load(),
-			"local", transport.LocalFailures.Load(), "unarrived", transport.Unacknowledged.Load(),
-			"spoilt", transport.Malformed.Load(), "strange", transport.BadRequest.Load(),
-			"listed", n.follower.Synced(), "watch_lost", n.follower.WatchFailures(),
-			"strangers", n.peers.Dropped.Load(), "broken", n.monitor.Counts(), "due", transport.Due.Load(),
-			"too_late", frontend.LateAnswers.Load(),
-			"turn_ms", turn.Milliseconds(), "queued_ms", wait.Milliseconds(), "timer_ms", timer.Milliseconds(),
-			"long_turns", n.loop.Lag.LongTurns, "unlogged", transport.notable.dropped.Load(),
-			"heap_kb", memory.HeapAlloc>>10, "sys_kb", memory.Sys>>10, "goroutines", runtime.NumGoroutine())
-		n.logBackends()
-	})
-}
-
-// logBackends logs the scheduler's estimates of each backend beside the traffic on its connections, and forgets the
-// traffic of backends that were removed. The event loop calls it.
-func (n *node) logBackends() {
-	n.transport.mu.Lock()
-	defer n.transport.mu.Unlock()
-	for name, traffic := range n.transport.traffic {
-		if backend := n.loop.SchedulerBackend(name); backend == nil && traffic.prefills+traffic.decodes == 0 {
-			delete(n.transport.traffic, name)
-		} else if backend != nil {
-			n.log.Debug("backend", "name", name, "role", backend.Role, "standing", backend.State, "streams", backend.Streams,
-				"writes", traffic.decodes, "unread", backend.PrefillBacklog, "reads", traffic.prefills, "tokens", backend.KVTokens,
-				"room", backend.TokenLimit, "util", backend.Util, "queue", backend.QueueLength, "said", traffic.load,
-				"sent", traffic.sent)
-		}
-	}
-}
