endpoints: of the last-known list only the revision is decoded

Table.SetLastKnown says what is used of it; before, all of it was applied and thrown away. That the full list has to be fetched is read from whether discovery has sent one, and no longer from the table, which the last-known list marked as synced. Tests: the packages' own, TestListOlderThanTheLastKnownOneIsNotAppliedAtOnce new.

--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -65,6 +65,25 @@
 	}
 }
 
+// Guards against an older list that brings back, after a restart, what the earlier process knew to drain.
+func TestListOlderThanTheLastKnownOneIsNotAppliedAtOnce(t *testing.T) {
+	var table Table
+	if err := table.SetLastKnown([]byte(`{"rev":43,"all":true,"targets":[]}`)); err != nil {
+		t.Fatal(err)
+	}
+	list := func(revision int) []byte {
+		return fmt.Appendf(nil,
+			`{"rev":%d,"all":true,"targets":[{"uid":"a","endpoint":"10.0.0.1:1","state":"in_service","capacity_hint":1}]}`,
+			revision)
+	}
+	if lines, full, _, _ := table.Apply(time.Second, 0, list(42)); full || len(lines) != 0 {
+		t.Errorf("an older list was applied at once: %+v", lines)
+	}
+	if lines, full, _, _ := table.Apply(2*time.Second, 0, list(43)); !full || len(lines) != 1 {
+		t.Errorf("the last-known list was not confirmed: %+v", lines)
+	}
+}
+
 // After a change of discovery's address, the grace period of an older list runs from the change, however late the
 // list is read: the dispatcher has to act on it within 4 s of the change.
 func TestStaleListAfterAddressChangeIsAppliedInTime(t *testing.T) {
--- a/internal/endpoints/follower.go
+++ b/internal/endpoints/follower.go
@@ -52,31 +52,23 @@
 	errStaleList      = errors.New("discovery has an older list than the one applied")
 )
 
-// SetLastKnown sets the list that an earlier process had. Its revision counts, by which an older list of discovery is
-// recognised. Its backends are not passed on: only discovery knows which of them are still in service.
+// SetLastKnown sets the list that an earlier process had. None of its backends are passed on.
 func (f *Follower) SetLastKnown(raw []byte) error {
 	f.tableMu.Lock()
 	defer f.tableMu.Unlock()
-	_, _, err := f.decode(raw)
-	return err
-}
-
-// decode applies a message to the table and returns what it changes. The caller holds tableMu.
-func (f *Follower) decode(raw []byte) (lines []endpointlist.Endpoint, full bool, err error) {
-	now := f.Monotonic()
-	lines, full, refused, err := f.table.Apply(now, f.table.clock.now(now, f.WallClock), raw)
-	if len(refused) > 0 {
-		f.Log.Warn("ignored part of the endpoint list", "why", strings.Join(refused, "; "))
-	}
-	return lines, full, err
+	return f.table.SetLastKnown(raw)
 }
 
 // apply applies a message and passes its changes on. The caller holds tableMu.
 func (f *Follower) apply(raw []byte) error {
-	lines, full, err := f.decode(raw)
+	now := f.Monotonic()
+	lines, full, refused, err := f.table.Apply(now, f.table.clock.now(now, f.WallClock), raw)
 	if err != nil {
 		return err
 	}
+	if len(refused) > 0 {
+		f.Log.Warn("ignored part of the endpoint list", "why", strings.Join(refused, "; "))
+	}
 	if len(lines) > 0 || full {
 		endpointlist.SortByName(lines)
 		f.OnUpdate(lines, full)
@@ -172,7 +164,7 @@
 func (f *Follower) mustFetchFullList(followed bool) bool {
 	f.tableMu.Lock()
 	defer f.tableMu.Unlock()
-	return !followed || !f.table.synced || f.needFullList
+	return !followed || !f.Synced() || f.needFullList
 }
 
 func (f *Follower) revision() int64 {
--- a/internal/endpoints/table.go
+++ b/internal/endpoints/table.go
@@ -50,8 +50,8 @@
 
 // Table tracks how far discovery's messages were applied. The zero value is ready to use.
 type Table struct {
-	Revision         int64 // of the last list that was applied
-	synced           bool
+	Revision         int64 // of the last list that was applied, or of the last-known one
+	revisionKnown    bool
 	staleSince       time.Duration // since when discovery has had only older lists; 0: it has had newer ones
 	clock            startClock
 	addressChangedAt time.Duration // when discovery's address changed; 0: not since the last list was applied
@@ -61,6 +61,17 @@
 // address counts as discovery's state from that time on.
 func (t *Table) AddressChanged(now time.Duration) { t.addressChangedAt = max(now, 1) }
 
+// SetLastKnown sets the list that an earlier process had. Only its revision counts, by which an older list of discovery is
+// recognised: discovery alone knows which of its backends are still in service.
+func (t *Table) SetLastKnown(raw []byte) error {
+	var message push
+	if err := json.Unmarshal(raw, &message); err != nil {
+		return fmt.Errorf("decode the last-known endpoints: %w", err)
+	}
+	t.Revision, t.revisionKnown = message.Revision, true
+	return nil
+}
+
 // Apply decodes a message and returns the endpoints that it changes; full tells whether they are the whole list. now
 // is the monotonic time, unixMs the wall time in Unix milliseconds, against which backends report their start.
 // Invalid lines are left out and described in refused.
@@ -78,7 +89,7 @@
 	// A list that goes back in revision could bring back backends that are draining, so it is not applied at once.
 	// Backends that it takes out of service are applied at once: discovery may have restarted its revisions, and the
 	// dispatcher counts as notified of the change.
-	stale := t.synced && message.Revision < t.Revision
+	stale := t.revisionKnown && message.Revision < t.Revision
 	if stale {
 		refused = append(refused,
 			fmt.Sprintf("revision %d is older than the applied revision %d", message.Revision, t.Revision))
@@ -92,7 +103,7 @@
 	}
 	if !stale {
 		t.staleSince, t.addressChangedAt = 0, 0
-		t.Revision, t.synced = message.Revision, true
+		t.Revision, t.revisionKnown = message.Revision, true
 	}
 	unixMs = t.clock.observeStarts(message.Targets, unixMs)
 	for _, reported := range message.Targets {
