--- a/internal/faultmatrix/token_test.go
+++ b/internal/faultmatrix/token_test.go
@@ -9,6 +9,21 @@
 	"sloetrestle/internal/kserve"
 )
 
+// startClusterStreaming starts a cluster whose decode backends send the event after their first token, and then the end.
+func startClusterStreaming(t *testing.T, event string) *testCluster {
+	return startCluster(t, func(s *testCluster) {
+		s.eachBackend("writer", func(b *testBackend) {
+			b.onAttempt = func(c *call) {
+				c.takeKVCache()
+				c.startStream()
+				c.countFault()
+				c.finish(kserve.OutcomeCompleted)
+				c.writeRaw(event + endEvent)
+			}
+		})
+	})
+}
+
 // The dispatcher forwards what a backend streams as events of its own. An event that is not a token, or has line
 // breaks in it, could end the answer in the dispatcher's name, or become two events.
 func TestInvalidTokenEventIsNotForwarded(t *testing.T) {
@@ -21,17 +36,7 @@
 		"JSON on two lines": {"data: {\"text_output\":\ndata: \" two\"}\n\n", true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := startCluster(t, func(s *testCluster) {
-				s.eachBackend("writer", func(b *testBackend) {
-					b.onAttempt = func(c *call) {
-						c.takeKVCache()
-						c.startStream()
-						c.countFault()
-						c.finish(kserve.OutcomeCompleted)
-						c.writeRaw(test.event + endEvent)
-					}
-				})
-			})
+			s := startClusterStreaming(t, test.event)
 			resp, err := http.Post("http://"+s.addr+"/v2/models/lodge/generate_stream", "application/json",
 				strings.NewReader(`{"text_input":"x","parameters":{"max_tokens":8}}`))
 			if err != nil {
@@ -52,17 +57,7 @@
 // Guards against a gathered answer that is sent as whole with a part missing: an event that is JSON, but no token, was
 // left out of the text.
 func TestGatheredAnswerWithAnUnreadableTokenFails(t *testing.T) {
-	s := startCluster(t, func(s *testCluster) {
-		s.eachBackend("writer", func(b *testBackend) {
-			b.onAttempt = func(c *call) {
-				c.takeKVCache()
-				c.startStream()
-				c.countFault()
-				c.finish(kserve.OutcomeCompleted)
-				c.writeRaw("data: {\"text_output\":[\"lost\"]}\n\n" + endEvent)
-			}
-		})
-	})
+	s := startClusterStreaming(t, "data: {\"text_output\":[\"lost\"]}\n\n")
 	for _, test := range []struct{ endpoint, body string }{
 		{"generate", `{"text_input":"x","parameters":{"max_tokens":8}}`},
 		{"infer", `{"inputs":[{"name":"text_input","shape":[1],"datatype":"BYTES","data":["x"]}],"parameters":{"max_tokens":8}}`},
