endpointlist: a list that is being saved does not hold up the next update

What callers saw: `serve` sent a request to a backend 0.6 s after it had been told that it drains, while the disk under dispatcher.keep was slow (0.5 s are allowed).

Cause: watchOnce wrote each list to disk, with two syncs, before it read the next update.

Change: a saver writes lists in a goroutine of its own, of those that wait only the newest.

--- a/internal/endpointlist/follower.go
+++ b/internal/endpointlist/follower.go
@@ -36,6 +36,7 @@
 	OnUpdate func(lines []Endpoint, full bool)
 
 	table        Table
+	saver        *saver                    // nil: the list is not saved
 	lastReceived atomic.Pointer[time.Time] // when the last update or heartbeat was received
 	gaps         atomic.Int64
 }
@@ -108,10 +109,9 @@
 	return refused
 }
 
-// save replaces the saved list atomically: if the process is killed, the file holds either the old list or the new
-// one.
+// save has the list saved, if there is a folder for it.
 func (f *Follower) save() error {
-	if f.CacheDir == "" {
+	if f.saver == nil {
 		return nil
 	}
 	boot, up := system.Uptime()
@@ -120,11 +120,16 @@
 	if err != nil {
 		return err
 	}
-	return system.ReplaceFile(f.cachePath(), raw, 0o644)
+	f.saver.save(raw)
+	return nil
 }
 
 // Run keeps the connection until the context ends, and reconnects with backoff.
 func (f *Follower) Run(ctx context.Context) error {
+	if f.CacheDir != "" {
+		f.saver = startSaver(f.cachePath(), f.Log)
+		defer f.saver.stop()
+	}
 	backoff := initialBackoff
 	for {
 		received, err := f.watchOnce(ctx)
--- a/internal/endpointlist/follower_test.go
+++ b/internal/endpointlist/follower_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -126,6 +127,41 @@
 	}
 }
 
+// Guards against a drain that is heard late because the list before it is still being written to a slow disk.
+func TestSlowDiskDoesNotHoldUpTheNextUpdate(t *testing.T) {
+	server := httptest.NewServer(&scriptedServer{script: [][]Update{{
+		{Version: 1, Full: true, Endpoints: []Endpoint{testEndpoint("a", Ready)}},
+		{Version: 2, Base: 1, Endpoints: []Endpoint{testEndpoint("a", Draining)}},
+	}}})
+	defer server.Close()
+	updates := make(chan []Endpoint, 9)
+	follower := &Follower{
+		Address: strings.TrimPrefix(server.URL, "http://"), Name: "d", CacheDir: t.TempDir(), HTTPClient: server.Client(),
+		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
+		OnUpdate: func(lines []Endpoint, full bool) { updates <- lines },
+	}
+	pipe := follower.cachePath() + ".new" // opening a pipe for writing waits until it is read
+	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- follower.Run(ctx) }()
+	<-updates
+	select {
+	case <-updates:
+	case <-time.After(time.Second):
+		t.Error("the second update waits for the first one to be written")
+	}
+	disk, err := os.Open(pipe) // the disk goes on
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer disk.Close()
+	cancel()
+	<-done
+}
+
 func TestFullListIsFetchedAfterAGapAndSaved(t *testing.T) {
 	script := &scriptedServer{script: [][]Update{
 		{
