--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -420,15 +420,16 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// kill kills a dispatcher. The load balancer goes on sending there for a while.
+// kill kills a dispatcher. Its end is recorded when it has ended: while it waits for a slow disk, its connections stay
+// open and further ones are taken. The load balancer goes on sending there for a while.
 func (r *runner) kill(proc *process) {
 	proc.mu.Lock()
 	cmd, done := proc.cmd, proc.done
 	proc.running = false
 	proc.mu.Unlock()
-	r.recorder.Record(record.Event{Kind: record.ProcessEnded, Dispatcher: proc.name, Detail: "killed"})
 	cmd.Process.Kill()
 	<-done
+	r.recorder.Record(record.Event{Kind: record.ProcessEnded, Dispatcher: proc.name, Detail: "killed"})
 	time.AfterFunc(r.scenario.Header.LoadBalancerNotice.Std(), func() {
 		proc.mu.Lock()
 		proc.balanced = proc.balanced && proc.running
