--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -65,21 +65,23 @@
 	}
 }
 
+// listOfOne returns the full list of one backend that is in service.
+func listOfOne(revision int) []byte {
+	return fmt.Appendf(nil,
+		`{"rev":%d,"all":true,"targets":[{"uid":"a","endpoint":"10.0.0.1:1","state":"in_service","capacity_hint":1}]}`,
+		revision)
+}
+
 // Guards against an older list that brings back, after a restart, what the earlier process knew to drain.
 func TestListOlderThanTheLastKnownOneIsNotAppliedAtOnce(t *testing.T) {
 	var table Table
 	if err := table.SetLastKnown([]byte(`{"rev":43,"all":true,"targets":[]}`)); err != nil {
 		t.Fatal(err)
 	}
-	list := func(revision int) []byte {
-		return fmt.Appendf(nil,
-			`{"rev":%d,"all":true,"targets":[{"uid":"a","endpoint":"10.0.0.1:1","state":"in_service","capacity_hint":1}]}`,
-			revision)
-	}
-	if lines, full, _, _ := table.Apply(time.Second, 0, list(42)); full || len(lines) != 0 {
+	if lines, full, _, _ := table.Apply(time.Second, 0, listOfOne(42)); full || len(lines) != 0 {
 		t.Errorf("an older list was applied at once: %+v", lines)
 	}
-	if lines, full, _, _ := table.Apply(2*time.Second, 0, list(43)); !full || len(lines) != 1 {
+	if lines, full, _, _ := table.Apply(2*time.Second, 0, listOfOne(43)); !full || len(lines) != 1 {
 		t.Errorf("the last-known list was not confirmed: %+v", lines)
 	}
 }
@@ -88,24 +90,18 @@
 // list is read: the dispatcher has to act on it within 4 s of the change.
 func TestStaleListAfterAddressChangeIsAppliedInTime(t *testing.T) {
 	var table Table
-	list := func(revision int) []byte {
-		return fmt.Appendf(nil,
-			`{"rev":%d,"all":true,"targets":[`+
-				`{"uid":"a","endpoint":"10.0.0.1:1","state":"in_service","capacity_hint":1}]}`,
-			revision)
-	}
-	table.Apply(time.Second, 0, list(43))
+	table.Apply(time.Second, 0, listOfOne(43))
 	changedAt := 10 * time.Second
 	table.AddressChanged(changedAt)
-	if _, full, _, _ := table.Apply(changedAt+time.Second, 0, list(5)); full {
+	if _, full, _, _ := table.Apply(changedAt+time.Second, 0, listOfOne(5)); full {
 		t.Error("a stale list was applied at once")
 	}
-	if _, full, _, _ := table.Apply(changedAt+3500*time.Millisecond, 0, list(5)); !full || table.Revision != 5 {
+	if _, full, _, _ := table.Apply(changedAt+3500*time.Millisecond, 0, listOfOne(5)); !full || table.Revision != 5 {
 		t.Error("a stale list was not applied 3.5 s after the change of address")
 	}
 	table.AddressChanged(20 * time.Second)
-	table.Apply(21*time.Second, 0, list(6))
-	if _, full, _, _ := table.Apply(40*time.Second, 0, list(5)); full {
+	table.Apply(21*time.Second, 0, listOfOne(6))
+	if _, full, _, _ := table.Apply(40*time.Second, 0, listOfOne(5)); full {
 		t.Error("a stale list was applied at once long after a change of address")
 	}
 }
--- a/internal/endpoints/follower.go
+++ b/internal/endpoints/follower.go
@@ -164,7 +164,7 @@
 func (f *Follower) mustFetchFullList(followed bool) bool {
 	f.tableMu.Lock()
 	defer f.tableMu.Unlock()
-	return !followed || !f.Synced() || f.needFullList
+	return !followed || f.needFullList
 }
 
 func (f *Follower) revision() int64 {
--- a/internal/faultmatrix/cluster_test.go
+++ b/internal/faultmatrix/cluster_test.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -509,6 +510,18 @@
 	return verdict
 }
 
+// post sends a request to one of the model's endpoints, and returns the status and the body of the answer.
+func (s *testCluster) post(endpoint, body string) (status int, answer string) {
+	s.t.Helper()
+	resp, err := http.Post("http://"+s.addr+"/v2/models/lodge/"+endpoint, "application/json", strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	raw, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(raw)
+}
+
 // readState returns the dispatcher's /state report.
 func (s *testCluster) readState() map[string]any {
 	resp, err := http.Get("http://" + s.addr + "/state")
--- a/internal/faultmatrix/dedup_key_test.go
+++ b/internal/faultmatrix/dedup_key_test.go
@@ -1,9 +1,7 @@
 package faultmatrix
 
 import (
-	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 
@@ -31,13 +29,7 @@
 		})
 	})
 	for range 3 {
-		resp, err := http.Post("http://"+s.addr+"/v2/models/lodge/generate", "application/json",
-			strings.NewReader(`{"text_input":"x","parameters":{"grade":"deduplicated","max_tokens":8}}`))
-		if err != nil {
-			t.Fatal(err)
-		}
-		io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
+		s.post("generate", `{"text_input":"x","parameters":{"grade":"deduplicated","max_tokens":8}}`)
 	}
 	distinct := map[string]bool{}
 	for _, key := range keys {
--- a/internal/faultmatrix/sockets_test.go
+++ b/internal/faultmatrix/sockets_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -183,13 +182,8 @@
 	return func(s *testCluster) func() {
 		return func() {
 			for range 5 {
-				body := fmt.Sprintf(`{"text_input":"x","parameters":{"again":true,"ticket":%q,"max_tokens":8}}`, text)
-				resp, err := http.Post("http://"+s.addr+"/v2/models/lodge/generate", "application/json", strings.NewReader(body))
-				if err != nil {
-					s.t.Fatal(err)
-				}
-				io.Copy(io.Discard, resp.Body)
-				resp.Body.Close()
+				s.post("generate",
+					fmt.Sprintf(`{"text_input":"x","parameters":{"again":true,"ticket":%q,"max_tokens":8}}`, text))
 			}
 			if n := s.readState()["storm"].(map[string]any)["counts"].(map[string]any)["Forged"]; n != 5.0 {
 				s.t.Errorf("%v tickets were recognised as forged, want 5", n)
@@ -216,15 +210,9 @@
 			}
 		})
 	})
-	resp, err := http.Post("http://"+s.addr+"/v2/models/lodge/generate", "application/json",
-		strings.NewReader(`{"text_input":"x","parameters":{"max_tokens":64}}`))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	raw, _ := io.ReadAll(resp.Body)
-	if resp.StatusCode != http.StatusBadGateway || !strings.Contains(string(raw), "too long") {
-		t.Errorf("%s: %.200s", resp.Status, raw)
+	status, answer := s.post("generate", `{"text_input":"x","parameters":{"max_tokens":64}}`)
+	if status != http.StatusBadGateway || !strings.Contains(answer, "too long") {
+		t.Errorf("status %d, answer %.200s", status, answer)
 	}
 	s.waitFor("the request to be closed", func() bool { return s.readState()["open"] == 0.0 })
 }
@@ -273,15 +261,9 @@
 			"inputs.0"},
 		{"infer", `{"inputs":[{"name":"t","shape":[1],"datatype":"BYTES","data":["x","y"]}]}`, 400, "inputs.0.data"},
 	} {
-		resp, err := http.Post("http://"+s.addr+"/v2/models/lodge/"+test.endpoint, "application/json",
-			strings.NewReader(test.body))
-		if err != nil {
-			t.Fatal(err)
-		}
-		raw, _ := io.ReadAll(resp.Body)
-		resp.Body.Close()
-		if resp.StatusCode != test.status || !strings.Contains(string(raw), test.message) {
-			t.Errorf("body %.80s: status %d, answer %.200s", test.body, resp.StatusCode, raw)
+		status, answer := s.post(test.endpoint, test.body)
+		if status != test.status || !strings.Contains(answer, test.message) {
+			t.Errorf("body %.80s: status %d, answer %.200s", test.body, status, answer)
 		}
 	}
 	if state := s.readState(); state["taken"] != 0.0 || state["open"] != 0.0 {
--- a/internal/faultmatrix/token_test.go
+++ b/internal/faultmatrix/token_test.go
@@ -1,7 +1,6 @@
 package faultmatrix
 
 import (
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -37,14 +36,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := startClusterStreaming(t, test.event)
-			resp, err := http.Post("http://"+s.addr+"/v2/models/lodge/generate_stream", "application/json",
-				strings.NewReader(`{"text_input":"x","parameters":{"max_tokens":8}}`))
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer resp.Body.Close()
-			raw, _ := io.ReadAll(resp.Body)
-			response, events := string(raw), strings.Count(string(raw), "event: ")
+			_, response := s.post("generate_stream", `{"text_input":"x","parameters":{"max_tokens":8}}`)
+			events := strings.Count(response, "event: ")
 			if strings.Contains(response, "declined") || events != 1 ||
 				strings.Contains(response, "satisfied") != test.served ||
 				strings.Count(response, "\n\n") != strings.Count(response, "data: ") {
@@ -62,15 +55,9 @@
 		{"generate", `{"text_input":"x","parameters":{"max_tokens":8}}`},
 		{"infer", `{"inputs":[{"name":"text_input","shape":[1],"datatype":"BYTES","data":["x"]}],"parameters":{"max_tokens":8}}`},
 	} {
-		resp, err := http.Post("http://"+s.addr+"/v2/models/lodge/"+test.endpoint, "application/json",
-			strings.NewReader(test.body))
-		if err != nil {
-			t.Fatal(err)
-		}
-		raw, _ := io.ReadAll(resp.Body)
-		resp.Body.Close()
-		if resp.StatusCode != http.StatusBadGateway || !strings.Contains(string(raw), "not a token") {
-			t.Errorf("%s: %s: %.200s", test.endpoint, resp.Status, raw)
+		status, answer := s.post(test.endpoint, test.body)
+		if status != http.StatusBadGateway || !strings.Contains(answer, "not a token") {
+			t.Errorf("%s: status %d, answer %.200s", test.endpoint, status, answer)
 		}
 	}
 }
--- a/internal/platform/buffered_test.go
+++ b/internal/platform/buffered_test.go
@@ -15,10 +15,7 @@
 func lateDecodes(
 	t *testing.T, requests int, respond func(e *testbackends.Exchange) bool,
 ) (cluster *testCluster, clients []*testClient, proceed func()) {
-	cluster = startCluster(t, func(_ *testCluster, config *Config) {
-		setDeadlines(config, float64(maxDeadlineBeforeKill.Microseconds()))
-		config.Settings["familyInfo"].(map[string]any)["resume"] = false
-	})
+	cluster = startLateClusterWith(t, maxDeadlineBeforeKill, false)
 	received, proceeding := make(chan struct{}, requests), make(chan struct{})
 	proceed = sync.OnceFunc(func() { close(proceeding) })
 	t.Cleanup(proceed)
--- a/internal/platform/late_test.go
+++ b/internal/platform/late_test.go
@@ -19,8 +19,13 @@
 
 // startLateCluster starts a cluster whose streams no other dispatcher continues, unless resumed is set.
 func startLateCluster(t *testing.T, resumed bool) *testCluster {
+	return startLateClusterWith(t, testDeadline, resumed)
+}
+
+// startLateClusterWith is startLateCluster with the given deadline of all classes.
+func startLateClusterWith(t *testing.T, deadline time.Duration, resumed bool) *testCluster {
 	return startCluster(t, func(_ *testCluster, config *Config) {
-		setDeadlines(config, float64(testDeadline.Microseconds()))
+		setDeadlines(config, float64(deadline.Microseconds()))
 		config.Settings["familyInfo"].(map[string]any)["resume"] = resumed
 	})
 }
