--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"os"
 	"testing"
 	"time"
 )
@@ -37,19 +36,3 @@
 		t.Errorf("bytes that waited for %v are %v old", earliest, age)
 	}
 }
-
-// The samples of a process's memory and descriptors are what the operating system shows of it.
-func TestUsageOfAProcessIsSampled(t *testing.T) {
-	before := openDescriptors(os.Getpid())
-	file, err := os.Open(os.DevNull)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer file.Close()
-	if after := openDescriptors(os.Getpid()); before < 3 || after != before+1 {
-		t.Errorf("%d descriptors, %d with one more file", before, after)
-	}
-	if kb := residentMemory(os.Getpid()); kb < 1000 || kb > peakMemory(os.Getpid()) {
-		t.Errorf("%d KB resident, %d KB at the peak", kb, peakMemory(os.Getpid()))
-	}
-}
--- a/internal/soak/usage.go
+++ b/internal/soak/usage.go
@@ -1,14 +1,11 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"os"
-	"strconv"
-	"strings"
 	"time"
 
+	"sloetrestle/internal/procstat"
 	"sloetrestle/internal/system"
 )
 
@@ -19,12 +16,6 @@
 	peakKB    int64
 }
 
-const (
-	clockTicks = 100 // per second of processor time in /proc
-	userTime   = 11  // field of /proc/PID/stat, counted after the process name; so is systemTime
-	systemTime = 12
-)
-
 // Limits of a dispatcher's process. The platform kills one that exceeds them.
 const (
 	maxMemoryKB     = 96 << 10
@@ -41,7 +32,7 @@
 			cmd, sampled := d.cmd, d.process
 			d.mu.Unlock()
 			if cmd != nil {
-				r.checkUsage(sampled, residentMemory(cmd.Process.Pid), openDescriptors(cmd.Process.Pid))
+				r.checkUsage(sampled, procstat.ResidentMemory(cmd.Process.Pid), procstat.OpenDescriptors(cmd.Process.Pid))
 			}
 		}
 	}
@@ -70,13 +61,13 @@
 // usageOf returns the mean resource use of the given processes since their start.
 func usageOf(pids []int) (sum usage) {
 	for _, pid := range pids {
-		cpu, err := processorTime(pid)
+		cpu, err := procstat.ProcessorTime(pid)
 		if err != nil {
 			continue
 		}
 		sum.processes++
 		sum.cpu += cpu
-		sum.peakKB += peakMemory(pid)
+		sum.peakKB += procstat.PeakMemory(pid)
 	}
 	if sum.processes > 0 {
 		sum.cpu /= time.Duration(sum.processes)
@@ -85,58 +76,6 @@
 	return sum
 }
 
-// processorTime returns the processor time that a process has used, user and system.
-func processorTime(pid int) (time.Duration, error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, err
-	}
-	_, afterName, _ := bytes.Cut(raw, []byte(") ")) // the name may contain spaces
-	fields := strings.Fields(string(afterName))
-	if len(fields) <= systemTime {
-		return 0, fmt.Errorf("/proc/%d/stat has %d fields", pid, len(fields))
-	}
-	ticks := 0
-	for _, field := range fields[userTime : systemTime+1] {
-		n, err := strconv.Atoi(field)
-		if err != nil {
-			return 0, err
-		}
-		ticks += n
-	}
-	return time.Duration(ticks) * time.Second / clockTicks, nil
-}
-
-// peakMemory returns the peak resident memory of a process in KB, or 0 if it is unknown.
-func peakMemory(pid int) int64 { return memoryStatus(pid, "VmHWM:") }
-
-// residentMemory returns the resident memory of a process in KB, or 0 if it is unknown.
-func residentMemory(pid int) int64 { return memoryStatus(pid, "VmRSS:") }
-
-// memoryStatus returns a value in KB of /proc/PID/status, or 0 if it is unknown.
-func memoryStatus(pid int, name string) int64 {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for _, line := range strings.Split(string(raw), "\n") {
-		if value, found := strings.CutPrefix(line, name); found {
-			kb, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 10, 64)
-			return kb
-		}
-	}
-	return 0
-}
-
-// openDescriptors returns how many descriptors a process has open, or 0 if it is unknown.
-func openDescriptors(pid int) int {
-	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-	if err != nil {
-		return 0
-	}
-	return len(entries)
-}
-
 func (u usage) String() string {
 	return fmt.Sprintf("%v of processor time and %d KB at the peak, on the mean over %d processes",
 		u.cpu, u.peakKB, u.processes)
