platform: one account for the memory that clients make a dispatcher hold

Cause: conn.go, bufferBytes, kept up to 64 KB (by length, more by capacity) behind each open request, and nothing counted it. The same held for heads while net/http parses them, connections, open requests and events of answers that wait for their clients; only bodies had a budget.

Change: internal/memory, an account from which each of them is reserved before it is held. Without room the client that takes most of what can be given up does so (a request that is not whole: 503; what is pipelined: its connection is closed after the open request), and who asks is not read from. memory.Divide takes the mapped files of the program off the limit first. It works since whatever a client can make the process keep is asked for first, and the sum is a part of the limit.

FuzzConfiguration checked shares of memory that are gone; it checks the division instead. TestMemoryForBodiesIsBounded sets the account's limit, as a limit of 1 MB does not start any more.

Did not help: counting what a connection holds with shares fixed for each use (237 connections at 40 MB), as bad clients that stop half way then keep others waiting to be accepted.

--- a/cmd/sloetrestle/platform.go
+++ b/cmd/sloetrestle/platform.go
@@ -33,16 +33,11 @@
 		if err != nil {
 			return err
 		}
-		loadConfig := func() (platform.Config, error) { return platform.Load(os.Getenv("BALANCER_CONFIG"), os.Getenv) }
-		config, err := loadConfig()
-		if err != nil {
-			return err
-		}
 		sys, err := openSystem()
 		if err != nil {
 			return err
 		}
-		return platform.Run(cmd.Context(), config, sys, reload, loadConfig, log)
+		return platform.RunConfigured(cmd.Context(), sys, reload, log)
 	})
 	return command
 }
--- a/internal/chat/response.go
+++ b/internal/chat/response.go
@@ -90,18 +90,22 @@
 	LoadReport   string // as reported at the end of the stream
 
 	reader  *bufio.Reader
+	reserve func(bytes int) error
 	partial []byte // the start of an event that is not complete yet
 	done    bool   // the event that ends the answer was received
 }
 
-// NewStream returns a Stream that reads the body of a response from reader.
-func NewStream(reader *bufio.Reader) *Stream { return &Stream{reader: reader} }
+// NewStream returns a Stream that reads the body of a response from reader. Before it stores bytes of events it calls
+// reserve, whose error ends the stream.
+func NewStream(reader *bufio.Reader, reserve func(bytes int) error) *Stream {
+	return &Stream{reader: reader, reserve: reserve}
+}
 
 // Next returns the complete events that the next chunks bring, unchanged. It returns io.EOF after the last chunk of a
 // complete answer, and ErrMalformed if the body is malformed or ends before the answer does.
 func (s *Stream) Next() ([]byte, error) {
 	for {
-		chunk, err := s.readChunk()
+		more, err := s.readChunk()
 		if err == io.EOF {
 			// A connection that breaks between two chunks must not pass for the end of the answer.
 			err = io.ErrUnexpectedEOF
@@ -109,13 +113,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if chunk == nil {
+		if !more {
 			if !s.done || len(s.partial) > 0 {
 				return nil, ErrMalformed // the body is well-formed, but the answer is incomplete
 			}
 			return nil, io.EOF
 		}
-		s.partial = append(s.partial, chunk...)
 		end := bytes.LastIndex(s.partial, []byte("\n\n"))
 		if end < 0 {
 			if len(s.partial) > maxEventBytes {
@@ -132,36 +135,60 @@
 	}
 }
 
-// readChunk returns the next chunk, or nil after the last one.
-func (s *Stream) readChunk() ([]byte, error) {
+// readChunk appends the next chunk to partial. It returns false after the last one.
+func (s *Stream) readChunk() (more bool, err error) {
 	line, err := s.readLine()
 	if err != nil {
-		return nil, err
+		return false, err
 	}
 	size, _, _ := bytes.Cut(line, []byte(";"))
 	n, err := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, 32)
 	if err != nil || n > maxChunkBytes || len(size) > 8 {
-		return nil, ErrMalformed
+		return false, ErrMalformed
 	}
 	if n == 0 {
-		for range maxTrailerLines {
-			if line, err = s.readLine(); err != nil {
-				return nil, err
-			}
-			if len(line) == 0 {
-				return nil, nil
-			}
-		}
-		return nil, ErrMalformed
+		return false, s.readTrailer()
+	}
+	if err := s.readChunkData(int(n)); err != nil {
+		return false, err
+	}
+	var end [2]byte
+	if _, err := io.ReadFull(s.reader, end[:]); err != nil {
+		return false, err
+	}
+	if string(end[:]) != "\r\n" {
+		return false, ErrMalformed
 	}
-	chunk := make([]byte, n+2)
-	if _, err := io.ReadFull(s.reader, chunk); err != nil {
-		return nil, err
+	return true, nil
+}
+
+// readChunkData appends so many bytes to partial. Memory is taken as they arrive, not by the announced length.
+func (s *Stream) readChunkData(remaining int) error {
+	for remaining > 0 {
+		if _, err := s.reader.Peek(1); err != nil {
+			return err
+		}
+		size := min(remaining, s.reader.Buffered())
+		if err := s.reserve(size); err != nil {
+			return err
+		}
+		received, _ := s.reader.Peek(size) // it is buffered
+		s.partial = append(s.partial, received...)
+		s.reader.Discard(size)
+		remaining -= size
 	}
-	if chunk[n] != '\r' || chunk[n+1] != '\n' {
-		return nil, ErrMalformed
+	return nil
+}
+
+// readTrailer reads what follows the last chunk.
+func (s *Stream) readTrailer() error {
+	for range maxTrailerLines {
+		line, err := s.readLine()
+		if err != nil || len(line) == 0 {
+			return err
+		}
 	}
-	return chunk[:n], nil
+	return ErrMalformed
 }
 
 // readLine reads a line of at most maxLineBytes.
--- a/internal/chat/response_test.go
+++ b/internal/chat/response_test.go
@@ -26,7 +26,7 @@
 
 // readAll reads a stream to its end.
 func readAll(raw string) (stream *Stream, text string, err error) {
-	stream = NewStream(bufio.NewReader(strings.NewReader(raw)))
+	stream = NewStream(bufio.NewReader(strings.NewReader(raw)), func(int) error { return nil })
 	for {
 		events, err := stream.Next()
 		if err != nil {
--- a/internal/platform/accept_test.go
+++ b/internal/platform/accept_test.go
@@ -76,7 +76,7 @@
 func TestAcceptRetriesTransientErrors(t *testing.T) {
 	for _, errno := range transientErrors {
 		flaky, dial := newFailingListener(t, errno, 3)
-		limited := newLimiter(flaky, 100, discardLog)
+		limited := newLimiter(flaky, 100, ampleMemory(), discardLog)
 		dial()
 		if _, err := limited.Accept(); err != nil {
 			t.Errorf("%v: %v", errno, err)
@@ -110,7 +110,7 @@
 func checkFinalAccept(t *testing.T, name string, errno syscall.Errno, failures int64, stall time.Duration) {
 	t.Helper()
 	flaky, dial := newFailingListener(t, errno, failures)
-	limited := newLimiter(flaky, 100, discardLog)
+	limited := newLimiter(flaky, 100, ampleMemory(), discardLog)
 	dial()
 	limited.acceptBacklogOnly()
 	time.Sleep(stall)
@@ -170,7 +170,7 @@
 	} {
 		listener, _ := newFailingListener(t, syscall.ENOBUFS, test.errors)
 		listener.acceptDelay = test.acceptDelay
-		limited := newLimiter(listener, test.maxConns, slog.New(slog.DiscardHandler))
+		limited := newLimiter(listener, test.maxConns, ampleMemory(), slog.New(slog.DiscardHandler))
 		var sent []time.Time
 		for range clients {
 			conn, err := net.Dial("tcp", listener.Addr().String())
--- a/internal/platform/buffered.go
+++ b/internal/platform/buffered.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/memory"
 )
 
 // bufferedAnswer receives the stream of one backend and sends nothing of it before all of it has come. Until then the
@@ -18,21 +20,21 @@
 	r        *http.Request
 	request  *dispatch.ClientRequest
 	attempt  *dispatch.Attempt
+	memory   *memory.Holder // of the request
 	events   []byte
 }
 
 // run answers the request: with the whole stream, or as the event loop ends it. The context ends at the deadline.
 func (b *bufferedAnswer) run(ctx context.Context) {
-	defer func() { b.frontend.bodyBytes.Add(-int64(len(b.events))) }()
 	unread := b.attempt.Tokens // nil once nothing more is read before the final answer
 	for {
 		select {
 		case events, more := <-unread:
-			taken := b.store(events)
+			hasMemory := b.store(events)
 			switch {
 			case !more:
 				unread = nil
-			case taken > b.frontend.maxBodyBytes:
+			case !hasMemory:
 				unread = nil
 				b.askToGiveUp()
 			}
@@ -46,10 +48,21 @@
 	}
 }
 
-// store buffers events and returns how much of the memory for bodies, which they are part of, is taken.
-func (b *bufferedAnswer) store(events []byte) (taken int64) {
+// store buffers events and reports whether there was memory for them. What the attempt reserved for them while they were
+// queued becomes part of what the buffer takes.
+func (b *bufferedAnswer) store(events []byte) bool {
+	before := cap(b.events)
 	b.events = append(b.events, events...)
-	return b.frontend.bodyBytes.Add(int64(len(events)))
+	further := int64(cap(b.events) - before)
+	defer b.memory.Release(memory.Answers, int64(len(events)))
+	victim, err := b.memory.Reserve(memory.Answers, further)
+	if victim != nil {
+		victim.Evict()
+	}
+	if err != nil {
+		b.memory.Take(memory.Answers, further)
+	}
+	return err == nil || errors.Is(err, memory.ErrEvicting)
 }
 
 // askToGiveUp asks the event loop to end the request for lack of memory. The loop does so unless the attempt has ended
--- a/internal/platform/buffered_test.go
+++ b/internal/platform/buffered_test.go
@@ -7,11 +7,12 @@
 	"testing"
 	"time"
 
+	"sloetrestle/internal/memory"
 	"sloetrestle/internal/testbackends"
 )
 
 // lateDecodes sends so many late requests to a cluster and, when all of them have reached decode backends, takes all
-// memory for bodies. The backends answer with respond once the returned function is called.
+// memory. The backends answer with respond once the returned function is called.
 func lateDecodes(
 	t *testing.T, requests int, respond func(e *testbackends.Exchange) bool,
 ) (cluster *testCluster, clients []*testClient, proceed func()) {
@@ -39,7 +40,9 @@
 			t.Fatal("not all requests have reached decode backends")
 		}
 	}
-	cluster.node.frontend.bodyBytes.Add(cluster.node.frontend.maxBodyBytes)
+	others := cluster.node.memory.NewHolder(nil)
+	others.Take(memory.Answers, ampleClientBytes)
+	t.Cleanup(others.Close)
 	return cluster, clients, proceed
 }
 
--- a/internal/platform/cluster_test.go
+++ b/internal/platform/cluster_test.go
@@ -17,6 +17,7 @@
 
 	"go.uber.org/goleak"
 
+	"sloetrestle/internal/memory"
 	"sloetrestle/internal/system"
 	"sloetrestle/internal/testbackends"
 )
@@ -39,6 +40,19 @@
 	exited   chan error         // the result of the node's run
 	lastID   int                // of the requests made
 	system   system.System
+	division memory.Division
+}
+
+// ampleClientBytes is more memory than the clients of one test take.
+const ampleClientBytes = 256 << 20
+
+// ampleMemory returns an account that refuses nothing.
+func ampleMemory() *memory.Account { return memory.NewAccount(ampleClientBytes) }
+
+// heldMemory returns how much memory the account has for clients besides their connections.
+func (c *testCluster) heldMemory() int64 {
+	held := c.node.memory.Snapshot()
+	return held.Total - held.Held[memory.Connections]
 }
 
 // setLoad sets how the node loads its configuration when it is told to.
@@ -51,6 +65,7 @@
 	before := goleak.IgnoreCurrent()
 	cluster := &testCluster{
 		t: t, site: testbackends.New(), reloads: make(chan os.Signal, 1), exited: make(chan error, 1), system: system.Real(),
+		division: memory.Division{Clients: ampleClientBytes, Attempts: defaultSockets},
 	}
 	cluster.prefill = cluster.site.AddBackend("r1", testbackends.PrefillKind)
 	cluster.decoders = []*testbackends.Backend{cluster.site.AddBackend("w1", testbackends.DecodeKind),
@@ -64,7 +79,7 @@
 		change(cluster, &config)
 	}
 	var err error
-	if cluster.node, err = newNode(context.Background(), config, cluster.system, discardLog); err != nil {
+	if cluster.node, err = newNode(context.Background(), config, cluster.division, cluster.system, discardLog); err != nil {
 		t.Fatal(err)
 	}
 	cluster.address = cluster.node.limiter.Addr().String()
@@ -99,6 +114,9 @@
 		if violations := cluster.node.monitor.Counts(); violations != "" {
 			t.Error("violations counted by the monitor: " + violations)
 		}
+		if held := cluster.node.memory.Snapshot(); held.Total > connectionBytes { // of the connection to be accepted next
+			t.Errorf("memory is held after the end: %+v", held)
+		}
 		cluster.site.Close()
 		goleak.VerifyNone(t, before)
 	})
@@ -174,7 +192,7 @@
 	c.t.Helper()
 	c.await("nothing of the requests remains", func() bool {
 		remaining := c.site.InFlight() + c.site.HeldCount() + int(c.node.frontend.openRequests.Load()) +
-			int(c.node.frontend.bodyBytes.Load()) +
+			int(c.heldMemory()) +
 			int(c.node.transport.pending.Load())
 		c.node.loop.Call(context.Background(), func() {
 			requests, _ := c.node.loop.Retained()
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -6,6 +6,7 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -15,6 +16,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sloetrestle/internal/memory"
+	"sloetrestle/internal/system"
 	"sloetrestle/scheduler"
 )
 
@@ -91,38 +94,38 @@
 	return xxhash.Sum64String(c.Seed)
 }
 
-// How descriptors and memory are divided.
+// How descriptors are divided, and what holds where the limits say nothing.
 const (
-	reservedSockets  = 24   // for the listener, discovery, peers and the process itself
-	clientShare      = 0.55 // of the other descriptors, for client connections
-	attemptShare     = 0.35 // of the other descriptors, for attempts
-	releaseShare     = 0.08 // of the other descriptors, for release calls
-	heapShare        = 0.6  // of the memory; above it the garbage collector works harder
-	bodyShare        = 0.2  // of the memory, for request bodies
-	defaultSockets   = 1024 // where the limits state none
-	defaultMemoryMiB = 192  // where the limits state none
+	reservedSockets  = 24       // for the listener, discovery, peers and the process itself
+	clientShare      = 0.55     // of the other descriptors, for client connections
+	attemptShare     = 0.35     // of the other descriptors, for attempts
+	releaseShare     = 0.08     // of the other descriptors, for release calls
+	defaultSockets   = 1024     // where the limits state none
+	defaultMemoryMiB = 192      // where the limits state none
+	unknownFileBytes = 20 << 20 // of the program and its libraries, where the system does not tell
 )
 
-// resources is what the limits leave to each use.
+// divideMemory divides the memory limit.
+func (c Config) divideMemory() (memory.Division, error) {
+	files := system.MappedFileBytes()
+	if files == 0 {
+		files = unknownFileBytes
+	}
+	return memory.Divide(int64(cmp.Or(c.Limits.MemoryMB, defaultMemoryMiB))<<20, files)
+}
+
+// resources is what the limit on descriptors leaves to each use.
 type resources struct {
-	clients, attempts int   // connections
-	releases          int   // concurrent release calls
-	heap, bodies      int64 // bytes
+	clients, attempts int // connections
+	releases          int // concurrent release calls
 }
 
 func (c Config) resources() resources {
-	sockets, memory := c.Limits.Sockets, int64(c.Limits.MemoryMB)<<20
-	if sockets == 0 {
-		sockets = defaultSockets
-	}
-	if memory == 0 {
-		memory = defaultMemoryMiB << 20
-	}
+	sockets := cmp.Or(c.Limits.Sockets, defaultSockets)
 	// Each use gets a few descriptors however low the limit is, so that the dispatcher still works.
 	free := max(sockets-reservedSockets, 16)
 	share := func(part float64, least int) int { return max(int(part*float64(free)), least) }
 	return resources{
 		clients: share(clientShare, 8), attempts: share(attemptShare, 4), releases: share(releaseShare, 2),
-		heap: int64(heapShare * float64(memory)), bodies: int64(bodyShare * float64(memory)),
 	}
 }
--- a/internal/platform/config_test.go
+++ b/internal/platform/config_test.go
@@ -25,9 +25,10 @@
 			return
 		}
 		shares := config.resources()
+		division, err := config.divideMemory()
 		if config.Listen == "" || config.Discovery == "" || shares.clients < 1 || shares.attempts < 1 ||
-			shares.releases < 1 || shares.heap < 1 || shares.bodies < 1 {
-			t.Errorf("%+v leaves %+v", config, shares)
+			shares.releases < 1 || err == nil && (division.Runtime < 1 || division.Clients < 1) {
+			t.Errorf("%+v leaves %+v and %+v", config, shares, division)
 		}
 	})
 }
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -3,22 +3,20 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"net"
 	"os"
 	"sync"
 	"syscall"
 	"time"
 
+	"sloetrestle/internal/memory"
 	"sloetrestle/internal/system"
 )
 
 const (
-	readBufferSize    = 16 << 10               // bytes read from a socket at a time
-	maxPipelinedBytes = 64 << 10               // bytes buffered of what a client pipelines behind its open request
-	lingerTimeout     = 500 * time.Millisecond // from write shutdown to close, unless the client closes first
-	idleLingerTimeout = 100 * time.Millisecond // the same for a connection between requests, which is not read meanwhile
-	maxLingerBytes    = 1 << 20                // bytes read and discarded while a connection lingers
+	readBufferSize    = 16 << 10 // bytes read from a socket at a time
+	headReadSize      = 4 << 10  // the same while a head is read, which is kept until net/http has parsed it
+	maxPipelinedBytes = 64 << 10 // bytes buffered of what a client pipelines behind its open request
 
 	// requestReadTimeout bounds the time to receive a whole request, from its first byte or, for a connection's first
 	// request, from the connection's start. A client that stops in the middle of a request must get an error or a close
@@ -77,6 +75,7 @@
 type clientConn struct {
 	system.Conn
 	rawConn  syscall.RawConn
+	memory   *memory.Holder    // of what is kept of the connection and of what it sends
 	onClosed func(*clientConn) // called once the socket is closed
 
 	mu                 sync.Mutex
@@ -90,7 +89,10 @@
 	serverDeadline     time.Time // for reads, as set by net/http
 	pending            []byte    // read from the socket, not yet returned by Read
 	framer             requestFramer
+	pipelinedBytes     int   // reserved for pending, beyond what one read brings
 	overrun            bool  // more was pipelined behind the open request than is buffered
+	admitted           bool  // the current request is open
+	evicted            bool  // the current request is given up for lack of memory
 	readErr            error // that ended reading for good
 	lingering          bool
 	closedIdle         bool // closed between two requests: what still arrives is left unread
@@ -100,29 +102,37 @@
 	writeErr           error      // of a response that could not be written
 }
 
-// newClientConn wraps an accepted connection.
-func newClientConn(conn system.Conn, onClosed func(*clientConn)) (*clientConn, error) {
+// newClientConn wraps an accepted connection, whose memory it takes from the account.
+func newClientConn(
+	conn system.Conn, account *memory.Account, onClosed func(*clientConn),
+) (*clientConn, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
-	return &clientConn{
+	c := &clientConn{
 		Conn: conn, rawConn: raw, onClosed: onClosed, stateSince: now, waitingSince: now, earliestCompletion: now,
 		requestDeadline: now.Add(requestReadTimeout),
-	}, nil
+	}
+	c.memory = account.NewHolder(c.giveUpMemory)
+	c.memory.Take(memory.Connections, connectionBytes)
+	return c, nil
 }
 
 // Read returns bytes of the current request. After the end of the request it returns only when the client has closed or
 // a deadline passes.
 func (c *clientConn) Read(p []byte) (int, error) {
 	for {
+		if err := c.reserveHead(len(p)); err != nil {
+			return 0, err
+		}
 		n, err := c.readPending(p)
 		if n > 0 || err != nil || len(p) == 0 {
 			return n, err
 		}
 		if err := c.readSocket(); err != nil {
-			return 0, err
+			return 0, c.readFailure(err)
 		}
 	}
 }
@@ -153,7 +163,7 @@
 	c.checkRequestEnd()
 	copy(p, c.pending[:n])
 	if c.pending = c.pending[n:]; len(c.pending) == 0 {
-		c.pending = nil
+		c.dropPending()
 	}
 	return n, nil
 }
@@ -172,6 +182,9 @@
 		c.requestDeadline = now.Add(requestReadTimeout)
 	}
 	c.state, c.stateSince = state, now
+	if state == connClosing {
+		c.memory.ReleaseAll(memory.Incoming)
+	}
 	c.updateReadDeadline()
 }
 
@@ -185,6 +198,9 @@
 	if (c.state == connReading || c.state == connNew) && (deadline.IsZero() || c.requestDeadline.Before(deadline)) {
 		deadline = c.requestDeadline
 	}
+	if c.evicted {
+		deadline = time.Now()
+	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
@@ -199,7 +215,7 @@
 		}
 		chunk := readBuffers.Get().(*[readBufferSize]byte)
 		defer readBuffers.Put(chunk)
-		n, err := c.TryRead(fd, chunk[:])
+		n, err := c.TryRead(fd, chunk[:c.readSize()])
 		switch {
 		case err == syscall.EAGAIN:
 			return false
@@ -236,15 +252,23 @@
 	case connReading:
 		c.arrival = c.lastArrival // a request's time counts from its last byte
 	}
-	if (c.framer.position == afterHead || c.framer.position == afterBody) &&
-		len(c.pending)+len(received) > maxPipelinedBytes {
-		c.overrun, c.pending = true, nil
-	}
-	if !c.overrun {
+	switch {
+	case c.overrun:
+	case c.framer.position == afterHead || c.framer.position == afterBody:
+		c.bufferPipelined(received)
+	default:
 		c.pending = append(c.pending, received...)
 	}
 }
 
+// readSize returns how many bytes to read from the socket at once. The caller holds the lock.
+func (c *clientConn) readSize() int {
+	if c.framer.position == inHead {
+		return headReadSize
+	}
+	return readBufferSize
+}
+
 // arrivalTime returns when bytes that were read at the given time arrived. A busy process reads them late.
 func arrivalTime(fd uintptr, read time.Time) time.Time {
 	if age, known := system.SinceLastReceive(fd); known && age >= minReportedAge {
@@ -294,6 +318,8 @@
 func (c *clientConn) responseDone() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.admitted = false
+	c.memory.ReleaseAll(memory.Incoming)
 	switch {
 	case c.overrun || c.framer.position == unframed:
 		c.setState(connClosing)
@@ -324,22 +350,6 @@
 	return c.state, now.Sub(c.stateSince)
 }
 
-// closeIdle closes a connection of which no byte of a request has been read, and reports whether it did.
-func (c *clientConn) closeIdle(cause closeCause) bool {
-	c.mu.Lock()
-	idle := unread(c.state)
-	if idle {
-		c.closeCause, c.closedInState = cause, c.state
-		c.setState(connClosing)
-		c.closedIdle = true
-	}
-	c.mu.Unlock()
-	if idle {
-		c.linger()
-	}
-	return idle
-}
-
 // Write writes part of a response and records the error. The handler cannot act on it, but the log has to distinguish a
 // client whose response was not delivered from one that left.
 func (c *clientConn) Write(data []byte) (int, error) {
@@ -352,18 +362,6 @@
 	return n, err
 }
 
-// Close shuts down the write side; the socket is closed soon after.
-func (c *clientConn) Close() error {
-	c.linger()
-	return nil
-}
-
-// CloseWrite is how net/http ends a connection whose client may still be sending.
-func (c *clientConn) CloseWrite() error {
-	c.linger()
-	return nil
-}
-
 // SetReadDeadline has no effect on a connection that is being closed, which has a deadline of its own.
 func (c *clientConn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
@@ -380,78 +378,6 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
-// linger shuts down the write side and has the socket closed when the client has closed too, or after lingerTimeout.
-// Only the first call has an effect.
-func (c *clientConn) linger() {
-	if !c.shutdownWrite() {
-		return
-	}
-	c.mu.Lock()
-	readEnded, wasIdle := c.readErr != nil, c.closedIdle
-	c.mu.Unlock()
-	switch {
-	case readEnded:
-		c.abort()
-	case wasIdle:
-		time.AfterFunc(idleLingerTimeout, c.abort)
-	default:
-		go c.discardInput()
-	}
-}
-
-// shutdownWrite shuts down the write side, and reports whether this call did it.
-func (c *clientConn) shutdownWrite() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.lingering {
-		return false
-	}
-	// Between two requests, whoever closes, what still arrives is left unread: a request that was read must be answered.
-	c.closedIdle = c.closedIdle || unread(c.state)
-	if c.state != connClosing {
-		c.closedInState = c.state
-	}
-	c.lingering = true
-	c.setState(connClosing)
-	c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	c.Conn.CloseWrite()
-	return true
-}
-
-// discardInput reads and discards what the client still sends, and closes the socket at its end.
-func (c *clientConn) discardInput() {
-	defer c.abort()
-	chunk := readBuffers.Get().(*[readBufferSize]byte)
-	defer readBuffers.Put(chunk)
-	for discarded := 0; discarded < maxLingerBytes; {
-		read, err := c.Conn.Read(chunk[:])
-		if err != nil {
-			return
-		}
-		discarded += read
-	}
-}
-
-// abort closes the socket at once.
-func (c *clientConn) abort() {
-	c.mu.Lock()
-	first := !c.closed
-	c.closed, c.lingering = true, true
-	c.mu.Unlock()
-	if first {
-		c.Conn.Close()
-		c.onClosed(c)
-	}
-}
-
-// logClose logs why and in which state the connection was closed.
-func (c *clientConn) logClose(log *slog.Logger) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	log.Debug("connection closed", "client", c.RemoteAddr(), "cause", c.closeCause, "state", c.closedInState,
-		"unanswered_bytes", len(c.pending), "write_error", c.writeErr)
-}
-
 // connContextKey is the context key of a request's connection.
 type connContextKey struct{}
 
--- a/internal/platform/conn_test.go
+++ b/internal/platform/conn_test.go
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	done := make(chan struct{})
-	conn, err = newClientConn(system.TCPConn{TCPConn: accepted.(*net.TCPConn)}, func(*clientConn) { close(done) })
+	conn, err = newClientConn(system.TCPConn{TCPConn: accepted.(*net.TCPConn)}, ampleMemory(), func(*clientConn) { close(done) })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -216,7 +216,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	limited := newLimiter(listener, 100, discardLog)
+	limited := newLimiter(listener, 100, ampleMemory(), discardLog)
 	const waiting = 20
 	for range waiting { // nothing accepts them yet
 		conn, err := net.Dial("tcp", listener.Addr().String())
@@ -239,7 +239,7 @@
 
 // A connection that becomes busy after it was looked at is not closed for another one; the next candidate is.
 func TestBusyConnectionIsNotEvicted(t *testing.T) {
-	limited := newLimiter(nil, 1, discardLog)
+	limited := newLimiter(nil, 1, ampleMemory(), discardLog)
 	client, busy, _ := newConnPair(t)
 	limited.conns[busy] = true
 	busy.stateSince = time.Now().Add(-time.Hour)
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -11,6 +11,8 @@
 	"sloetrestle/internal/chat"
 	"sloetrestle/internal/connpool"
 	"sloetrestle/internal/dispatch"
+	"sloetrestle/internal/memory"
+	"sloetrestle/internal/system"
 	"sloetrestle/scheduler"
 )
 
@@ -18,6 +20,7 @@
 	responseHeadTimeout = 400 * time.Millisecond  // from a response's first byte to its first event or the end of its body
 	streamStallTimeout  = 4200 * time.Millisecond // without an event, after which a stream counts as broken
 	maxShortBody        = 64 << 10                // bytes of a response body that is not streamed
+	minAnswerBytes      = 4 << 10                 // of an answer that are read although there is no memory for them
 )
 
 // exchange is an attempt whose request was written whole, from there to the end of its response.
@@ -25,7 +28,8 @@
 	transport *transport
 	ctx       context.Context // of the attempt; its cause says why the attempt was cancelled
 	attempt   *dispatch.Attempt
-	id        string // of the client's request
+	id        string         // of the client's request
+	memory    *memory.Holder // of the client's request
 	pool      *connpool.Pool
 	conn      *connpool.Conn
 	load      string // the response's load report as text
@@ -105,7 +109,7 @@
 
 // relayStream hands the events of a stream to the client's side as they come, until the stream ends.
 func (e *exchange) relayStream(resp *http.Response) scheduler.Result {
-	stream := chat.NewStream(e.conn.Reader())
+	stream := chat.NewStream(e.conn.Reader(), e.reserveAnswer)
 	for begun := false; ; {
 		piece, err := stream.Next()
 		switch {
@@ -135,6 +139,32 @@
 	}
 }
 
+// reserveAnswer takes memory for a further part of the answer; a small part of it gets it in any case. While there is
+// none, what the client has not read yet has to be written first.
+func (e *exchange) reserveAnswer(size int) error {
+	for waited := false; ; waited = true {
+		victim, err := e.memory.Reserve(memory.Answers, int64(size))
+		if victim != nil {
+			victim.Evict()
+		}
+		if err != nil && e.memory.Held(memory.Answers)+int64(size) <= minAnswerBytes {
+			e.memory.Take(memory.Answers, int64(size))
+			err = nil
+		}
+		switch {
+		case err == nil:
+			if waited {
+				e.conn.SetReadDeadline(time.Now().Add(streamStallTimeout)) // the backend is not late
+			}
+			return nil
+		case len(e.attempt.Tokens) == 0 && !errors.Is(err, memory.ErrEvicting):
+			return errNoMemory
+		case !system.Sleep(e.ctx, memoryPollInterval):
+			return context.Cause(e.ctx)
+		}
+	}
+}
+
 // begin reports the first event: the backend has taken the KV cache over.
 func (e *exchange) begin() {
 	e.transport.monitor.CacheReleased(e.id, "response started")
--- a/internal/platform/framing.go
+++ b/internal/platform/framing.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 )
 
@@ -35,6 +36,7 @@
 	line                []byte // the start of the current line, as far as it is needed
 	lineLength          int    // bytes of the current line, without its end
 	remaining           int64  // bytes left of the body, or of the current chunk and its end
+	headLines           int    // lines of the head so far
 	hasContentLength    bool   // the head has a Content-Length
 	hasTransferEncoding bool   // the head has a Transfer-Encoding
 }
@@ -43,7 +45,9 @@
 func (f *requestFramer) advance(raw []byte) int {
 	switch f.position {
 	case inHead:
-		return f.advanceLines(raw, f.endHead)
+		n := f.advanceLines(raw, f.endHead)
+		f.headLines += bytes.Count(raw[:n], []byte("\n"))
+		return n
 	case inTrailer:
 		return f.advanceLines(raw, func() { f.position = afterBody })
 	case inBody:
@@ -77,6 +81,15 @@
 	return len(raw)
 }
 
+// probe returns the state in which the framer would be after advance, and how many of the bytes belong to the current
+// request.
+func (f *requestFramer) probe(raw []byte) (after requestFramer, n int) {
+	after = *f
+	after.line = slices.Clone(f.line)
+	n = after.advance(raw)
+	return after, n
+}
+
 // checkHeaderName records whether the current header states a length or an encoding.
 func (f *requestFramer) checkHeaderName() {
 	if f.lineLength != len(f.line) {
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -12,6 +12,7 @@
 	"sloetrestle/internal/chat"
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/memory"
 	"sloetrestle/internal/monitor"
 	"sloetrestle/scheduler"
 )
@@ -34,7 +35,7 @@
 	tenantIndexes map[string]int // tenant indices by name
 	retryAfter    time.Duration  // Retry-After of a rejection for lack of capacity
 	maxOpen       int64          // bound on open requests
-	maxBodyBytes  int64          // bound on the bytes of all buffered bodies
+	memory        *memory.Account
 
 	becomesReady   func() bool          // reports whether the dispatcher is ready, until it is
 	unlistedFor    func() time.Duration // how long it has run without a list of service discovery; 0: it has one
@@ -53,7 +54,6 @@
 	Resubmitted    atomic.Int64  // requests that their clients sent before
 	Continuations  atomic.Int64  // requests for the rest of a stream
 	MovedStreams   atomic.Int64  // streams cut to be continued at another dispatcher
-	bodyBytes      atomic.Int64  // bytes of buffered bodies
 	LateAnswers    atomic.Int64  // requests answered by the handler, as the event loop gave no answer in time
 
 	resumable     bool // streams that are cut can be continued at another dispatcher
@@ -71,16 +71,16 @@
 
 // newFrontend returns a frontend that submits requests to an event loop.
 func newFrontend(
-	loop *dispatch.Loop, settings scheduler.Settings, maxBodyBytes int64, observer *monitor.Monitor, stalls *stallDetector,
+	loop *dispatch.Loop, settings scheduler.Settings, account *memory.Account, observer *monitor.Monitor, stalls *stallDetector,
 	log *slog.Logger,
 ) *frontend {
 	handler := &frontend{
 		loop: loop, classIndexes: map[string]int{}, tenantIndexes: map[string]int{},
 		ids: newIDRegistry(longestDeadline(settings) + idRetentionSlack), refusals: map[string]int64{},
 		moveStreams: make(chan struct{}), endLateStreams: make(chan struct{}),
-		retryAfter:   settings.Duration("policyLimits.maxRetryAfterUs"),
-		maxOpen:      int64(settings.Number("policyLimits.maxOpen", 1e4)),
-		maxBodyBytes: maxBodyBytes, monitor: observer, stalls: stalls, log: log,
+		retryAfter: settings.Duration("policyLimits.maxRetryAfterUs"),
+		maxOpen:    int64(settings.Number("policyLimits.maxOpen", 1e4)),
+		memory:     account, monitor: observer, stalls: stalls, log: log,
 		resumable: settings.Bool("familyInfo.resume"), shutdownTimes: shutdownTimesFor(settings),
 	}
 	handler.classes, _ = settings.Classes() // the event loop needs the classes too, and reports the error
--- a/internal/platform/lifecycle.go
+++ b/internal/platform/lifecycle.go
@@ -62,6 +62,7 @@
 	rejectedAtShutdown   rejection = "stopped"
 	rejectedOpenRequests rejection = "questions"
 	rejectedBodyBytes    rejection = "bodies"
+	rejectedMemory       rejection = "memory"
 	rejectedLoopLag      rejection = "event loop"
 	rejectedUnlisted     rejection = "endpoints"
 )
--- a/internal/platform/limiter.go
+++ b/internal/platform/limiter.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"sloetrestle/internal/memory"
 	"sloetrestle/internal/system"
 )
 
@@ -45,11 +46,14 @@
 // timeSpan is the time between two instants.
 type timeSpan struct{ from, to time.Time }
 
-// limiter accepts clients' connections and bounds how many are open. At the limit, the oldest connection that is silent
-// or idle is closed for the next one; if there is none, the next one waits in the listener's backlog.
+// limiter accepts clients' connections and bounds how many are open, by number and by their memory. At the limit, the
+// oldest connection that is silent or idle is closed for the next one; if there is none, the next one waits in the
+// listener's backlog.
 type limiter struct {
 	listener         system.Listener
 	maxConns         int // connections that may be open
+	account          *memory.Account
+	next             *memory.Holder // of the memory of the connection that is accepted next
 	mu               sync.Mutex
 	conns            map[*clientConn]bool
 	draining         bool         // connections without an open request are closed
@@ -65,9 +69,10 @@
 }
 
 // newLimiter returns a limiter of the connections of a listener.
-func newLimiter(listener system.Listener, maxConns int, log *slog.Logger) *limiter {
+func newLimiter(listener system.Listener, maxConns int, account *memory.Account, log *slog.Logger) *limiter {
 	return &limiter{
-		listener: listener, maxConns: maxConns, log: log, conns: map[*clientConn]bool{}, listeningSince: time.Now(),
+		listener: listener, maxConns: maxConns, account: account, next: account.NewHolder(nil), log: log,
+		conns: map[*clientConn]bool{}, listeningSince: time.Now(),
 	}
 }
 
@@ -136,11 +141,20 @@
 			since = time.Now()
 		}
 		l.CapacityWaits.Add(1)
-		time.Sleep(capacityPollInterval)
+		time.Sleep(l.pollInterval())
 	}
 	return since
 }
 
+// pollInterval returns the time between two checks for capacity. Memory that is given up is there at once, and many
+// connections may wait for some.
+func (l *limiter) pollInterval() time.Duration {
+	if l.next.Held(memory.Connections) == 0 {
+		return memoryPollInterval
+	}
+	return capacityPollInterval
+}
+
 // nextFromBacklog returns a connection that the operating system has completed, or http.ErrServerClosed after closing
 // the listener if none is left. Closing a listener resets the connections that wait in it and loses their requests, so
 // it is closed only after a call that found none: neither a transient error nor a deadline that passed before the call
@@ -188,10 +202,11 @@
 		l.ClosedUnread.Add(1)
 		return nil, errConnLimit
 	}
-	client, err := newClientConn(conn, l.remove)
+	client, err := newClientConn(conn, l.account, l.remove)
 	if err != nil {
 		return nil, err
 	}
+	l.next.ReleaseAll(memory.Connections) // the connection has its own now
 	client.waitingSince, client.earliestCompletion = complete, earliest
 	client.requestDeadline = firstRequestDeadline(time.Now(), complete)
 	l.mu.Lock()
@@ -223,7 +238,8 @@
 
 // ensureCapacity reports whether there is capacity for a connection, closing another one for it if necessary.
 func (l *limiter) ensureCapacity(now time.Time) bool {
-	if l.count() < l.maxConns {
+	hasMemory := l.reserveNext()
+	if hasMemory && l.count() < l.maxConns {
 		return true
 	}
 	open, closing := 0, 0
@@ -245,14 +261,27 @@
 	if closing >= l.maxClosing() {
 		lingering.conn.abort()
 	}
-	if open < l.maxConns {
+	if hasMemory && open < l.maxConns {
 		return true
 	}
 	if victim.conn == nil || !victim.conn.closeIdle(closedForCapacity) {
 		return false
 	}
 	l.Evicted.Add(1)
-	return true
+	return hasMemory
+}
+
+// reserveNext takes the memory of one more connection, and reports whether there is enough. The client that takes most
+// has its unfinished request given up for it.
+func (l *limiter) reserveNext() bool {
+	if l.next.Held(memory.Connections) > 0 {
+		return true
+	}
+	victim, err := l.next.Reserve(memory.Connections, connectionBytes)
+	if victim != nil {
+		victim.Evict()
+	}
+	return err == nil
 }
 
 // evictionCandidate is the connection that has been longest in its state. Connections that have sent nothing yet go
--- a/internal/platform/node_test.go
+++ b/internal/platform/node_test.go
@@ -437,7 +437,8 @@
 
 // A request whose body exceeds the memory for bodies is rejected; others are served.
 func TestMemoryForBodiesIsBounded(t *testing.T) {
-	cluster := startCluster(t, func(_ *testCluster, config *Config) { config.Limits.MemoryMB = 1 })
+	const body = 250000
+	cluster := startCluster(t, func(cluster *testCluster, _ *Config) { cluster.division.Clients = body })
 	raw := cluster.request("trail-info",
 		"Content-Length: 12", "Content-Length: 250000", `{"model":""}`, strings.Repeat("x", 250000))
 	if got := cluster.send(raw); got.status != 503 || got.retryAfter == "" {
--- a/internal/platform/run.go
+++ b/internal/platform/run.go
@@ -18,6 +18,7 @@
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/endpointlist"
 	"sloetrestle/internal/endpoints"
+	"sloetrestle/internal/memory"
 	"sloetrestle/internal/monitor"
 	"sloetrestle/internal/system"
 	"sloetrestle/scheduler"
@@ -44,6 +45,19 @@
 	follower       *endpoints.Follower
 	monitor        *monitor.Monitor
 	stalls         *stallDetector
+	memory         *memory.Account // of what clients make the dispatcher hold
+	maxAttempts    int             // in flight
+}
+
+// RunConfigured runs a dispatcher that is configured by the file which BALANCER_CONFIG names and, for what the file lacks,
+// by further BALANCER_* variables.
+func RunConfigured(ctx context.Context, sys system.System, reloads <-chan os.Signal, log *slog.Logger) error {
+	load := func() (Config, error) { return Load(os.Getenv("BALANCER_CONFIG"), os.Getenv) }
+	config, err := load()
+	if err != nil {
+		return err
+	}
+	return Run(ctx, config, sys, reloads, load, log)
 }
 
 // Run serves until the context ends, then answers all admitted requests and returns. On every signal from reloads it
@@ -53,8 +67,12 @@
 	reloads <-chan os.Signal, load func() (Config, error), log *slog.Logger,
 ) error {
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(config.resources().heap)
-	n, err := newNode(context.WithoutCancel(ctx), config, sys, log)
+	division, err := config.divideMemory()
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(division.Runtime)
+	n, err := newNode(context.WithoutCancel(ctx), config, division, sys, log)
 	if err != nil {
 		return err
 	}
@@ -62,11 +80,14 @@
 }
 
 // newNode opens the listeners and sets up a dispatcher with the last-known endpoints of its configuration.
-func newNode(ctx context.Context, config Config, sys system.System, log *slog.Logger) (*node, error) {
+func newNode(
+	ctx context.Context, config Config, division memory.Division, sys system.System, log *slog.Logger,
+) (*node, error) {
 	began := time.Now()
 	n := &node{
 		config: config, settings: scheduler.FlattenSettings(config.Settings), log: log, acceptingDone: make(chan struct{}),
-		uptime: func() time.Duration { return time.Since(began) },
+		uptime: func() time.Duration { return time.Since(began) }, memory: memory.NewAccount(division.Clients),
+		maxAttempts: min(config.resources().attempts, division.Attempts),
 	}
 	n.lifetime, n.cancel = context.WithCancel(ctx)
 	n.stalls = newStallDetector(began)
@@ -88,9 +109,8 @@
 		return nil, err
 	}
 	n.createFollower(sys)
-	shares := config.resources()
-	n.limiter = newLimiter(listener, int(float64(shares.clients)/(1+closingShare)), log)
-	n.frontend = newFrontend(n.loop, n.settings, shares.bodies, n.monitor, n.stalls, log)
+	n.limiter = newLimiter(listener, int(float64(config.resources().clients)/(1+closingShare)), n.memory, log)
+	n.frontend = newFrontend(n.loop, n.settings, n.memory, n.monitor, n.stalls, log)
 	n.frontend.nearConnLimit = n.limiter.NearLimit
 	n.frontend.becomesReady = n.becomesReady
 	n.frontend.unlistedFor = n.unlistedFor
@@ -102,7 +122,7 @@
 	shares := n.config.resources()
 	pools := &connpool.Manager{
 		DialTimeout:        max(n.settings.Duration("policyLimits.dialTimeoutUs"), 10*time.Millisecond),
-		MaxConnsPerBackend: shares.attempts, Now: n.uptime,
+		MaxConnsPerBackend: n.maxAttempts, Now: n.uptime,
 		Context: n.lifetime, Group: &n.transportTasks, Dial: sys.Dial, SkipVerify: true,
 	}
 	n.transport = &transport{
@@ -110,7 +130,7 @@
 		tasks: &n.transportTasks, log: n.log, notable: &notableLog{log: n.log}, monitor: n.monitor,
 		stalls: n.stalls, traffic: map[string]*backendTraffic{},
 		poolOf: map[*dispatch.Backend]*connpool.Pool{}, releaser: releaser{callSlots: make(chan struct{}, shares.releases)},
-		clock: n.uptime, attemptSlots: make(chan struct{}, shares.attempts),
+		clock: n.uptime, attemptSlots: make(chan struct{}, n.maxAttempts),
 	}
 }
 
--- a/internal/platform/statelog.go
+++ b/internal/platform/statelog.go
@@ -5,6 +5,8 @@
 	"runtime"
 	"slices"
 	"time"
+
+	"sloetrestle/internal/memory"
 )
 
 // This file writes the state line, by which an operator sees how the dispatcher is doing. docs/platform.md explains its
@@ -14,12 +16,12 @@
 
 // logState logs the counters of all components.
 func (n *node) logState() {
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
 	n.loop.Call(n.lifetime, func() {
 		n.log.Info("state", slices.Concat(
-			n.requestState(), n.clientState(), n.transportState(), n.discoveryState(), n.loopState(),
-			[]any{"heap_kb", memory.HeapAlloc >> 10, "sys_kb", memory.Sys >> 10, "goroutines", runtime.NumGoroutine()},
+			n.requestState(), n.clientState(), n.memoryState(), n.transportState(), n.discoveryState(), n.loopState(),
+			[]any{"heap_kb", stats.HeapAlloc >> 10, "sys_kb", stats.Sys >> 10, "goroutines", runtime.NumGoroutine()},
 		)...)
 		n.logBackends()
 	})
@@ -30,6 +32,7 @@
 func (n *node) requestState() []any {
 	tally, frontend := n.loop.Counters, n.frontend
 	requests, timers := n.loop.Retained()
+	held := n.memory.Snapshot()
 	return []any{
 		"taken", tally.Accepted, "again", frontend.Resubmitted.Load(), "rest", frontend.Continuations.Load(),
 		"moved", frontend.MovedStreams.Load(), "satisfied", tally.Served, "declined", tally.Rejected,
@@ -37,7 +40,7 @@
 		"outcomes", fmt.Sprint(tally.Outcomes), "prefills", fmt.Sprint(tally.Prefills), "began", tally.FirstTokens,
 		"in_time", tally.OnTime, "held_ms", tally.QueueTime.Milliseconds(),
 		"first_ms", tally.FirstTokenTime.Milliseconds(), "believes", fmt.Sprintf("%+v", n.loop.Estimates()),
-		"open", frontend.openRequests.Load(), "bodies", frontend.bodyBytes.Load(), "held_requests", requests,
+		"open", frontend.openRequests.Load(), "bodies", held.Held[memory.Incoming] + held.Held[memory.Requests], "held_requests", requests,
 		"held_timers", timers,
 	}
 }
@@ -53,6 +56,24 @@
 	}
 }
 
+// memoryState returns what clients make the dispatcher hold, in KB by use, and what there was no memory for.
+func (n *node) memoryState() []any {
+	account := n.memory.Snapshot()
+	held, refused := map[string]int64{}, map[string]int64{}
+	for use, bytes := range account.Held {
+		if bytes > 0 {
+			held[memory.Use(use).String()] = bytes >> 10
+		}
+		if count := account.Refused[use]; count > 0 {
+			refused[memory.Use(use).String()] = count
+		}
+	}
+	return []any{
+		"client_kb", account.Total >> 10, "client_peak_kb", account.Peak >> 10, "client_limit_kb", account.Limit >> 10,
+		"client_uses", fmt.Sprint(held), "no_memory", fmt.Sprint(refused), "given_up", account.Evicted,
+	}
+}
+
 // transportState returns what became of releases and of attempts on their connections.
 func (n *node) transportState() []any {
 	transport := n.transport
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -8,6 +8,7 @@
 	"sloetrestle/internal/chat"
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/memory"
 )
 
 // moveGrace is how long a stream that is to be continued at another dispatcher may take to send a further event, after
@@ -22,17 +23,19 @@
 	ctx         context.Context
 	request     *dispatch.ClientRequest
 	attempt     *dispatch.Attempt
-	late        bool   // SIGKILL must not find it open
-	lastWritten []byte // the events that were written last
+	memory      *memory.Holder // of the request
+	late        bool           // SIGKILL must not find it open
+	lastWritten []byte         // the events that were written last
 }
 
 // newStreamRelay returns a relay of an attempt's stream to the client of its request.
 func (f *frontend) newStreamRelay(
-	w http.ResponseWriter, r *http.Request, clientRequest *dispatch.ClientRequest, attempt *dispatch.Attempt, late bool,
+	w http.ResponseWriter, r *http.Request, clientRequest *dispatch.ClientRequest, attempt *dispatch.Attempt,
+	holder *memory.Holder, late bool,
 ) *streamRelay {
 	return &streamRelay{
 		frontend: f, w: w, control: http.NewResponseController(w), ctx: r.Context(), request: clientRequest, attempt: attempt,
-		late: late,
+		memory: holder, late: late,
 	}
 }
 
@@ -86,6 +89,7 @@
 			s.abort()
 		}
 		s.lastWritten = events
+		s.memory.Release(memory.Answers, int64(len(events)))
 		if len(s.attempt.Tokens) == 0 {
 			break
 		}
--- a/internal/platform/submit.go
+++ b/internal/platform/submit.go
@@ -10,6 +10,7 @@
 	"sloetrestle/internal/chat"
 	"sloetrestle/internal/dispatch"
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/memory"
 )
 
 // This file takes a valid request from its body to its answer.
@@ -23,7 +24,8 @@
 	class, tenant int       // by their indices
 	arrival       time.Time // of the request's last byte
 	plan          answerPlan
-	reservedBytes int64 // of the memory for bodies
+	memory        *memory.Holder // of the open request
+	bodyBytes     int64          // of what it holds
 }
 
 // run reads the request's body, hands the request to the event loop and writes the response.
@@ -35,13 +37,23 @@
 	}
 	submitted := false
 	defer func() { f.ids.release(s.request.ID, submitted) }()
-	defer s.freeBody()
-	body, err := s.readBody()
+	conn := connFromContext(s.r.Context())
+	s.memory = f.memory.NewHolder(nil)
+	defer s.memory.Close()
+	if conn.reserve(s.memory, memory.Requests, requestBytes) != nil {
+		f.reject(s.w, s.r, rejectedMemory)
+		return
+	}
+	body, err := s.readBody(conn)
 	if err != nil {
 		s.refuseBody(err)
 		return
 	}
-	s.arrival = connFromContext(s.r.Context()).requestArrival(f.stalls.earliestArrival(time.Now()))
+	if !conn.admit(s.memory) {
+		f.reject(s.w, s.r, rejectedMemory)
+		return
+	}
+	s.arrival = conn.requestArrival(f.stalls.earliestArrival(time.Now()))
 	var reason rejection
 	if s.plan, reason = s.planAnswer(time.Now()); reason != notRejected {
 		f.reject(s.w, s.r, reason)
@@ -107,10 +119,12 @@
 	outgoing.body, body = nil, nil
 	s.freeBody()
 	if s.plan.mode == buffered {
-		(&bufferedAnswer{frontend: f, w: s.w, r: s.r, request: clientRequest, attempt: attempt}).run(ctx)
+		(&bufferedAnswer{
+			frontend: f, w: s.w, r: s.r, request: clientRequest, attempt: attempt, memory: s.memory,
+		}).run(ctx)
 		return
 	}
-	f.newStreamRelay(s.w, s.r, clientRequest, attempt, s.plan.late).run()
+	f.newStreamRelay(s.w, s.r, clientRequest, attempt, s.memory, s.plan.late).run()
 	f.answerTimes.record(s.class, time.Since(s.arrival), time.Now())
 }
 
@@ -121,7 +135,7 @@
 func (s *submission) outgoingRequest(body []byte) *outgoingRequest {
 	length := len(body)
 	s.request.SetBodyBytes(length)
-	return &outgoingRequest{id: s.request.ID, body: body, head: func(timeout time.Duration) []byte {
+	return &outgoingRequest{id: s.request.ID, body: body, memory: s.memory, head: func(timeout time.Duration) []byte {
 		return chat.AttemptHead(s.r, serviceHost, s.request, length, timeout)
 	}}
 }
@@ -168,16 +182,13 @@
 	}
 }
 
-// errBodyLimit ends reading a body that would exceed the memory for all bodies.
-var errBodyLimit = errors.New("buffered request bodies exceed their limit")
-
 // errBodyTooLong ends reading a body that is longer than any request's may be.
 var errBodyTooLong = errors.New("request body is too long")
 
 // refuseBody answers a request whose body could not be read.
 func (s *submission) refuseBody(err error) {
 	switch {
-	case errors.Is(err, errBodyLimit):
+	case errors.Is(err, errNoMemory):
 		s.frontend.reject(s.w, s.r, rejectedBodyBytes)
 	case errors.Is(err, errBodyTooLong):
 		s.frontend.refuse(s.w, s.r, &chat.RequestError{Status: http.StatusRequestEntityTooLarge, Reason: "body"})
@@ -188,22 +199,22 @@
 
 // freeBody returns the memory that is reserved for the body.
 func (s *submission) freeBody() {
-	s.frontend.bodyBytes.Add(-s.reservedBytes)
-	s.reservedBytes = 0
+	s.memory.Release(memory.Requests, s.bodyBytes)
+	s.bodyBytes = 0
 }
 
 // readBody reads the request's body. Memory is reserved as bytes arrive, not by the announced length.
-func (s *submission) readBody() (body []byte, err error) {
+func (s *submission) readBody(conn *clientConn) (body []byte, err error) {
 	control := http.NewResponseController(s.w)
 	// The connection applies the request's own deadline where that is earlier.
 	control.SetReadDeadline(time.Now().Add(requestReadTimeout))
 	for err == nil {
 		if len(body) == cap(body) {
 			step := bodyGrowth(s.r.ContentLength, len(body))
-			s.reservedBytes += int64(step)
-			if s.frontend.bodyBytes.Add(int64(step)) > s.frontend.maxBodyBytes {
-				return nil, errBodyLimit
+			if err := conn.reserve(conn.memory, memory.Incoming, int64(step)); err != nil {
+				return nil, err
 			}
+			s.bodyBytes += int64(step)
 			body = append(make([]byte, 0, len(body)+step), body...)
 		}
 		var n int
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -12,6 +12,7 @@
 	"sloetrestle/internal/addresses"
 	"sloetrestle/internal/connpool"
 	"sloetrestle/internal/dispatch"
+	"sloetrestle/internal/memory"
 	"sloetrestle/internal/monitor"
 	"sloetrestle/scheduler"
 )
@@ -27,9 +28,10 @@
 
 // outgoingRequest is what is sent to a backend for a client's request.
 type outgoingRequest struct {
-	head func(timeout time.Duration) []byte // the request head, which states the time remaining
-	id   string
-	body []byte
+	head   func(timeout time.Duration) []byte // the request head, which states the time remaining
+	id     string
+	body   []byte
+	memory *memory.Holder // of the request; closed once its client has its answer
 }
 
 // transport sends attempts and releases to backends.
@@ -144,7 +146,7 @@
 	if limit := attempt.Scheduled.ConnectTimeout; limit > 0 {
 		defer time.AfterFunc(ackTimeoutFactor*limit, func() { c.checkAcknowledged(attempt, conn) }).Stop()
 	}
-	sent := &exchange{transport: c, ctx: ctx, attempt: attempt, id: outgoing.id, pool: pool, conn: conn}
+	sent := &exchange{transport: c, ctx: ctx, attempt: attempt, id: outgoing.id, memory: outgoing.memory, pool: pool, conn: conn}
 	defer func() {
 		c.recordTraffic(attempt, -1, sent.load)
 		stop()
