platform: a head of more than 256 lines is refused

Cause: net/http bounds a head by its bytes alone; 17 KB of fields such as "a1:1" take some 300 KB and most of the core when they are parsed. Change: conn_memory.go, reserveHead, counts the lines of a head before net/http sees them, and answers 431 from the 257th on. What is pipelined behind a head does not count.

--- a/internal/platform/conn_memory.go
+++ b/internal/platform/conn_memory.go
@@ -21,6 +21,9 @@
 	minPipelinedBuffer = 1 << 10  // of what is pipelined behind an open request
 )
 
+// maxHeadLines bounds the lines of a head: very many short ones take far more memory and time than their text.
+const maxHeadLines = 256
+
 const (
 	memoryPollInterval = 2 * time.Millisecond // between two tries to reserve memory that another client is giving up
 	memoryWaitTimeout  = time.Second          // for memory that another client is giving up
@@ -55,10 +58,12 @@
 // reserveHead takes the memory for the part of a head that a read of so many bytes returns next. If there is none, it
 // answers the client, and the error ends the connection.
 func (c *clientConn) reserveHead(size int) error {
-	cost := c.nextHeadPart(size)
+	cost, lines := c.nextHeadPart(size)
 	switch {
 	case cost == 0:
 		return nil
+	case lines > maxHeadLines:
+		return c.rejectHead(http.StatusRequestHeaderFieldsTooLarge, "fields")
 	case c.reserve(c.memory, memory.Incoming, int64(cost)) != nil:
 		return c.rejectHead(http.StatusServiceUnavailable, string(rejectedMemory))
 	}
@@ -66,15 +71,15 @@
 }
 
 // nextHeadPart returns what the part of a head that a read of so many bytes returns next takes when it is parsed, in
-// bytes; 0 if no part of a head is returned.
-func (c *clientConn) nextHeadPart(size int) (cost int) {
+// bytes, and the lines of the head up to its end. The cost is 0 if no part of a head is returned.
+func (c *clientConn) nextHeadPart(size int) (cost, lines int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.framer.position != inHead || len(c.pending) == 0 {
-		return 0
+		return 0, 0
 	}
 	after, n := c.framer.probe(c.pending[:min(size, len(c.pending))])
-	return headTextCopies*n + headFieldBytes*(after.headLines-c.framer.headLines)
+	return headTextCopies*n + headFieldBytes*(after.headLines-c.framer.headLines), after.headLines
 }
 
 // rejectHead answers a request whose head has not been read whole. The error ends the connection: net/http must not
--- a/internal/platform/memory_test.go
+++ b/internal/platform/memory_test.go
@@ -93,6 +93,45 @@
 	cluster.awaitIdle()
 }
 
+// Guards against heads that are small as text and take a hundred times that when they are parsed.
+func TestHeadOfVeryManyFieldsIsRefused(t *testing.T) {
+	cluster := startCluster(t, nil)
+	for name, test := range map[string]struct{ fields, status int }{
+		"as many as are read": {maxHeadLines - 20, http.StatusOK},
+		"too many":            {maxHeadLines, http.StatusRequestHeaderFieldsTooLarge},
+		"very many":           {2500, http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		var fields strings.Builder
+		for n := range test.fields {
+			fmt.Fprintf(&fields, "h%x:1\r\n", n)
+		}
+		raw := cluster.request("trail-info", "Host:", fields.String()+"Host:")
+		if got := cluster.send(raw); got.status != test.status {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+	cluster.awaitIdle()
+}
+
+// What a client has pipelined does not count as fields of the head in front of it, however many lines it has.
+func TestLinesOfPipelinedBodiesAreNoFields(t *testing.T) {
+	cluster := startCluster(t, nil)
+	body := strings.Repeat("\n", 2*maxHeadLines)
+	raw := func() string {
+		return cluster.request("trail-info", "Content-Length: 12", fmt.Sprintf("Content-Length: %d", len(body)),
+			`{"model":""}`, body)
+	}
+	client := cluster.dial()
+	io.WriteString(client, raw()+raw()+raw())
+	for i := range 3 {
+		if got := client.readResponse(); got.status != http.StatusOK {
+			t.Errorf("request %d: %+v", i, got)
+		}
+	}
+	client.Close()
+	cluster.awaitIdle()
+}
+
 // Guards against long answers that are kept for clients that read them slowly: what the backend sends waits at the
 // backend once there is no memory for it, and the client gets all of it in the end.
 func TestLongAnswerWaitsForItsClientWithinTheMemoryLimit(t *testing.T) {
