platform, serve: the requests of one connection are paced

Cause: while requests are pipelined the goroutine of their connection never waits, and the runtime (one thread) takes it off and looks at other sockets each 10 ms only; limiter.go, connStateChanged, and serve.go had no bound on the rate. It works since a connection that is paced sleeps, and others are read meanwhile.

--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -85,6 +85,7 @@
 	limiterMu          sync.Mutex
 	limiter            retrythrottle.ConnLimiter // guarded by limiterMu
 	clients, operators *http.Server
+	paced              pacedConns
 }
 
 // newService returns a service of which nothing is open or running yet.
@@ -258,7 +259,8 @@
 func (s *service) newHTTPServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+		ErrorLog:  slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
+		ConnState: func(conn net.Conn, state http.ConnState) { s.paced.stateChanged(conn, state, s.clock()) },
 	}
 }
 
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sloetrestle/internal/memory"
+	"sloetrestle/internal/retrythrottle"
 	"sloetrestle/internal/system"
 )
 
@@ -77,6 +78,7 @@
 	rawConn  syscall.RawConn
 	memory   *memory.Holder    // of what is kept of the connection and of what it sends
 	onClosed func(*clientConn) // called once the socket is closed
+	pacer    retrythrottle.RequestPacer
 
 	mu                 sync.Mutex
 	state              connState
--- a/internal/platform/limiter.go
+++ b/internal/platform/limiter.go
@@ -65,6 +65,7 @@
 	CapacityWaits    atomic.Int64 // checks that found no capacity
 	AcceptErrors     atomic.Int64 // accept errors that were retried
 	ClosedUnread     atomic.Int64 // connections closed unread at shutdown for lack of capacity
+	Paced            atomic.Int64 // requests that were read later as their connection was too fast
 	log              *slog.Logger
 }
 
@@ -314,7 +315,8 @@
 	c.logClose(l.log)
 }
 
-// connStateChanged is called by net/http with a connection's state.
+// connStateChanged is called by net/http with a connection's state, on the goroutine that serves the connection. Between
+// two requests it waits for the connection's pace.
 func (l *limiter) connStateChanged(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*clientConn)
 	if !ok || state != http.StateIdle {
@@ -326,6 +328,11 @@
 	l.mu.Unlock()
 	if draining {
 		c.closeIdle(closedByShutdown)
+		return
+	}
+	if wait := c.pacer.Done(time.Since(l.listeningSince)); wait > 0 {
+		l.Paced.Add(1)
+		time.Sleep(wait)
 	}
 }
 
--- a/internal/platform/statelog.go
+++ b/internal/platform/statelog.go
@@ -50,7 +50,7 @@
 	limiter, frontend := n.limiter, n.frontend
 	return []any{
 		"clients", limiter.count(), "pushed", limiter.Evicted.Load(), "waited", limiter.CapacityWaits.Load(),
-		"accept_failed", limiter.AcceptErrors.Load(), "shut", limiter.ClosedUnread.Load(),
+		"accept_failed", limiter.AcceptErrors.Load(), "shut", limiter.ClosedUnread.Load(), "paced", limiter.Paced.Load(),
 		"refused", frontend.refusalCounts(), "late", frontend.Late.Load(), "late_whole", frontend.Buffered.Load(),
 		"late_no_memory", frontend.BufferNoMemory.Load(),
 	}
