platform: what a client has pipelined is not begun once it has left

Cause: conn.go, readSocket, kept what was pipelined when the connection had ended. Change: endReading drops it, so net/http finds no further request.

--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -224,9 +224,9 @@
 		case err == syscall.EINTR:
 			return true
 		case err != nil:
-			c.readErr = os.NewSyscallError("read", err)
+			c.endReading(os.NewSyscallError("read", err))
 		case n == 0:
-			c.readErr = io.EOF
+			c.endReading(io.EOF)
 		default:
 			c.bufferBytes(fd, chunk[:n])
 		}
@@ -240,6 +240,15 @@
 	return err
 }
 
+// endReading records that nothing more is read, as the client has closed or the connection broke. A request that is
+// pipelined behind the open one is not begun any more. The caller holds the lock.
+func (c *clientConn) endReading(err error) {
+	c.readErr = err
+	if c.framer.position == afterHead || c.framer.position == afterBody {
+		c.dropPipelined()
+	}
+}
+
 // bufferBytes buffers what was read from the socket. The caller holds the lock.
 func (c *clientConn) bufferBytes(fd uintptr, received []byte) {
 	now := time.Now()
--- a/internal/testbackends/backends.go
+++ b/internal/testbackends/backends.go
@@ -188,7 +188,7 @@
 		clientClosed := make(chan struct{})
 		exchange := &Exchange{
 			Backend: b, Method: request.Method, URI: request.RequestURI, ID: request.Header.Get("X-Request-Id"),
-			Header: request.Header, Body: string(body), ClientClosed: clientClosed, conn: conn,
+			Header: request.Header, Body: string(body), Received: time.Now(), ClientClosed: clientClosed, conn: conn,
 		}
 		platform.mu.Lock()
 		b.conns[conn] = false
--- a/internal/testbackends/exchange.go
+++ b/internal/testbackends/exchange.go
@@ -17,6 +17,7 @@
 	ID           string
 	Header       http.Header
 	Body         string
+	Received     time.Time       // when its last byte was read
 	ClientClosed <-chan struct{} // closed when the dispatcher has closed the connection
 	conn         net.Conn
 	finished     bool
