serve: a client that closes behind pipelined requests is noticed

Cause: serve.go, listen, gave net/http the bare connection. While a request is open net/http reads one byte to notice a close; that byte is the next request's if the client has pipelined one, and nothing further is read. Change: client_conn.go reads on to the end of the connection behind an open request, keeps 64 KB at most and drops it when the client has closed. The requests' pace, in a map by connection before, is the connection's.

--- /dev/null
+++ b/internal/dispatch/leave_test.go
@@ -0,0 +1,83 @@
+package dispatch_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"sloetrestle/internal/fakes"
+	"sloetrestle/internal/record"
+)
+
+// rawGenerate returns a request as it is sent on a connection.
+func rawGenerate(id string) string {
+	body := fmt.Sprintf(`{"id":%q,"text_input":"is the hut free","parameters":{"grade":"hut-booking"}}`, id)
+	return fmt.Sprintf("POST %sgenerate HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", modelPath, len(body), body)
+}
+
+// attempts returns how many attempts the backends received.
+func (s *testService) attempts() (count int) {
+	for _, event := range s.events.Events() {
+		if event.Kind == record.AttemptReceived {
+			count++
+		}
+	}
+	return count
+}
+
+// openRequests returns how many requests are open, as operators are told.
+func (s *testService) openRequests() int {
+	var state struct {
+		Open int `json:"open"`
+	}
+	resp, err := http.Get(s.baseURL + "/state")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&state); err != nil {
+		s.t.Fatal(err)
+	}
+	return state.Open
+}
+
+// Guards against requests that are sent on for a client that has closed its connection with further requests unread: its
+// open one is given up, and the others are not begun.
+func TestRequestsOfAClientThatLeftAreNotSent(t *testing.T) {
+	for name, pipelined := range map[string]int{"few requests": 2, "more than is kept": 2000} {
+		t.Run(name, func(t *testing.T) {
+			service := startService(t, nil)
+			service.prefill.UpdateFaults(func(faults *fakes.Faults) { faults.Hang = true })
+			conn, err := net.Dial("tcp", strings.TrimPrefix(service.baseURL, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.WriteString(conn, rawGenerate("a"))
+			for service.attempts() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			for n := range pipelined {
+				if _, err := io.WriteString(conn, rawGenerate(fmt.Sprint("p", n))); err != nil {
+					t.Fatal(err)
+				}
+			}
+			conn.Close()
+			left := time.Now()
+			for service.openRequests() > 0 {
+				if time.Since(left) > time.Second {
+					t.Fatal("the request is open a second after its client has closed")
+				}
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(300 * time.Millisecond)
+			if attempts := service.attempts(); attempts != 1 {
+				t.Errorf("%d attempts, want 1", attempts)
+			}
+		})
+	}
+}
--- a/internal/dispatch/limited_listener.go
+++ b/internal/dispatch/limited_listener.go
@@ -70,6 +70,9 @@
 	onClose func()
 }
 
+// CloseWrite ends sending.
+func (c *limitedConn) CloseWrite() error { return closeWrite(c.Conn) }
+
 // Close closes the connection and frees its place at the limiter.
 func (c *limitedConn) Close() error {
 	c.onClose()
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -85,7 +85,6 @@
 	limiterMu          sync.Mutex
 	limiter            retrythrottle.ConnLimiter // guarded by limiterMu
 	clients, operators *http.Server
-	paced              pacedConns
 }
 
 // newService returns a service of which nothing is open or running yet.
@@ -185,7 +184,7 @@
 		if i < len(instance.Listen) && instance.ConnsPerSecond > 0 {
 			listener = &limitedListener{listener, &s.limiterMu, &s.limiter, s.clock}
 		}
-		s.listeners = append(s.listeners, listener)
+		s.listeners = append(s.listeners, clientListener{listener})
 	}
 	return nil
 }
@@ -260,7 +259,7 @@
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:  slog.NewLogLogger(s.log.Handler(), slog.LevelDebug),
-		ConnState: func(conn net.Conn, state http.ConnState) { s.paced.stateChanged(conn, state, s.clock()) },
+		ConnState: func(conn net.Conn, state http.ConnState) { conn.(*clientConn).stateChanged(state, s.clock()) },
 	}
 }
 
