platform: answers that a backend writes slowly are passed on as they come

Cause: exchange.go, run, gave the whole opening 0.4 s from its first byte, however the bytes came; response.go, Next, returned events by whole chunks, while the stall time counts from event to event. Change: the opening may be silent for 0.4 s; events of a chunk that is still being written are returned once the answer has begun. The first events come with their whole chunk, so that a spoilt opening does not reach the client. One event that takes over 4.2 s is cut as before: PROTOCOL loses a stream whose client waits for 5 s after the last event.

--- a/internal/chat/response.go
+++ b/internal/chat/response.go
@@ -91,7 +91,9 @@
 
 	reader  *bufio.Reader
 	reserve func(bytes int) error
-	partial []byte // the start of an event that is not complete yet
+	partial []byte // received, and not returned yet
+	missing int    // bytes of the current chunk that have not been received
+	begun   bool   // events were returned
 	done    bool   // the event that ends the answer was received
 }
 
@@ -101,11 +103,12 @@
 	return &Stream{reader: reader, reserve: reserve}
 }
 
-// Next returns the complete events that the next chunks bring, unchanged. It returns io.EOF after the last chunk of a
-// complete answer, and ErrMalformed if the body is malformed or ends before the answer does.
+// Next returns the complete events that come next, unchanged: those of whole chunks or, behind the first ones, those of a
+// chunk whose rest has not come yet. It returns io.EOF after the last chunk of a complete answer, and ErrMalformed if the
+// body is malformed or ends before the answer does.
 func (s *Stream) Next() ([]byte, error) {
 	for {
-		more, err := s.readChunk()
+		more, err := s.readPart()
 		if err == io.EOF {
 			// A connection that breaks between two chunks must not pass for the end of the answer.
 			err = io.ErrUnexpectedEOF
@@ -131,51 +134,72 @@
 		if !s.inspect(events) {
 			return nil, ErrMalformed
 		}
+		s.begun = true
 		return events, nil
 	}
 }
 
-// readChunk appends the next chunk to partial. It returns false after the last one.
-func (s *Stream) readChunk() (more bool, err error) {
+// readPart appends the rest of the current chunk to partial, or the next chunk. Once events were returned, it appends no
+// more than what has come. It returns false after the last chunk.
+func (s *Stream) readPart() (more bool, err error) {
+	if s.missing == 0 {
+		if s.missing, err = s.readChunkSize(); err != nil {
+			return false, err
+		}
+		if s.missing == 0 {
+			return false, s.readTrailer()
+		}
+	}
+	for s.missing > 0 {
+		if err := s.receive(); err != nil {
+			return false, err
+		}
+		if s.begun && s.missing > 0 && s.reader.Buffered() == 0 {
+			return true, nil
+		}
+	}
+	return true, s.readChunkEnd()
+}
+
+// readChunkSize returns the size of the next chunk, 0 for the last one.
+func (s *Stream) readChunkSize() (int, error) {
 	line, err := s.readLine()
 	if err != nil {
-		return false, err
+		return 0, err
 	}
 	size, _, _ := bytes.Cut(line, []byte(";"))
 	n, err := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, 32)
 	if err != nil || n > maxChunkBytes || len(size) > 8 {
-		return false, ErrMalformed
+		return 0, ErrMalformed
 	}
-	if n == 0 {
-		return false, s.readTrailer()
+	return int(n), nil
+}
+
+// receive waits for bytes of the current chunk and appends those that have come to partial. Memory is taken for them, not
+// by the announced length.
+func (s *Stream) receive() error {
+	if _, err := s.reader.Peek(1); err != nil {
+		return err
 	}
-	if err := s.readChunkData(int(n)); err != nil {
-		return false, err
+	size := min(s.missing, s.reader.Buffered())
+	if err := s.reserve(size); err != nil {
+		return err
 	}
+	received, _ := s.reader.Peek(size) // it is buffered
+	s.partial = append(s.partial, received...)
+	s.reader.Discard(size)
+	s.missing -= size
+	return nil
+}
+
+// readChunkEnd reads the line end behind a chunk's data.
+func (s *Stream) readChunkEnd() error {
 	var end [2]byte
 	if _, err := io.ReadFull(s.reader, end[:]); err != nil {
-		return false, err
+		return err
 	}
 	if string(end[:]) != "\r\n" {
-		return false, ErrMalformed
-	}
-	return true, nil
-}
-
-// readChunkData appends so many bytes to partial. Memory is taken as they arrive, not by the announced length.
-func (s *Stream) readChunkData(remaining int) error {
-	for remaining > 0 {
-		if _, err := s.reader.Peek(1); err != nil {
-			return err
-		}
-		size := min(remaining, s.reader.Buffered())
-		if err := s.reserve(size); err != nil {
-			return err
-		}
-		received, _ := s.reader.Peek(size) // it is buffered
-		s.partial = append(s.partial, received...)
-		s.reader.Discard(size)
-		remaining -= size
+		return ErrMalformed
 	}
 	return nil
 }
--- a/internal/chat/response_test.go
+++ b/internal/chat/response_test.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"sloetrestle/scheduler"
 )
@@ -181,3 +182,49 @@
 		}
 	})
 }
+
+// Events of a chunk that is still being written are returned as they come, once the answer has begun. Its first events are
+// returned with their whole chunk, as a spoilt opening must not reach the client.
+func TestEventsOfAnUnfinishedChunkAreReturned(t *testing.T) {
+	const event = "data: {\"choices\":[]}\n\n"
+	reader, writer := io.Pipe()
+	defer writer.Close()
+	stream := NewStream(bufio.NewReader(reader), func(int) error { return nil })
+	written := make(chan string)
+	go func() {
+		for text := range written {
+			io.WriteString(writer, text)
+		}
+	}()
+	defer close(written)
+	next := make(chan string)
+	go func() {
+		defer close(next)
+		for {
+			events, err := stream.Next()
+			if err != nil {
+				return
+			}
+			next <- string(events)
+		}
+	}()
+	chunk := fmt.Sprintf("%x\r\n%s%s", 2*len(event), event, event)
+	written <- chunk[:len(chunk)-1]
+	select {
+	case got := <-next:
+		t.Errorf("before the first chunk is whole: %q", got)
+	case <-time.After(20 * time.Millisecond):
+	}
+	written <- chunk[len(chunk)-1:] + "\r\n"
+	if got := <-next; got != event+event {
+		t.Errorf("the first chunk: %q", got)
+	}
+	written <- chunk[:len(chunk)-len(event)+3]
+	if got := <-next; got != event {
+		t.Errorf("what has come of the second chunk: %q", got)
+	}
+	written <- chunk[len(chunk)-len(event)+3:] + "\r\n"
+	if got := <-next; got != event {
+		t.Errorf("the rest of the second chunk: %q", got)
+	}
+}
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -30,14 +30,30 @@
 type responseReader struct {
 	*bufio.Reader
 	limited io.LimitedReader
+	source  idleReader
 }
 
 func newResponseReader(conn net.Conn) *responseReader {
-	r := &responseReader{limited: io.LimitedReader{R: conn, N: math.MaxInt64}}
+	r := &responseReader{source: idleReader{conn: conn}}
+	r.limited = io.LimitedReader{R: &r.source, N: math.MaxInt64}
 	r.Reader = bufio.NewReader(&r.limited)
 	return r
 }
 
+// idleReader reads a connection, and bounds the time between two reads that bring something.
+type idleReader struct {
+	conn    net.Conn
+	timeout time.Duration // 0: the connection's own deadline holds
+}
+
+// Read reads from the connection.
+func (r *idleReader) Read(into []byte) (int, error) {
+	if r.timeout > 0 {
+		r.conn.SetReadDeadline(time.Now().Add(r.timeout))
+	}
+	return r.conn.Read(into)
+}
+
 // readHead reads the head of the response to a request.
 func (r *responseReader) readHead(request *http.Request) (*http.Response, error) {
 	r.limited.N = maxHeadBytes
@@ -219,6 +235,10 @@
 	return c.reader.readHead(request)
 }
 
+// SetIdleTimeout bounds how long a read may wait for the far side to send something; 0: the read deadline holds. It must
+// not be called while a read is in progress.
+func (c *Conn) SetIdleTimeout(timeout time.Duration) { c.reader.source.timeout = timeout }
+
 // Reader returns the buffered reader of the connection.
 func (c *Conn) Reader() *bufio.Reader { return c.reader.Reader }
 
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	responseHeadTimeout = 400 * time.Millisecond  // from a response's first byte to its first event or the end of its body
-	streamStallTimeout  = 4200 * time.Millisecond // without an event, after which a stream counts as broken
-	maxShortBody        = 64 << 10                // bytes of a response body that is not streamed
-	minAnswerBytes      = 4 << 10                 // of an answer that are read although there is no memory for them
+	openingIdleTimeout = 400 * time.Millisecond  // without a byte, from a response's first one to its first event or its end
+	streamStallTimeout = 4200 * time.Millisecond // without an event, after which a stream counts as broken
+	maxShortBody       = 64 << 10                // bytes of a response body that is not streamed
+	minAnswerBytes     = 4 << 10                 // of an answer that are read although there is no memory for them
 )
 
 // exchange is an attempt whose request was written whole, from there to the end of its response.
@@ -44,7 +44,7 @@
 	e.attempt.ResponseStarted.Store(true) // only a response shows that the request has reached a running backend
 	e.transport.activity.recordActivity(e.pool)
 	e.transport.monitor.AttemptArrived(e.id, e.attempt.Scheduled.Number)
-	e.conn.SetReadDeadline(time.Now().Add(responseHeadTimeout))
+	e.conn.SetIdleTimeout(openingIdleTimeout)
 	resp, err := e.readHead()
 	switch {
 	case err != nil:
@@ -126,6 +126,7 @@
 		}
 		if !begun {
 			begun = true
+			e.conn.SetIdleTimeout(0)
 			e.begin()
 		}
 		e.transport.activity.recordActivity(e.pool)
