serve: an open id is refused, and an unrepeatable request is not run twice

Cause: server.go, submit, kept no ids; platform did. Change: the registry of ids moves from platform/ids.go to internal/requestids and serves both. In serve an open id gets 409, and so does the id of an unrepeatable request that was not declined, for the longest deadline and 10 s.

--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -81,3 +81,66 @@
 		})
 	}
 }
+
+// generateWithID asks for an answer with an id, a class and a text, and returns the status.
+func (s *testService) generateWithID(id, class, text string) int {
+	s.t.Helper()
+	status, _, _ := s.post(modelPath+"generate",
+		strings.NewReader(fmt.Sprintf(`{"id":%q,"text_input":%q,"parameters":{"grade":%q}}`, id, text, class)))
+	return status
+}
+
+// Guards against an id that runs twice: the id of a request that must not run again comes once more after its client has
+// left, while the request's attempt was out, and after it was served.
+func TestIDOfAnUnrepeatableRequestIsNotRunAgain(t *testing.T) {
+	service := startService(t, nil)
+	service.prefill.UpdateFaults(func(faults *fakes.Faults) { faults.Hang = true })
+	conn, err := net.Dial("tcp", strings.TrimPrefix(service.baseURL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(conn, rawGenerate("a"))
+	for service.attempts() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	conn.Close()
+	if status := service.generateWithID("a", "hut-booking", "is the hut free"); status != http.StatusConflict {
+		t.Errorf("after its client has left: status %d, want 409", status)
+	}
+	service.prefill.UpdateFaults(func(faults *fakes.Faults) { faults.Hang = false })
+	for service.openRequests() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if status := service.generateWithID("b", "hut-booking", "x"); status != http.StatusOK {
+		t.Errorf("another id: status %d", status)
+	}
+	for _, id := range []string{"a", "b"} {
+		if status := service.generateWithID(id, "hut-booking", "x"); status != http.StatusConflict {
+			t.Errorf("%s again: status %d, want 409", id, status)
+		}
+	}
+	for range 2 {
+		if status := service.generateWithID("c", "trail-info", "x"); status != http.StatusOK {
+			t.Errorf("an idempotent request, again: status %d", status)
+		}
+	}
+}
+
+// Guards against a client that gets another client's answer: it sends the id of the other one's open request.
+func TestOpenIDIsRefused(t *testing.T) {
+	service := startService(t, nil)
+	service.prefill.UpdateFaults(func(faults *fakes.Faults) { faults.Hang = true })
+	first := make(chan int)
+	go func() { first <- service.generateWithID("a", "trail-info", "the first text") }()
+	for service.attempts() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if status := service.generateWithID("a", "trail-info", "another text"); status != http.StatusConflict {
+		t.Errorf("an open id: status %d, want 409", status)
+	}
+	service.prefill.UpdateFaults(func(faults *fakes.Faults) { faults.Hang = false })
+	<-first
+	if status := service.generateWithID("a", "trail-info", "the first text"); status != http.StatusOK {
+		t.Errorf("once the request is answered: status %d", status)
+	}
+}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -19,6 +19,7 @@
 	"sloetrestle/internal/connpool"
 	"sloetrestle/internal/endpointlist"
 	"sloetrestle/internal/ledger"
+	"sloetrestle/internal/requestids"
 	"sloetrestle/internal/retrythrottle"
 	"sloetrestle/internal/setup"
 	"sloetrestle/internal/system"
@@ -236,7 +237,14 @@
 
 // createServer creates the HTTP frontend.
 func (s *service) createServer(ctx context.Context) {
-	s.server = &Server{Service: s.config.Deployment, Instance: s.config.Instance, Loop: s.loop, Log: s.log}
+	longest := time.Duration(0)
+	for _, class := range s.config.Classes {
+		longest = max(longest, class.Deadline.Std())
+	}
+	s.server = &Server{
+		Service: s.config.Deployment, Instance: s.config.Instance, Loop: s.loop, Log: s.log,
+		ids: requestids.New(longest + requestids.RetentionSlack),
+	}
 	s.server.Status = func() map[string]any {
 		out := statusReport(ctx, s.loop, s.discovery, s.transport, s.server, s.clock())
 		if s.journal != nil {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -15,6 +15,7 @@
 
 	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/prefixtable"
+	"sloetrestle/internal/requestids"
 	"sloetrestle/internal/setup"
 )
 
@@ -27,11 +28,15 @@
 	Status   func() map[string]any // the report to operators
 
 	openRequests atomic.Int64
+	ids          *requestids.Registry
 	prefixes     prefixtable.Table // belongs to the loop
 	stopping     atomic.Bool
 	Ready        func() bool // whether the dispatcher can serve requests
 }
 
+// unrepeatableEffect is the effect, in the configuration, of classes whose requests must not run twice.
+const unrepeatableEffect = "unrepeatable"
+
 // maxBufferedAnswer bounds, in bytes, the text of an answer that is buffered before it is sent.
 const maxBufferedAnswer = 32 << 20
 
@@ -149,8 +154,14 @@
 		kserve.WriteFinalResponse(w, retryElsewhere(stoppingReason))
 		return nil
 	}
+	if params.ID != "" && !s.ids.Claim(params.ID) {
+		kserve.WriteError(w, &kserve.RequestError{
+			Status: http.StatusConflict, Field: "id", Message: fmt.Sprintf("a request with the id %q is open or has run", params.ID),
+		})
+		return nil
+	}
 	if s.openRequests.Add(1) > int64(s.Service.Limits.MaxOpenRequests) {
-		s.openRequests.Add(-1)
+		s.closeRequest(params.ID, false)
 		kserve.WriteFinalResponse(w, kserve.FinalResponse{
 			Outcome: kserve.Rejected, Error: "as many questions are open as this dispatcher takes",
 			SafeToRetry: true, RetryAfterMs: s.Service.Limits.MaxRetryAfter.Std().Milliseconds(),
@@ -171,13 +182,28 @@
 		s.Loop.Submit(request, classNumber, tenantNumber, params.Timeout-time.Since(arrived)-s.Instance.ResponseMargin.Std())
 	})
 	if !submitted {
-		s.openRequests.Add(-1)
+		s.closeRequest(params.ID, false)
 		kserve.WriteFinalResponse(w, retryElsewhere("this dispatcher has stopped"))
 		return nil
 	}
 	return request
 }
 
+// closeRequest counts a request as closed and frees its id, or remembers it as used.
+func (s *Server) closeRequest(id string, mayHaveRun bool) {
+	s.openRequests.Add(-1)
+	if id != "" {
+		s.ids.Release(id, mayHaveRun)
+	}
+}
+
+// close closes a request that was submitted. The id of one that must not run twice is remembered, unless the request was
+// rejected: then its client may send it again.
+func (s *Server) close(request *ClientRequest, final kserve.FinalResponse) {
+	class := s.Service.Classes[s.Service.ClassIndex(request.Class)]
+	s.closeRequest(request.Params.ID, class.Effect == unrepeatableEffect && final.Outcome != kserve.Rejected)
+}
+
 // disconnected tells the loop that the client has disconnected.
 func (s *Server) disconnected(request *ClientRequest) {
 	s.Loop.Post(func() { s.Loop.ClientDisconnected(request) })
@@ -189,8 +215,9 @@
 	if request == nil {
 		return
 	}
-	defer s.openRequests.Add(-1)
-	switch attempt, final, ok := request.WaitStart(r.Context()); {
+	attempt, final, ok := request.WaitStart(r.Context())
+	defer s.close(request, final)
+	switch {
 	case !ok:
 		s.disconnected(request)
 	case attempt == nil:
@@ -304,8 +331,8 @@
 	if request == nil {
 		return
 	}
-	defer s.openRequests.Add(-1)
 	text, final, ok := s.bufferAnswer(r, request)
+	defer s.close(request, final)
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.Instance.WriteTimeout.Std()))
 	switch {
 	case !ok:
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -14,6 +14,7 @@
 	"sloetrestle/internal/kserve"
 	"sloetrestle/internal/memory"
 	"sloetrestle/internal/monitor"
+	"sloetrestle/internal/requestids"
 	"sloetrestle/scheduler"
 )
 
@@ -60,7 +61,7 @@
 	shutdownTimes shutdownTimes
 	answerTimes   answerTimes
 
-	ids      *idRegistry
+	ids      *requestids.Registry
 	monitor  *monitor.Monitor
 	stalls   *stallDetector
 	classes  []*scheduler.Class // by class index
@@ -76,7 +77,7 @@
 ) *frontend {
 	handler := &frontend{
 		loop: loop, classIndexes: map[string]int{}, tenantIndexes: map[string]int{},
-		ids: newIDRegistry(longestDeadline(settings) + idRetentionSlack), refusals: map[string]int64{},
+		ids: requestids.New(longestDeadline(settings) + requestids.RetentionSlack), refusals: map[string]int64{},
 		moveStreams: make(chan struct{}), endLateStreams: make(chan struct{}),
 		retryAfter: settings.Duration("policyLimits.maxRetryAfterUs"),
 		maxOpen:    int64(settings.Number("policyLimits.maxOpen", 1e4)),
@@ -123,7 +124,7 @@
 		f.refuse(w, r, refusal)
 		return
 	}
-	if f.ids.known(request.ID) {
+	if f.ids.Known(request.ID) {
 		f.refuse(w, r, errDuplicateID) // before any response that would invite a retry
 		return
 	}
--- a/internal/platform/submit.go
+++ b/internal/platform/submit.go
@@ -31,12 +31,12 @@
 // run reads the request's body, hands the request to the event loop and writes the response.
 func (s *submission) run() {
 	f := s.frontend
-	if !f.ids.claim(s.request.ID) {
+	if !f.ids.Claim(s.request.ID) {
 		f.refuse(s.w, s.r, errDuplicateID)
 		return
 	}
 	submitted := false
-	defer func() { f.ids.release(s.request.ID, submitted) }()
+	defer func() { f.ids.Release(s.request.ID, submitted) }()
 	conn := connFromContext(s.r.Context())
 	s.memory = f.memory.NewHolder(nil)
 	defer s.memory.Close()
--- a/internal/platform/ids.go
+++ b/internal/requestids/registry.go
@@ -1,4 +1,5 @@
-package platform
+// Package requestids remembers which request ids are open or were used recently, in bounded memory. Begin with Registry.
+package requestids
 
 import (
 	"sync"
@@ -11,14 +12,13 @@
 	// maxGenerationIDs bounds the ids of one generation, at 8 bytes each. It covers over 1,000 requests a second for
 	// the whole retention time.
 	maxGenerationIDs = 1 << 15
-	// idRetentionSlack is how long an id is remembered beyond the longest deadline.
-	idRetentionSlack = 10 * time.Second
+	// RetentionSlack is how long an id should be remembered beyond the longest deadline.
+	RetentionSlack = 10 * time.Second
 )
 
-// idRegistry knows the ids of requests that are open or were admitted recently. Every request has its own id, and so
-// has a client's retry. A request with a known id is therefore a copy that the client did not make: the original may
-// have run, so a rejection of the copy would wrongly state that it has not.
-type idRegistry struct {
+// Registry knows the ids of requests that are open or were used recently. A request with a known id may have run: it must
+// not run again, and a rejection would wrongly state that it has not.
+type Registry struct {
 	retention time.Duration // for which an id is remembered at least
 
 	mu                sync.Mutex
@@ -27,27 +27,28 @@
 	generationStart   time.Time
 }
 
-func newIDRegistry(retention time.Duration) *idRegistry {
-	return &idRegistry{
+// New returns a registry that remembers ids for the given time at least, unless there are very many.
+func New(retention time.Duration) *Registry {
+	return &Registry{
 		retention: retention, open: map[string]bool{},
 		current: map[uint64]bool{}, previous: map[uint64]bool{}, generationStart: time.Now(),
 	}
 }
 
-// known reports whether an id is open or was admitted recently.
-func (r *idRegistry) known(id string) bool {
+// Known reports whether an id is open or was used recently.
+func (r *Registry) Known(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.knownLocked(id)
 }
 
-func (r *idRegistry) knownLocked(id string) bool {
+func (r *Registry) knownLocked(id string) bool {
 	hash := xxhash.Sum64String(id)
 	return r.open[id] || r.current[hash] || r.previous[hash]
 }
 
-// claim opens an id. It returns false if the id is known.
-func (r *idRegistry) claim(id string) bool {
+// Claim opens an id. It returns false if the id is known.
+func (r *Registry) Claim(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.knownLocked(id) {
@@ -57,12 +58,12 @@
 	return true
 }
 
-// release closes an id, and remembers it if its request was admitted.
-func (r *idRegistry) release(id string, admitted bool) {
+// Release closes an id, and remembers it if its request may have run.
+func (r *Registry) Release(id string, remember bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.open, id)
-	if !admitted {
+	if !remember {
 		return
 	}
 	if now := time.Now(); now.Sub(r.generationStart) >= r.retention || len(r.current) >= maxGenerationIDs {
@@ -70,3 +71,10 @@
 	}
 	r.current[xxhash.Sum64String(id)] = true
 }
+
+// OpenCount returns the number of open ids.
+func (r *Registry) OpenCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.open)
+}
