serve: an answer that belongs to another attempt is not passed on

Cause: connpool/conn.go puts a connection back when an answer has ended, and http_transport.go, runAttempt, took what came next for the answer to the next attempt. Change: the head of a response names its attempt (X-Attempt, sent with the request); another attempt's is not passed on, and a connection whose response names none is used once. It works since a second copy names the attempt that it was made for, however late it comes.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -24,6 +24,7 @@
 	reader    *responseReader
 	idleSince time.Duration
 	written   int64 // bytes of the current request
+	noReuse   bool  // it is closed after the current request
 }
 
 // responseReader reads a connection. It limits the bytes that it reads for the head of a response.
@@ -147,6 +148,9 @@
 	return n, err
 }
 
+// NoReuse has the connection closed after the current request: more of its response may come later.
+func (c *Conn) NoReuse() { c.noReuse = true }
+
 // Sent tells whether a byte of the request was sent. From then on the request is bound to this connection.
 func (c *Conn) Sent() bool { return c.written > 0 }
 
@@ -206,7 +210,7 @@
 		io.CopyN(io.Discard, b, maxDrainBytes)
 		b.conn.SetReadDeadline(time.Time{})
 	}
-	if !b.stop() || !b.ended || b.last {
+	if !b.stop() || !b.ended || b.last || b.conn.noReuse {
 		b.conn.discard()
 		return nil
 	}
--- a/internal/dispatch/http_transport.go
+++ b/internal/dispatch/http_transport.go
@@ -87,6 +87,8 @@
 	mu              sync.Mutex
 	releases        map[*Backend]*releaseQueue
 	DroppedReleases atomic.Int64 // releases dropped because too many were queued for their backend
+
+	ForeignResponses atomic.Int64 // responses to other attempts, which were not passed on
 }
 
 // NewHTTPTransport returns a transport with its connection pools. Its goroutines belong to the group and end with the
@@ -166,6 +168,15 @@
 		return observed
 	}
 	defer resp.Body.Close()
+	switch resp.Header.Get(kserve.AttemptHeader) {
+	case metadata.Name():
+	case "":
+		conn.NoReuse() // whatever else it sends could not be told from the next response
+	default:
+		conn.NoReuse()
+		c.ForeignResponses.Add(1)
+		return observed
+	}
 	if resp.StatusCode != http.StatusOK || metadata.Phase == kserve.PhasePrefill {
 		observed.Report = readReport(resp)
 		return observed
--- a/internal/dispatch/status.go
+++ b/internal/dispatch/status.go
@@ -19,6 +19,7 @@
 		"dispatcher": loop.Epoch, "up_s": uptime.Seconds(), "open": server.openRequests.Load(),
 		"stopping": server.stopping.Load(), "list_heard": received, "list_age_s": age.Seconds(),
 		"list_gaps": discovery.Gaps(), "releases_refused": transport.DroppedReleases.Load(),
+		"foreign_responses": transport.ForeignResponses.Load(),
 	}
 	if transport.Peers != nil {
 		out["messages_dropped"] = transport.Peers.Dropped.Load()
--- a/internal/fakes/backend.go
+++ b/internal/fakes/backend.go
@@ -383,6 +383,7 @@
 
 // handleAttempt serves one attempt from the arrival of its body to its end.
 func (b *Backend) handleAttempt(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(kserve.AttemptHeader, r.Header.Get(kserve.AttemptHeader))
 	attempt, _, err := kserve.ReadAttemptParams(http.MaxBytesReader(w, r.Body, 16<<20))
 	if err != nil {
 		kserve.WriteError(w, err)
--- a/internal/faultmatrix/cluster_test.go
+++ b/internal/faultmatrix/cluster_test.go
@@ -210,6 +210,7 @@
 }
 
 func (b *testBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(kserve.AttemptHeader, r.Header.Get(kserve.AttemptHeader))
 	c := &call{backend: b, w: w, r: r}
 	switch {
 	case r.Method == http.MethodGet && b.onProbe != nil:
--- a/internal/kserve/attempt.go
+++ b/internal/kserve/attempt.go
@@ -91,6 +91,13 @@
 	Text  string `json:"text_output"`
 }
 
+// AttemptHeader is the header that names an attempt, in the request and in the head of its response. It shows to which
+// request of a connection a response belongs.
+const AttemptHeader = "X-Attempt"
+
+// Name identifies the attempt among all attempts of all dispatchers.
+func (p AttemptParams) Name() string { return fmt.Sprintf("%s/%d", p.RequestKey(), p.Attempt) }
+
 type attemptBody struct {
 	ID         string        `json:"id,omitempty"`
 	Text       string        `json:"text_input"`
@@ -113,6 +120,7 @@
 	}
 	// The transport resends a POST by itself only if no byte of it was written, so an attempt reaches one backend once.
 	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(AttemptHeader, params.Name())
 	return r, nil
 }
 
