endpoints: a change that discovery writes slowly is taken in

Cause: watch.go, pushReader.Read, gave a message 1.5 s from its start however its bytes came, by a deadline for a read of the body, which returns with a whole chunk only; the next watch got the same message again. Change: the deadline is set for each read of the socket, 1.5 s without a byte and 4.5 s for the whole message, doubled after each in a row that was not complete.

Test: TestChangeThatIsWrittenSlowlyIsTakenIn failed before for 4 and 5 s.

--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -165,19 +167,23 @@
 	return site, backend, agent, follower
 }
 
+// state returns the state in the last line that was passed on for a backend.
+func (f *testFollower) state(name string) (last string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, line := range f.lines {
+		if line.Name == name {
+			last = line.State
+		}
+	}
+	return last
+}
+
 // waitForState waits until the last line that was passed on for a backend has the given state.
 func (f *testFollower) waitForState(t *testing.T, name, state string) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-		f.mu.Lock()
-		last := ""
-		for _, line := range f.lines {
-			if line.Name == name {
-				last = line.State
-			}
-		}
-		f.mu.Unlock()
-		if last == state {
+		if f.state(name) == state {
 			return
 		}
 	}
@@ -396,6 +402,41 @@
 	}
 }
 
+// Guards against a drain that is never heard, as discovery takes its time to write the message: each watch was closed in
+// the middle of it, and the next one was sent the same message again. One that takes over 6 s is heard at a later try.
+func TestChangeThatIsWrittenSlowlyIsTakenIn(t *testing.T) {
+	const pieces, limit = 20, 6 * time.Second
+	for name, test := range map[string]struct{ length, within time.Duration }{
+		"2.3 s": {2300 * time.Millisecond, limit},
+		"4 s":   {4 * time.Second, limit},
+		"5 s":   {5 * time.Second, messageTimeout + 5*time.Second + limit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			site, _, agent, follower := startSite(t)
+			eventually(t, func() bool { return agent.WatchCount() == 1 })
+			list := strings.NewReplacer("in_service", "terminating", `"rev":1`, `"rev":99`, `"all":true`, `"all":false`).
+				Replace(string(site.DiscoveryList()))
+			message := testbackends.EncodeChunk(list + "\n")
+			began := time.Now()
+			for time.Since(began) < test.within && follower.state("a") != endpointlist.Draining {
+				failures := follower.WatchFailures()
+				eventually(t, func() bool { return agent.WatchCount() == 1 })
+				for piece := range slices.Chunk([]byte(message), len(message)/pieces+1) {
+					time.Sleep(test.length / pieces)
+					if follower.WatchFailures() > failures {
+						break // the watch was closed: the next one gets the message from its start
+					}
+					agent.WriteRaw(string(piece))
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if took := time.Since(began); follower.state("a") != endpointlist.Draining {
+				t.Errorf("not known after %v, with %d watches closed", took, follower.WatchFailures())
+			}
+		})
+	}
+}
+
 func TestFullListIsFetchedFromNewAddress(t *testing.T) {
 	site := testbackends.New()
 	t.Cleanup(site.Close)
--- a/internal/endpoints/follower.go
+++ b/internal/endpoints/follower.go
@@ -40,6 +40,7 @@
 	addressChangedAt time.Duration
 	cancelWatch      context.CancelCauseFunc
 	watchFailures    atomic.Int64
+	overdueMessages  atomic.Int64  // in a row, that were not complete in time
 	endLoggedAt      time.Duration // when the end of a watch was logged last; used by Run only
 	synced           atomic.Bool
 }
--- a/internal/endpoints/race.go
+++ b/internal/endpoints/race.go
@@ -8,7 +8,7 @@
 
 const (
 	// attemptInterval is how long an attempt may go without a response before another starts beside it: discovery
-	// either responds at once or is slow. It is also the time within which a message that has begun must be complete.
+	// either responds at once or is slow. It is also how long a message that has begun may go without a further byte.
 	attemptInterval     = 1500 * time.Millisecond
 	maxParallelAttempts = 3
 )
--- a/internal/endpoints/watch.go
+++ b/internal/endpoints/watch.go
@@ -22,6 +22,11 @@
 	responseTimeout   = 3 * attemptInterval       // for the head of a response, or for one list
 	dialTimeout       = 2 * time.Second
 	maxPushBytes      = 8 << 20
+
+	// messageTimeout is the time within which a message that has begun must be complete. It doubles with each message in a
+	// row that was not, maxMessageDoublings times at most: the next watch is sent the same message again.
+	messageTimeout      = 3 * attemptInterval
+	maxMessageDoublings = 4
 )
 
 var errClosedAfterList = errors.New("discovery closed the connection after the full list")
@@ -35,6 +40,7 @@
 	responded func() // called at the first response; further calls have no effect
 	conn      net.Conn
 	reader    *bufio.Reader
+	pushes    *pushReader // once the watch is open
 }
 
 // watch keeps one watch and calls responded at its first response. If the address was not followed before, or no
@@ -67,10 +73,27 @@
 	if w.conn, err = dial(ctx, "tcp", w.address); err != nil {
 		return err
 	}
-	w.reader = bufio.NewReader(w.conn)
+	w.reader = bufio.NewReader(w)
 	return nil
 }
 
+// Read reads from the connection. Of an open watch, it applies the deadline of what is expected next: a read of the body
+// returns only when a whole chunk has come.
+func (w *watch) Read(into []byte) (int, error) {
+	if w.pushes == nil {
+		return w.conn.Read(into)
+	}
+	w.conn.SetReadDeadline(w.pushes.deadline(time.Now()))
+	n, err := w.conn.Read(into)
+	w.pushes.received(into[:n])
+	return n, err
+}
+
+// messageTimeout returns the time within which a message must be complete now.
+func (f *Follower) messageTimeout() time.Duration {
+	return messageTimeout << min(f.overdueMessages.Load(), maxMessageDoublings)
+}
+
 // get sends a request and reads the head of the response, which must have the status 200.
 func (w *watch) get(target string) (*http.Response, error) {
 	w.conn.SetDeadline(time.Now().Add(responseTimeout))
@@ -112,11 +135,16 @@
 	}
 	w.responded()
 	pushes := &pushReader{
-		conn: w.conn, body: resp.Body, remaining: maxPushBytes, onHeartbeat: w.follower.noteUnchanged,
+		body: resp.Body, remaining: maxPushBytes, onHeartbeat: w.follower.noteUnchanged,
+		messageTimeout: w.follower.messageTimeout(),
 	}
+	w.pushes = pushes
 	for decoder := json.NewDecoder(pushes); ; {
 		var raw json.RawMessage
 		if err := decoder.Decode(&raw); err != nil {
+			if pushes.overdue() {
+				w.follower.overdueMessages.Add(1)
+			}
 			var syntaxErr *json.SyntaxError
 			w.follower.noteDecodeError(errors.As(err, &syntaxErr))
 			return received, err
@@ -125,6 +153,7 @@
 			return received && !errors.Is(err, errStaleList), err
 		}
 		received = true
+		w.follower.overdueMessages.Store(0)
 		buffered, _ := io.ReadAll(decoder.Buffered())
 		pushes.remaining, pushes.pushStart = maxPushBytes, time.Time{}
 		pushes.observe(buffered)
@@ -132,31 +161,49 @@
 }
 
 // pushReader reads the body of a watch. Every byte shows that the connection is alive, but not that discovery makes
-// progress: a message that has begun must be complete within attemptInterval, however slowly its bytes arrive, and
-// within maxPushBytes.
+// progress: a message that has begun must go on within attemptInterval, and be complete within messageTimeout and within
+// maxPushBytes.
 type pushReader struct {
-	conn        net.Conn
-	body        io.Reader
-	remaining   int       // bytes that the current message may still have
-	pushStart   time.Time // when the current message began; zero: only empty lines were received since the last one
-	onHeartbeat func()    // called when an empty line is received: the list has not changed
+	body           io.Reader
+	remaining      int       // bytes that the current message may still have
+	pushStart      time.Time // when the current message began; zero: only empty lines were received since the last one
+	onHeartbeat    func()    // called when an empty line is received: the list has not changed
+	messageTimeout time.Duration
+}
+
+// deadline returns the time by which further bytes must come.
+func (p *pushReader) deadline(now time.Time) time.Time {
+	if p.pushStart.IsZero() {
+		return now.Add(silenceTimeout)
+	}
+	if end := p.pushStart.Add(p.messageTimeout); end.Before(now.Add(attemptInterval)) {
+		return end
+	}
+	return now.Add(attemptInterval)
+}
+
+// received accounts for bytes of the connection. A message begins with a brace, which the framing of chunks doesn't have.
+func (p *pushReader) received(raw []byte) {
+	if p.pushStart.IsZero() && bytes.IndexByte(raw, '{') >= 0 {
+		p.pushStart = time.Now()
+	}
+}
+
+// overdue reports whether the current message has taken longer than it may.
+func (p *pushReader) overdue() bool {
+	return !p.pushStart.IsZero() && time.Since(p.pushStart) >= p.messageTimeout
 }
 
 func (p *pushReader) Read(into []byte) (int, error) {
 	if p.remaining <= 0 {
 		return 0, fmt.Errorf("discovery message exceeds the limit of %d bytes", maxPushBytes)
 	}
-	deadline := time.Now().Add(silenceTimeout)
-	if !p.pushStart.IsZero() {
-		deadline = p.pushStart.Add(attemptInterval)
-	}
-	p.conn.SetReadDeadline(deadline)
 	n, err := p.body.Read(into[:min(len(into), p.remaining)])
 	p.observe(into[:n])
 	return n, err
 }
 
-// observe accounts for received bytes.
+// observe accounts for bytes of the body.
 func (p *pushReader) observe(raw []byte) {
 	if p.pushStart.IsZero() && len(bytes.TrimSpace(raw)) > 0 {
 		p.pushStart = time.Now()
