endpoints: an older list does not bring back what a newer one took out of service

Cause: table.go, Apply, applies an older list whole after staleListGrace, and knew the last revision only. Change: withdrawals remembers for 30 s which revision took a backend out of service; older lists leave those out. The grace period begins anew with each move. The price: what an older list has in service and a newer one had not gets nothing for up to 30 s.

Tests: TestOlderListDoesNotBringBackWithdrawnBackends fails without the change; TestWithdrawalsAreForgotten.

--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -67,6 +67,85 @@
 	}
 }
 
+// Guards against draining and removed backends that get requests again: a list from before their drain, which a new address
+// of discovery still has, is applied after the grace period without them. Newer revisions bring them back at once, older
+// ones once they can't be late any more.
+func TestOlderListDoesNotBringBackWithdrawnBackends(t *testing.T) {
+	list := func(revision int, full bool, states ...string) []byte {
+		var targets []string
+		for i, state := range states {
+			if state != "" {
+				targets = append(targets, fmt.Sprintf(`{"uid":"%c","endpoint":"10.0.0.%d:1","state":%q,"capacity_hint":1}`, 'a'+i, i+1, state))
+			}
+		}
+		return fmt.Appendf(nil, `{"rev":%d,"all":%v,"targets":[%s]}`, revision, full, strings.Join(targets, ","))
+	}
+	const ready, draining = "in_service", "terminating"
+	var table Table
+	states := map[string]string{}
+	apply := func(at time.Duration, raw []byte) {
+		t.Helper()
+		lines, full, _, err := table.Apply(at, 0, raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if full {
+			clear(states)
+		}
+		for _, line := range lines {
+			states[line.Name] = line.State
+		}
+	}
+	expect := func(when string, want map[string]string) {
+		t.Helper()
+		for _, name := range []string{"a", "b", "c", "d"} {
+			if (states[name] == endpointlist.Ready) != (want[name] == endpointlist.Ready) {
+				t.Errorf("%s: %s is %q, want %q", when, name, states[name], want[name])
+			}
+		}
+	}
+	apply(0, list(41, true, ready, ready, ready))
+	apply(time.Second, list(42, false, draining))           // a drains
+	apply(time.Second, list(43, true, draining, "", ready)) // b is gone
+	changed := 3 * time.Second
+	table.AddressChanged(changed)
+	apply(changed+100*time.Millisecond, list(41, true, ready, ready, ready, ready))
+	expect("at once", map[string]string{"c": endpointlist.Ready})
+	apply(changed+staleListGrace, list(41, true, ready, ready, ready, ready))
+	expect("after the grace period", map[string]string{"c": endpointlist.Ready, "d": endpointlist.Ready})
+	apply(changed+staleListGrace+time.Second, list(42, false, draining))
+	expect("as the new address catches up", map[string]string{"c": endpointlist.Ready, "d": endpointlist.Ready})
+	apply(changed+staleListGrace+2*time.Second, list(44, true, ready, draining, ready))
+	expect("a newer revision", map[string]string{"a": endpointlist.Ready, "c": endpointlist.Ready})
+	table.AddressChanged(20 * time.Second)
+	apply(20*time.Second+staleListGrace, list(5, true, ready, ready))
+	expect("revisions that begin anew", map[string]string{"a": endpointlist.Ready})
+	apply(10*time.Second+withdrawalMemory, list(6, true, ready, ready))
+	expect("revisions that began anew", map[string]string{"a": endpointlist.Ready, "b": endpointlist.Ready})
+	table.AddressChanged(60 * time.Second)
+	apply(61*time.Second, list(4, true, ready, ready))
+	table.AddressChanged(62 * time.Second)
+	if _, full, _, _ := table.Apply(64500*time.Millisecond, 0, list(4, true, ready)); full {
+		t.Error("the grace period counts from an earlier change of the address")
+	}
+}
+
+// What is remembered of backends that come and go is bounded by how many do so while it matters.
+func TestWithdrawalsAreForgotten(t *testing.T) {
+	var table Table
+	for revision := range 1000 {
+		now := time.Duration(revision) * time.Second
+		for _, state := range []string{"in_service", "terminating", "terminated"} {
+			table.Apply(now, 0, fmt.Appendf(nil,
+				`{"rev":%d,"all":false,"targets":[{"uid":"s%d","endpoint":"10.0.0.1:1","state":%q,"capacity_hint":1}]}`,
+				revision, revision, state))
+		}
+	}
+	if n := len(table.withdrawals.withdrawn) + len(table.withdrawals.inService); n > int(withdrawalMemory/time.Second)+1 {
+		t.Errorf("%d backends are remembered", n)
+	}
+}
+
 // listOfOne returns the full list of one backend that is in service.
 func listOfOne(revision int) []byte {
 	return fmt.Appendf(nil,
--- a/internal/endpoints/table.go
+++ b/internal/endpoints/table.go
@@ -55,11 +55,14 @@
 	staleSince       time.Duration // since when discovery has had only older lists; 0: it has had newer ones
 	clock            startClock
 	addressChangedAt time.Duration // when discovery's address changed; 0: not since the last list was applied
+	withdrawals      withdrawals
 }
 
 // AddressChanged notes that discovery's address changed at the given monotonic time. An older list from the new
 // address counts as discovery's state from that time on.
-func (t *Table) AddressChanged(now time.Duration) { t.addressChangedAt = max(now, 1) }
+func (t *Table) AddressChanged(now time.Duration) {
+	t.addressChangedAt, t.staleSince = max(now, 1), 0
+}
 
 // SetLastKnown sets the list that an earlier process had. Only its revision counts, by which an older list of discovery is
 // recognised: discovery alone knows which of its backends are still in service.
@@ -106,8 +109,10 @@
 		t.Revision, t.revisionKnown = message.Revision, true
 	}
 	unixMs = t.clock.observeStarts(message.Targets, unixMs)
+	named := map[string]bool{}
 	for _, reported := range message.Targets {
 		endpoint, err := reported.endpoint()
+		named[reported.UID] = true
 		if err == nil && reported.BootMs > 0 {
 			endpoint.UptimeMs = t.clock.uptime(reported, now, unixMs).Milliseconds()
 		}
@@ -118,12 +123,17 @@
 			refused = append(refused, err.Error())
 			continue
 		}
-		if !stale || endpoint.State != endpointlist.Ready {
-			lines = append(lines, endpoint)
+		if stale && endpoint.State == endpointlist.Ready {
+			continue
 		}
+		endpoint.State = t.withdrawals.observe(endpoint.Name, endpoint.State, message.Revision, now)
+		lines = append(lines, endpoint)
 	}
 	if !stale {
 		t.clock.lastConfirmed = now
+		if message.Full {
+			t.withdrawals.observeFull(named, message.Revision, now)
+		}
 	}
 	return lines, message.Full && !stale, refused, nil
 }
