--- a/cmd/sloetrestle/main.go
+++ b/cmd/sloetrestle/main.go
@@ -85,7 +85,8 @@
 Exit codes: 0 success; 1 a rule was violated or something failed; 2 wrong usage.`,
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	command.AddCommand(serveCommand(), platformCommand(), soakCommand(), soakDispatcherCommand(), overloadCommand(), demoCommand(),
+	command.AddCommand(serveCommand(), platformCommand(), soakCommand(), soakDispatcherCommand(), overloadCommand(),
+		demoCommand(),
 		scenarioCommand(), checkCommand(), stateCommand(), backendsCommand(), measureCommand(), experimentCommand(),
 		loadCommand(), emulateCommand(), billCommand(), budgetCommand(), ledgerCommand(), versionCommand())
 	return command
--- a/cmd/sloetrestle/overload.go
+++ b/cmd/sloetrestle/overload.go
@@ -32,7 +32,8 @@
 	}
 	flags := command.Flags()
 	flags.IntSliceVar(&limits, "memory", []int{32, 40, 64, 96, 192}, "memory limits in MiB")
-	flags.StringSliceVar(&behaviors, "behavior", slices.Sorted(maps.Keys(overload.Behaviors)), "what the clients do: "+strings.Join(names, ", "))
+	flags.StringSliceVar(&behaviors, "behavior", slices.Sorted(maps.Keys(overload.Behaviors)),
+		"what the clients do: "+strings.Join(names, ", "))
 	flags.StringVar(&program, "program", "", "command line of the dispatcher; empty: this program's platform command")
 	flags.IntVar(&options.Sockets, "sockets", 1024, "limit of descriptors")
 	flags.IntVar(&options.Clients, "clients", 320, "clients that misbehave")
--- a/internal/dispatch/client_conn_test.go
+++ b/internal/dispatch/client_conn_test.go
@@ -44,16 +44,9 @@
 // connection, not a reset.
 func TestPipelineOverrunEndsAfterTheAnswer(t *testing.T) {
 	service := startService(t, nil)
-	conn, err := net.Dial("tcp", strings.TrimPrefix(service.baseURL, "http://"))
-	if err != nil {
-		t.Fatal(err)
-	}
+	conn := service.dialWithOpenRequest("a")
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(5 * time.Second))
-	io.WriteString(conn, rawGenerate("a"))
-	for service.attempts() == 0 {
-		time.Sleep(time.Millisecond)
-	}
 	pipelined := 0
 	for ; pipelined < 1000; pipelined++ {
 		io.WriteString(conn, rawGenerate(fmt.Sprint("p", pipelined)))
@@ -86,8 +79,10 @@
 				name := fmt.Sprintf("name-%d-%d", round, number)
 				for path, body := range map[string]string{
 					"/v2/models/" + name + "/generate": `{"text_input":"a"}`,
-					"/v2/models/lodge/generate":        `{"id":"` + name + `","text_input":"a","parameters":{"grade":"` + name + `"}}`,
-					"/v2/models/lodge/infer":           `{"id":"` + name + `","text_input":"a","parameters":{"channel":"` + name + `"}}`,
+					"/v2/models/lodge/generate": fmt.Sprintf(
+						`{"id":%q,"text_input":"a","parameters":{"grade":%q}}`, name, name),
+					"/v2/models/lodge/infer": fmt.Sprintf(
+						`{"id":%q,"text_input":"a","parameters":{"channel":%q}}`, name, name),
 				} {
 					resp, err := client.Post(service.baseURL+path, "application/json", strings.NewReader(body))
 					if err != nil {
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -30,6 +30,21 @@
 	return count
 }
 
+// dialWithOpenRequest opens a client's connection and sends a request that must not run again. It returns when a backend has
+// the request.
+func (s *testService) dialWithOpenRequest(id string) net.Conn {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(s.baseURL, "http://"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	io.WriteString(conn, rawGenerate(id))
+	for s.attempts() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return conn
+}
+
 // openRequests returns how many requests are open, as operators are told.
 func (s *testService) openRequests() int {
 	var state struct {
@@ -53,14 +68,7 @@
 		t.Run(name, func(t *testing.T) {
 			service := startService(t, nil)
 			service.prefill.UpdateFaults(func(faults *fakes.Faults) { faults.Hang = true })
-			conn, err := net.Dial("tcp", strings.TrimPrefix(service.baseURL, "http://"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			io.WriteString(conn, rawGenerate("a"))
-			for service.attempts() == 0 {
-				time.Sleep(time.Millisecond)
-			}
+			conn := service.dialWithOpenRequest("a")
 			for n := range pipelined {
 				if _, err := io.WriteString(conn, rawGenerate(fmt.Sprint("p", n))); err != nil {
 					t.Fatal(err)
@@ -95,15 +103,7 @@
 func TestIDOfAnUnrepeatableRequestIsNotRunAgain(t *testing.T) {
 	service := startService(t, nil)
 	service.prefill.UpdateFaults(func(faults *fakes.Faults) { faults.Hang = true })
-	conn, err := net.Dial("tcp", strings.TrimPrefix(service.baseURL, "http://"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	io.WriteString(conn, rawGenerate("a"))
-	for service.attempts() == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	conn.Close()
+	service.dialWithOpenRequest("a").Close()
 	if status := service.generateWithID("a", "hut-booking", "is the hut free"); status != http.StatusConflict {
 		t.Errorf("after its client has left: status %d, want 409", status)
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -2,14 +2,10 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
-	"os"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -96,114 +92,6 @@
 	}
 }
 
-// submit reads a request and submits it to the loop. It returns nil if the request was not accepted; the client then
-// has its answer.
-func (s *Server) submit(w http.ResponseWriter, r *http.Request, inference bool) *ClientRequest {
-	arrived := time.Now()
-	control := http.NewResponseController(w)
-	control.SetReadDeadline(arrived.Add(s.Instance.BodyTimeout.Std()))
-	body := http.MaxBytesReader(w, r.Body, s.Instance.MaxBodyBytes)
-	read := kserve.ReadGenerateRequest
-	if inference {
-		read = kserve.ReadInferRequest
-	}
-	params, err := read(body)
-	if err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) || strings.Contains(err.Error(), "i/o timeout") {
-			err = &kserve.RequestError{
-				Status:  http.StatusRequestTimeout,
-				Message: fmt.Sprintf("the body did not arrive within %v", s.Instance.BodyTimeout.Std()),
-			}
-		}
-		kserve.WriteError(w, err)
-		return nil
-	}
-	control.SetReadDeadline(time.Time{})
-	classNumber, tenantNumber := 0, 0
-	if params.Class != "" {
-		if classNumber = s.Service.ClassIndex(params.Class); classNumber < 0 {
-			kserve.WriteError(w, &kserve.RequestError{
-				Status: http.StatusBadRequest, Field: "parameters.grade",
-				Message: fmt.Sprintf("%q is unknown", params.Class),
-			})
-			return nil
-		}
-	}
-	if params.Tenant != "" {
-		if tenantNumber = s.Service.TenantIndex(params.Tenant); tenantNumber < 0 {
-			kserve.WriteError(w, &kserve.RequestError{
-				Status: http.StatusBadRequest, Field: "parameters.channel",
-				Message: fmt.Sprintf("%q is unknown", params.Tenant),
-			})
-			return nil
-		}
-	}
-	class := s.Service.Classes[classNumber]
-	if params.PromptTokens == 0 {
-		params.PromptTokens = max(prefixtable.EstimateTokens(params.Text), 1)
-	}
-	params.PrefixTokens = min(params.PrefixTokens, params.PromptTokens)
-	if params.MaxTokens == 0 {
-		params.MaxTokens = class.DefaultMaxTokens
-	}
-	if params.Timeout == 0 {
-		params.Timeout = class.Deadline.Std() +
-			2*time.Duration(float64(params.PromptTokens)/1000*float64(class.TargetPer1000Tokens))
-	}
-	if s.stopping.Load() {
-		kserve.WriteFinalResponse(w, retryElsewhere(stoppingReason))
-		return nil
-	}
-	if params.ID != "" && !s.ids.Claim(params.ID) {
-		kserve.WriteError(w, &kserve.RequestError{
-			Status: http.StatusConflict, Field: "id", Message: fmt.Sprintf("a request with the id %q is open or has run", params.ID),
-		})
-		return nil
-	}
-	if s.openRequests.Add(1) > int64(s.Service.Limits.MaxOpenRequests) {
-		s.closeRequest(params.ID, false)
-		kserve.WriteFinalResponse(w, kserve.FinalResponse{
-			Outcome: kserve.Rejected, Error: "as many questions are open as this dispatcher takes",
-			SafeToRetry: true, RetryAfterMs: s.Service.Limits.MaxRetryAfter.Std().Milliseconds(),
-		})
-		return nil
-	}
-	if params.Tenant == "" && len(s.Service.Tenants) > 0 {
-		params.Tenant = s.Service.Tenants[0].Name
-	}
-	request := &ClientRequest{Params: params, Class: class.Name, Tenant: params.Tenant}
-	submitted := s.Loop.Call(context.WithoutCancel(r.Context()), func() {
-		if params.SharedPrefix == "" && params.Text != "" {
-			if key, tokens := s.prefixes.SharedPrefix(s.Loop.now, HashName(params.Session), params.Text); key != 0 {
-				request.Params.SharedPrefix, request.Params.PrefixTokens =
-					fmt.Sprintf("text-%x", key), min(tokens, request.Params.PromptTokens)
-			}
-		}
-		s.Loop.Submit(request, classNumber, tenantNumber, params.Timeout-time.Since(arrived)-s.Instance.ResponseMargin.Std())
-	})
-	if !submitted {
-		s.closeRequest(params.ID, false)
-		kserve.WriteFinalResponse(w, retryElsewhere("this dispatcher has stopped"))
-		return nil
-	}
-	return request
-}
-
-// closeRequest counts a request as closed and frees its id, or remembers it as used.
-func (s *Server) closeRequest(id string, mayHaveRun bool) {
-	s.openRequests.Add(-1)
-	if id != "" {
-		s.ids.Release(id, mayHaveRun)
-	}
-}
-
-// close closes a request that was submitted. The id of one that must not run twice is remembered, unless the request was
-// rejected: then its client may send it again.
-func (s *Server) close(request *ClientRequest, final kserve.FinalResponse) {
-	class := s.Service.Classes[s.Service.ClassIndex(request.Class)]
-	s.closeRequest(request.Params.ID, class.Effect == unrepeatableEffect && final.Outcome != kserve.Rejected)
-}
-
 // disconnected tells the loop that the client has disconnected.
 func (s *Server) disconnected(request *ClientRequest) {
 	s.Loop.Post(func() { s.Loop.ClientDisconnected(request) })
--- a/internal/dispatch/slow_backend_test.go
+++ b/internal/dispatch/slow_backend_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -26,8 +27,8 @@
 						t.Fatal(err)
 					}
 				}
-				body := `{"text_input":"` + strings.Repeat("x", textBytes) + `","parameters":{"prompt_tokens":400,"grade":"` +
-					class + `","timeout":` + "1000000" + `}}`
+				body := fmt.Sprintf(`{"text_input":%q,"parameters":{"prompt_tokens":400,"grade":%q,"timeout":%d}}`,
+					strings.Repeat("x", textBytes), class, deadline.Microseconds())
 				began := time.Now()
 				status, answer, _ := service.post(modelPath+"generate", strings.NewReader(body))
 				if took := time.Since(began); took > deadline+slack || status < 500 {
--- a/internal/endpoints/endpoints_test.go
+++ b/internal/endpoints/endpoints_test.go
@@ -75,7 +75,8 @@
 		var targets []string
 		for i, state := range states {
 			if state != "" {
-				targets = append(targets, fmt.Sprintf(`{"uid":"%c","endpoint":"10.0.0.%d:1","state":%q,"capacity_hint":1}`, 'a'+i, i+1, state))
+				targets = append(targets, fmt.Sprintf(
+					`{"uid":"%c","endpoint":"10.0.0.%d:1","state":%q,"capacity_hint":1}`, 'a'+i, i+1, state))
 			}
 		}
 		return fmt.Appendf(nil, `{"rev":%d,"all":%v,"targets":[%s]}`, revision, full, strings.Join(targets, ","))
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -110,11 +110,12 @@
 		anyUse := rapid.SampledFrom([]Use{Connections, Incoming, Pipelined, Requests, Answers})
 		t.Repeat(map[string]func(*rapid.T){
 			"reserve": func(t *rapid.T) {
-				victim, err := anyHolder.Draw(t, "holder").Reserve(anyUse.Draw(t, "use"), rapid.Int64Range(1, limit).Draw(t, "bytes"))
+				bytes := rapid.Int64Range(1, limit).Draw(t, "bytes")
+				victim, err := anyHolder.Draw(t, "holder").Reserve(anyUse.Draw(t, "use"), bytes)
 				if victim != nil {
 					victim.Evict()
 				}
-				if (victim != nil) && !errors.Is(err, ErrEvicting) {
+				if victim != nil && !errors.Is(err, ErrEvicting) {
 					t.Fatalf("a victim with %v", err)
 				}
 			},
@@ -137,7 +138,8 @@
 				if state.Total != total || account.evicting != 0 {
 					t.Fatalf("total %d, the holders have %d, %d are being given up", state.Total, total, account.evicting)
 				}
-				if state.Total > limit+3*clients*smallBytes { // what is small: incoming, pipelined, and incoming that was admitted
+				// What is small has no limit: incoming, pipelined, and incoming that was admitted.
+				if state.Total > limit+3*clients*smallBytes {
 					t.Fatalf("%d bytes are held, the limit is %d", state.Total, limit)
 				}
 			},
--- a/internal/overload/behavior.go
+++ b/internal/overload/behavior.go
@@ -48,7 +48,8 @@
 	longFieldBytes = 1 << 10   // of one of its fields, if they are long
 	bodyBytes      = 200 << 10 // of a large body
 	requestsAtOnce = 150
-	usualBody      = `{"model":"chat","stream":true,"max_tokens":100,"messages":[{"role":"user","content":"is the hut free"}]}`
+	usualBody      = `{"model":"chat","stream":true,"max_tokens":100,` +
+		`"messages":[{"role":"user","content":"is the hut free"}]}`
 )
 
 // How slow clients are, and how long the answers are that they read.
@@ -108,12 +109,14 @@
 		flood(conn, func(int) string { return "GET /ready HTTP/1.1\r\nHost: backend.local\r\n\r\n" })
 	case FloodUnsound:
 		flood(conn, func(n int) string {
-			return strings.Replace(head(fmt.Sprint(id, "-", n), 0), "trail-info", fmt.Sprint("class-", id, "-", n), 1) + "\r\n"
+			name := fmt.Sprint(id, "-", n)
+			return strings.Replace(head(name, 0), "trail-info", "class-"+name, 1) + "\r\n"
 		})
 	case FloodNames:
 		flood(conn, func(n int) string {
 			name := fmt.Sprint(id, "-", n)
-			return strings.Replace(head(name, len(usualBody)), "prompt_len", "prefix=p"+name+",prompt_len", 1) + "\r\n" + usualBody
+			valid := strings.Replace(head(name, len(usualBody)), "prompt_len", "prefix=p"+name+",prompt_len", 1)
+			return valid + "\r\n" + usualBody
 		})
 	}
 }
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -52,7 +52,9 @@
 	c.t.Helper()
 	request := &dispatch.ClientRequest{
 		Params: kserve.Request{ID: id, PromptTokens: 400, MaxTokens: 50},
-		Payload: &outgoingRequest{id: id, body: []byte("{}"), memory: ampleMemory().NewHolder(nil), head: func(wait time.Duration) []byte {
+		Payload: &outgoingRequest{id: id, body: []byte("{}"), memory: ampleMemory().NewHolder(nil), head: func(
+			wait time.Duration,
+		) []byte {
 			return fmt.Appendf(nil, "POST /v1/chat/completions HTTP/1.1\r\nX-Request-ID: %s\r\nX-Timeout-Ms: %d\r\n"+
 				"Content-Length: 2\r\n\r\n", id, wait.Milliseconds())
 		}},
--- a/internal/platform/conn_test.go
+++ b/internal/platform/conn_test.go
@@ -36,7 +36,8 @@
 		t.Fatal(err)
 	}
 	done := make(chan struct{})
-	conn, err = newClientConn(system.TCPConn{TCPConn: accepted.(*net.TCPConn)}, ampleMemory(), func(*clientConn) { close(done) })
+	conn, err = newClientConn(
+		system.TCPConn{TCPConn: accepted.(*net.TCPConn)}, ampleMemory(), func(*clientConn) { close(done) })
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/platform/memory_test.go
+++ b/internal/platform/memory_test.go
@@ -146,7 +146,8 @@
 		for range events {
 			ok = ok && e.WriteRaw(event)
 		}
-		return ok && e.WriteRaw(testbackends.EncodeChunk(testbackends.UsageEvent+testbackends.DoneEvent)+testbackends.LastChunk)
+		end := testbackends.EncodeChunk(testbackends.UsageEvent+testbackends.DoneEvent) + testbackends.LastChunk
+		return ok && e.WriteRaw(end)
 	})
 	client := cluster.dial()
 	io.WriteString(client, cluster.request("trail-info"))
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -146,7 +146,9 @@
 	if limit := attempt.Scheduled.ConnectTimeout; limit > 0 {
 		defer time.AfterFunc(ackTimeoutFactor*limit, func() { c.checkAcknowledged(attempt, conn) }).Stop()
 	}
-	sent := &exchange{transport: c, ctx: ctx, attempt: attempt, id: outgoing.id, memory: outgoing.memory, pool: pool, conn: conn}
+	sent := &exchange{
+		transport: c, ctx: ctx, attempt: attempt, id: outgoing.id, memory: outgoing.memory, pool: pool, conn: conn,
+	}
 	defer func() {
 		c.recordTraffic(attempt, -1, sent.load)
 		stop()
