endpoints, measure: old withdrawals are forgotten once a message; one reader of /proc

Found by reading the whole change once more. withdraw went through all withdrawn backends for each one, so a list that takes n backends out of service cost n times n steps; they are forgotten once at the start of a message now, which leaves one check in observe without a case. measure read /proc by itself, as procstat does, and procstat.ResidentFiles had no caller.

No change of behaviour. The tests of endpoints and procstat pass, and `sloetrestle measure` prints what it printed.

--- a/internal/endpoints/table.go
+++ b/internal/endpoints/table.go
@@ -109,6 +109,7 @@
 		t.Revision, t.revisionKnown = message.Revision, true
 	}
 	unixMs = t.clock.observeStarts(message.Targets, unixMs)
+	t.withdrawals.forgetOld(now)
 	named := map[string]bool{}
 	for _, reported := range message.Targets {
 		endpoint, err := reported.endpoint()
--- a/internal/endpoints/withdrawn.go
+++ b/internal/endpoints/withdrawn.go
@@ -24,14 +24,14 @@
 	withdrawn map[string]withdrawal // backends that were taken out of service
 }
 
-// observe records the state of a backend in a message, and returns the state that holds for it: that of the message,
+// observe records the state of a backend in a message, once forgetOld was called for it, and returns the state that holds for it: that of the message,
 // unless the backend was taken out of service by a newer one.
 func (w *withdrawals) observe(name, state string, revision int64, now time.Duration) string {
 	if w.withdrawn == nil {
 		w.inService, w.withdrawn = map[string]bool{}, map[string]withdrawal{}
 	}
 	earlier, known := w.withdrawn[name]
-	if known && revision < earlier.revision && now-earlier.at < withdrawalMemory {
+	if known && revision < earlier.revision {
 		if state == endpointlist.Ready {
 			return earlier.state
 		}
@@ -46,17 +46,21 @@
 	return state
 }
 
-// withdraw records that a backend was taken out of service, and forgets those for which that is long ago.
+// withdraw records that a backend was taken out of service.
 func (w *withdrawals) withdraw(name string, taken withdrawal) {
-	for other, earlier := range w.withdrawn {
-		if taken.at-earlier.at >= withdrawalMemory {
-			delete(w.withdrawn, other)
-		}
-	}
 	delete(w.inService, name)
 	w.withdrawn[name] = taken
 }
 
+// forgetOld forgets the backends that were taken out of service long ago.
+func (w *withdrawals) forgetOld(now time.Duration) {
+	for name, earlier := range w.withdrawn {
+		if now-earlier.at >= withdrawalMemory {
+			delete(w.withdrawn, name)
+		}
+	}
+}
+
 // observeFull records that a full list names no other backends than the given ones.
 func (w *withdrawals) observeFull(named map[string]bool, revision int64, now time.Duration) {
 	for name := range w.inService {
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -14,8 +14,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -28,6 +26,7 @@
 	"sloetrestle/internal/endpointlist"
 	"sloetrestle/internal/fakes"
 	"sloetrestle/internal/kserve"
+	"sloetrestle/internal/procstat"
 	"sloetrestle/internal/record"
 	"sloetrestle/internal/setup"
 )
@@ -365,23 +364,14 @@
 
 // cpuSeconds returns the CPU time that the dispatcher process has used, in seconds; 0 where it cannot be read.
 func (bed *testbed) cpuSeconds() float64 {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", bed.cmd.Process.Pid))
+	used, err := procstat.ProcessorTime(bed.cmd.Process.Pid)
 	if err != nil {
 		return 0
 	}
-	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
-	user, _ := strconv.ParseFloat(fields[11], 64)
-	system, _ := strconv.ParseFloat(fields[12], 64)
-	return (user + system) / 100 // clock ticks, 100 per second on Linux
+	return used.Seconds()
 }
 
 // residentMiB returns the resident memory of the dispatcher process, in MiB; 0 where it cannot be read.
 func (bed *testbed) residentMiB() float64 {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", bed.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(raw), "VmRSS:")
-	kib, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-	return kib / 1024
+	return float64(procstat.ResidentMemory(bed.cmd.Process.Pid)) / 1024
 }
--- a/internal/procstat/procstat.go
+++ b/internal/procstat/procstat.go
@@ -45,9 +45,6 @@
 // ResidentMemory returns the resident memory of a process in KB, or 0 if it is unknown.
 func ResidentMemory(pid int) int64 { return memoryStatus(pid, "VmRSS:") }
 
-// ResidentFiles returns the part of the resident memory of a process that is mapped from files, in KB.
-func ResidentFiles(pid int) int64 { return memoryStatus(pid, "RssFile:") }
-
 // memoryStatus returns a value in KB of /proc/PID/status, or 0 if it is unknown.
 func memoryStatus(pid int, name string) int64 {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
