--- a/internal/endpoints/withdrawn.go
+++ b/internal/endpoints/withdrawn.go
@@ -24,8 +24,8 @@
 	withdrawn map[string]withdrawal // backends that were taken out of service
 }
 
-// observe records the state of a backend in a message, once forgetOld was called for it, and returns the state that holds for it: that of the message,
-// unless the backend was taken out of service by a newer one.
+// observe records the state of a backend in a message, and returns the state that holds for it: that of the message, unless
+// the backend was taken out of service by a newer one. forgetOld must have been called for the message.
 func (w *withdrawals) observe(name, state string, revision int64, now time.Duration) string {
 	if w.withdrawn == nil {
 		w.inService, w.withdrawn = map[string]bool{}, map[string]withdrawal{}
